--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+GO ?= go
+SEED ?= 1
+STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
+
+.PHONY: build test fmt lint demo matrix measure generate
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+test: fmt lint
+	$(GO) test -race -timeout 300s ./...
+
+fmt:
+	@out=$$(gofmt -l $$(git ls-files '*.go')); test -z "$$out" || { echo "not formatted: $$out"; exit 1; }
+
+lint:
+	$(GO) vet ./...
+	$(GO) run $(STATICCHECK) ./...
+
+demo: build
+	./scripts/demo.sh
+
+matrix:
+	$(GO) run ./internal/faultmatrix/cmd/matrix -seed $(SEED)
+
+measure:
+	$(GO) run ./internal/measure/cmd/measure
+
+# Needs buf, protoc-gen-go and protoc-gen-connect-go; see docs/design.md.
+generate:
+	buf generate
--- /dev/null
+++ b/internal/model/ids.go
@@ -0,0 +1,59 @@
+// Package model holds the identifiers and value types that the decision
+// packages share.
+package model
+
+import (
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// InstanceID names an entry instance.
+type InstanceID string
+
+// DataCentre names a data centre.
+type DataCentre string
+
+// ServiceID identifies a service; it is the hash of the service's name.
+type ServiceID uint64
+
+// ServerID identifies a BackendServer; it is the hash of the service's and
+// the server's names. Zero means no server.
+type ServerID uint64
+
+// FlowHash identifies a flow within a service. Its top bits select the bucket.
+type FlowHash uint64
+
+// NewServiceID returns the identifier of the named service.
+func NewServiceID(name string) ServiceID {
+	return ServiceID(xxhash.Sum64String(name))
+}
+
+// NewServerID returns the identifier of a named server of a service. A server
+// that moves to another service gets another identifier.
+func NewServerID(service, server string) ServerID {
+	return ServerID(xxhash.Sum64String(service + "/" + server))
+}
+
+// FlowKey is the pair of addresses that identifies a flow.
+type FlowKey struct {
+	Caller  netip.AddrPort
+	Service netip.AddrPort
+}
+
+// Hash returns the flow hash of the key. It does not allocate.
+func (k FlowKey) Hash() FlowHash {
+	var b [36]byte
+	caller, service := k.Caller.Addr().As16(), k.Service.Addr().As16()
+	copy(b[0:16], caller[:])
+	copy(b[16:32], service[:])
+	b[32], b[33] = byte(k.Caller.Port()>>8), byte(k.Caller.Port())
+	b[34], b[35] = byte(k.Service.Port()>>8), byte(k.Service.Port())
+	return FlowHash(xxhash.Sum64(b[:]))
+}
+
+// Bucket returns the bucket of the flow among n buckets; n is a power of two.
+func (h FlowHash) Bucket(n int) int {
+	// The multiply selects the top bits without needing log2(n).
+	return int((uint64(h) >> 32) * uint64(n) >> 32)
+}
--- /dev/null
+++ b/internal/rendezvous/rendezvous.go
@@ -0,0 +1,69 @@
+// Package rendezvous ranks instances for a key by highest random weight, so
+// that a change of membership moves only the keys of the instance that came
+// or went.
+package rendezvous
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"cuminshift/internal/model"
+)
+
+// Key identifies what is to be placed.
+type Key uint64
+
+// NewKey derives a key from a kind (so that two uses of one number do not
+// rank alike) and a number.
+func NewKey(kind string, n uint64) Key {
+	return Key(mix(xxhash.Sum64String(kind) ^ mix(n)))
+}
+
+// Top2 returns the instances of rank 0 and 1 for the key; an empty ID stands
+// for a missing one. It does not allocate. Seeds come from Seed.
+func Top2(key Key, ids []model.InstanceID, seeds []uint64) (first, second model.InstanceID) {
+	var w0, w1 uint64
+	for i, id := range ids {
+		w := mix(uint64(key) ^ seeds[i])
+		switch {
+		case first == "" || w > w0 || (w == w0 && id < first):
+			second, w1 = first, w0
+			first, w0 = id, w
+		case second == "" || w > w1 || (w == w1 && id < second):
+			second, w1 = id, w
+		}
+	}
+	return first, second
+}
+
+// Ranked returns the n highest-ranked instances for the key.
+func Ranked(key Key, ids []model.InstanceID, n int) []model.InstanceID {
+	rest := append([]model.InstanceID(nil), ids...)
+	var out []model.InstanceID
+	for len(out) < n && len(rest) > 0 {
+		best, bestW := 0, uint64(0)
+		for i, id := range rest {
+			w := mix(uint64(key) ^ Seed(id))
+			if i == 0 || w > bestW || (w == bestW && id < rest[best]) {
+				best, bestW = i, w
+			}
+		}
+		out = append(out, rest[best])
+		rest = append(rest[:best], rest[best+1:]...)
+	}
+	return out
+}
+
+// Seed returns the hash that represents an instance in Top2.
+func Seed(id model.InstanceID) uint64 {
+	return xxhash.Sum64String(string(id))
+}
+
+// mix is the 64-bit finalizer of MurmurHash3.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	x ^= x >> 33
+	return x
+}
