--- /dev/null
+++ b/internal/standin/fabric/fabric.go
@@ -0,0 +1,180 @@
+// Package fabric is a stand-in for the network fabric of one data centre: it
+// delivers each datagram of a caller to a random ready entry instance.
+package fabric
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/gen/cuminshift/v1/cuminshiftv1connect"
+	"cuminshift/internal/standin/wire"
+)
+
+// PollInterval is the time between two reads of the instance list.
+const PollInterval = 200 * time.Millisecond
+
+// Config configures a fabric.
+type Config struct {
+	Listen     string
+	DataCentre string
+	// InstanceListURL is the base URL of the instance list.
+	InstanceListURL string
+	// Shares of datagrams that are sent twice, lost or delayed, from 0 to 1.
+	Duplicate, Loss, Reorder float64
+	// ReorderDelay bounds the delay of a reordered datagram; 20 ms when 0.
+	ReorderDelay time.Duration
+	Seed         uint64
+}
+
+// Stats counts datagrams.
+type Stats struct {
+	Received, Delivered, Duplicated, Lost, Reordered, NoInstance, Malformed atomic.Uint64
+}
+
+// Fabric is a running fabric.
+type Fabric struct {
+	Addr  netip.AddrPort
+	Stats Stats
+
+	cfg    Config
+	conn   *net.UDPConn
+	list   cuminshiftv1connect.InstanceListClient
+	random *rand.Rand
+
+	mu      sync.RWMutex
+	targets []netip.AddrPort
+}
+
+// Start runs a fabric until the context ends. It returns after the first read
+// of the instance list succeeded or failed.
+func Start(ctx context.Context, cfg Config) (*Fabric, error) {
+	if cfg.ReorderDelay <= 0 {
+		cfg.ReorderDelay = 20 * time.Millisecond
+	}
+	conn, err := wire.Listen(cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("fabric: %w", err)
+	}
+	f := &Fabric{
+		Addr: wire.LocalAddr(conn), cfg: cfg, conn: conn,
+		list:   cuminshiftv1connect.NewInstanceListClient(http.DefaultClient, cfg.InstanceListURL),
+		random: rand.New(rand.NewPCG(cfg.Seed, 1)),
+	}
+	context.AfterFunc(ctx, func() { _ = conn.Close() })
+	f.poll(ctx)
+	go f.pollLoop(ctx)
+	go f.receive()
+	return f, nil
+}
+
+func (f *Fabric) pollLoop(ctx context.Context) {
+	tick := time.NewTicker(PollInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			f.poll(ctx)
+		}
+	}
+}
+
+// poll keeps the targets of the last successful read when the list fails.
+func (f *Fabric) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	r, err := f.list.List(ctx, connect.NewRequest(&pb.ListRequest{}))
+	if err != nil {
+		return
+	}
+	var targets []netip.AddrPort
+	for _, i := range r.Msg.GetInstances() {
+		a, err := netip.ParseAddrPort(i.GetPacketAddress())
+		if err == nil && i.GetDataCentre() == f.cfg.DataCentre && !i.GetLeaving() {
+			targets = append(targets, a)
+		}
+	}
+	f.mu.Lock()
+	f.targets = targets
+	f.mu.Unlock()
+}
+
+func (f *Fabric) receive() {
+	buf := make([]byte, wire.MaxDatagram)
+	for {
+		n, from, err := f.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			continue
+		}
+		f.Stats.Received.Add(1)
+		p, err := wire.Decode(buf[:n])
+		if err != nil {
+			f.Stats.Malformed.Add(1)
+			continue
+		}
+		wire.SetCaller(p, from)
+		b, err := proto.Marshal(p)
+		if err != nil {
+			f.Stats.Malformed.Add(1)
+			continue
+		}
+		f.deliver(b)
+	}
+}
+
+func (f *Fabric) deliver(b []byte) {
+	if f.random.Float64() < f.cfg.Loss {
+		f.Stats.Lost.Add(1)
+		return
+	}
+	copies := 1
+	if f.random.Float64() < f.cfg.Duplicate {
+		f.Stats.Duplicated.Add(1)
+		copies = 2
+	}
+	for range copies {
+		to, ok := f.pick()
+		if !ok {
+			f.Stats.NoInstance.Add(1)
+			return
+		}
+		if f.random.Float64() < f.cfg.Reorder {
+			f.Stats.Reordered.Add(1)
+			delay := time.Duration(f.random.Int64N(int64(f.cfg.ReorderDelay)) + 1)
+			time.AfterFunc(delay, func() { f.send(b, to) })
+			continue
+		}
+		f.send(b, to)
+	}
+}
+
+func (f *Fabric) pick() (netip.AddrPort, bool) {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	if len(f.targets) == 0 {
+		return netip.AddrPort{}, false
+	}
+	return f.targets[f.random.IntN(len(f.targets))], true
+}
+
+func (f *Fabric) send(b []byte, to netip.AddrPort) {
+	if _, err := f.conn.WriteToUDPAddrPort(b, to); err == nil {
+		f.Stats.Delivered.Add(1)
+	}
+}
--- /dev/null
+++ b/internal/standin/httpserve/httpserve.go
@@ -0,0 +1,57 @@
+// Package httpserve runs the HTTP server of a stand-in.
+package httpserve
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Server is a running HTTP server.
+type Server struct {
+	Addr string
+	http *http.Server
+}
+
+// Start serves handler on addr until the context ends. Requests get contexts
+// derived from ctx, so waiting watches end with it.
+func Start(ctx context.Context, addr string, handler http.Handler) (*Server, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{Addr: l.Addr().String(), http: &http.Server{
+		Handler: handler, ReadHeaderTimeout: 5 * time.Second,
+		BaseContext: func(net.Listener) context.Context { return ctx },
+	}}
+	go func() { _ = s.http.Serve(l) }()
+	context.AfterFunc(ctx, func() { _ = s.http.Close() })
+	return s, nil
+}
+
+// URL returns the base URL of the server.
+func (s *Server) URL() string { return "http://" + s.Addr }
+
+// Switch returns a handler that shows the value of get as JSON on GET and
+// passes a decoded POST body to set. A POST replaces only the fields it names.
+func Switch[T any](get func() T, set func(T)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		v := get()
+		if r.Method == http.MethodPost {
+			if err := json.NewDecoder(r.Body).Decode(&v); err != nil {
+				http.Error(w, err.Error(), http.StatusBadRequest)
+				return
+			}
+			set(v)
+		}
+		WriteJSON(w, v)
+	})
+}
+
+// WriteJSON writes v as the response body.
+func WriteJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/standin/instancelist/instancelist.go
@@ -0,0 +1,183 @@
+// Package instancelist is a stand-in for the platform's instance list, whose
+// entries follow the instances with a lag.
+package instancelist
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"go.yaml.in/yaml/v3"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/gen/cuminshift/v1/cuminshiftv1connect"
+	"cuminshift/internal/standin/httpserve"
+)
+
+// Entry is one listed instance.
+type Entry struct {
+	Instance        string `json:"instance" yaml:"instance"`
+	DataCentre      string `json:"data_centre" yaml:"data_centre"`
+	PeerAddress     string `json:"peer_address" yaml:"peer_address"`
+	PacketAddress   string `json:"packet_address" yaml:"packet_address"`
+	OperatorAddress string `json:"operator_address" yaml:"operator_address"`
+	Leaving         bool   `json:"leaving" yaml:"leaving"`
+}
+
+// change is an edit that becomes visible at a time.
+type change struct {
+	visible time.Time
+	apply   func(map[string]Entry)
+}
+
+// List implements the InstanceList handler.
+type List struct {
+	mu      sync.Mutex
+	lag     time.Duration
+	down    bool
+	entries map[string]Entry
+	pending []change
+}
+
+// New returns a list that shows its first entries at once and later changes
+// after lag.
+func New(lag time.Duration, entries []Entry) *List {
+	l := &List{lag: lag, entries: map[string]Entry{}}
+	for _, e := range entries {
+		l.entries[e.Instance] = e
+	}
+	return l
+}
+
+// Start serves a list on addr until the context ends. Besides the InstanceList
+// service, POST /instances adds an entry in JSON, DELETE /instances/NAME
+// removes one, POST /instances/NAME/leaving marks one as leaving, and
+// POST /fault with {"down":true} fails the calls.
+func Start(ctx context.Context, addr string, lag time.Duration, entries []Entry) (*List, *httpserve.Server, error) {
+	l := New(lag, entries)
+	mux := http.NewServeMux()
+	mux.Handle(cuminshiftv1connect.NewInstanceListHandler(l))
+	mux.HandleFunc("POST /instances", l.serveAdd)
+	mux.HandleFunc("GET /instances", func(w http.ResponseWriter, _ *http.Request) { httpserve.WriteJSON(w, l.Visible()) })
+	mux.HandleFunc("DELETE /instances/{name}", func(_ http.ResponseWriter, r *http.Request) { l.Remove(r.PathValue("name")) })
+	mux.HandleFunc("POST /instances/{name}/leaving", func(_ http.ResponseWriter, r *http.Request) { l.MarkLeaving(r.PathValue("name")) })
+	mux.Handle("/fault", httpserve.Switch(l.fault, func(f Fault) { l.SetDown(f.Down) }))
+	srv, err := httpserve.Start(ctx, addr, mux)
+	return l, srv, err
+}
+
+// Fault selects the faults in force.
+type Fault struct {
+	Down bool `json:"down"`
+}
+
+func (l *List) fault() Fault {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return Fault{l.down}
+}
+
+// SetDown makes the list fail calls with UNAVAILABLE.
+func (l *List) SetDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+func (l *List) serveAdd(w http.ResponseWriter, r *http.Request) {
+	var e Entry
+	if err := json.NewDecoder(r.Body).Decode(&e); err != nil || e.Instance == "" {
+		http.Error(w, "body is no instance entry", http.StatusBadRequest)
+		return
+	}
+	l.Add(e)
+}
+
+// Add lists an instance after the lag.
+func (l *List) Add(e Entry) {
+	l.later(func(m map[string]Entry) { m[e.Instance] = e })
+}
+
+// Remove removes an instance after the lag.
+func (l *List) Remove(name string) {
+	l.later(func(m map[string]Entry) { delete(m, name) })
+}
+
+// MarkLeaving marks an instance as leaving after the lag.
+func (l *List) MarkLeaving(name string) {
+	l.later(func(m map[string]Entry) {
+		if e, ok := m[name]; ok {
+			e.Leaving = true
+			m[name] = e
+		}
+	})
+}
+
+func (l *List) later(apply func(map[string]Entry)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pending = append(l.pending, change{time.Now().Add(l.lag), apply})
+}
+
+// Visible returns the entries shown at present, sorted by name.
+func (l *List) Visible() []Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for len(l.pending) > 0 && !l.pending[0].visible.After(now) {
+		l.pending[0].apply(l.entries)
+		l.pending = l.pending[1:]
+	}
+	out := make([]Entry, 0, len(l.entries))
+	for _, e := range l.entries {
+		out = append(out, e)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Instance < out[j].Instance })
+	return out
+}
+
+// List implements the InstanceList handler.
+func (l *List) List(context.Context, *connect.Request[pb.ListRequest]) (*connect.Response[pb.ListResponse], error) {
+	if l.fault().Down {
+		return nil, connect.NewError(connect.CodeUnavailable, fmt.Errorf("instance list is down"))
+	}
+	out := &pb.ListResponse{}
+	for _, e := range l.Visible() {
+		out.Instances = append(out.Instances, &pb.ListedInstance{
+			Instance: e.Instance, DataCentre: e.DataCentre, PeerAddress: e.PeerAddress,
+			PacketAddress: e.PacketAddress, OperatorAddress: e.OperatorAddress, Leaving: e.Leaving,
+		})
+	}
+	return connect.NewResponse(out), nil
+}
+
+// ReadFile reads entries from a YAML file with the key "instances".
+func ReadFile(file string) ([]Entry, error) {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	var f struct {
+		Instances []Entry `yaml:"instances"`
+	}
+	if err := yaml.Unmarshal(b, &f); err != nil {
+		return nil, fmt.Errorf("%s: %w", file, err)
+	}
+	return f.Instances, nil
+}
+
+// ParseEntry parses NAME,DATA_CENTRE,PEER_ADDRESS,PACKET_ADDRESS,OPERATOR_ADDRESS.
+func ParseEntry(s string) (Entry, error) {
+	f := strings.Split(s, ",")
+	if len(f) != 5 {
+		return Entry{}, fmt.Errorf("instance %q: want 5 fields separated by commas", s)
+	}
+	return Entry{Instance: f[0], DataCentre: f[1], PeerAddress: f[2], PacketAddress: f[3], OperatorAddress: f[4]}, nil
+}
--- /dev/null
+++ b/internal/standin/server/server.go
@@ -0,0 +1,438 @@
+// Package server is a stand-in for a backend server: a datagram socket for
+// flows and requests, and a health and load endpoint that may lag or lie.
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/gen/cuminshift/v1/cuminshiftv1connect"
+	"cuminshift/internal/standin/httpserve"
+	"cuminshift/internal/standin/wire"
+)
+
+// Config configures a server.
+type Config struct {
+	Name, Service string
+	// Listen is the datagram socket; Health serves BackendStatus, /stats and
+	// /switch.
+	Listen, Health string
+	// Slots is the number of requests that run at once.
+	Slots       int
+	ServiceTime time.Duration
+	// Parts is the number of parts of an answer; 1 when 0.
+	Parts int
+	// ColdSlots and ColdOpenings are the requests at once and the openings per
+	// second that the server bears while cold.
+	ColdSlots, ColdOpenings int
+	// WarmAfter is the number of answers and accepted openings that end the
+	// cold phase; 0 starts the server warm.
+	WarmAfter int
+	// StatusLag is the age of what the health endpoint reports.
+	StatusLag time.Duration
+}
+
+// overloadFactor multiplies the service time of what a cold server receives
+// above what it bears.
+const overloadFactor = 5
+
+// leaveGrace is the time after the start of a drain in which new work is
+// still expected; see I8 in docs/design.md.
+const leaveGrace = 3 * time.Second
+
+// Switches are changed while the server runs, through /switch.
+type Switches struct {
+	// Drain counts openings that arrive later than 3 s from now.
+	Drain bool `json:"drain"`
+	// RefuseOpenings refuses openings with REASON_DRAINING.
+	RefuseOpenings bool `json:"refuse_openings"`
+	// Cold starts a cold phase when it is set.
+	Cold bool `json:"cold"`
+	// Shed refuses every request.
+	Shed bool `json:"shed"`
+	// Silent drops every datagram.
+	Silent bool `json:"silent"`
+	// SilentPath drops datagrams from this source address (ip:port).
+	SilentPath string `json:"silent_path"`
+	// Lie is the state that the health endpoint reports instead of the true
+	// one: ready, cold, draining or down.
+	Lie string `json:"lie"`
+	// StatusDown fails the calls of the health endpoint.
+	StatusDown bool `json:"status_down"`
+}
+
+// Stats are the counters of a server.
+type Stats struct {
+	Name    string `json:"name"`
+	Service string `json:"service"`
+	Cold    bool   `json:"cold"`
+
+	Openings          uint64 `json:"openings"`
+	Closes            uint64 `json:"closes"`
+	OpenFlows         int    `json:"open_flows"`
+	Echoes            uint64 `json:"echoes"`
+	UnknownFlow       uint64 `json:"unknown_flow"`
+	Requests          uint64 `json:"requests"`
+	Answered          uint64 `json:"answered"`
+	Shed              uint64 `json:"shed"`
+	Cancelled         uint64 `json:"cancelled"`
+	Expired           uint64 `json:"expired"`
+	BusySlots         int    `json:"busy_slots"`
+	DoubleRuns        uint64 `json:"double_runs"`
+	DoubleIdempotent  uint64 `json:"double_runs_idempotent"`
+	Malformed         uint64 `json:"malformed"`
+	OpeningsAfterLeft uint64 `json:"openings_after_left"`
+
+	ColdOpeningsReceived uint64 `json:"cold_openings_received"`
+	ColdOpeningsOver     uint64 `json:"cold_openings_over"`
+	ColdRequestsOver     uint64 `json:"cold_requests_over"`
+	// ColdPeak is the highest load during a cold phase over what the server
+	// bears; 1.0 is the most it bears.
+	ColdPeak float64 `json:"cold_peak"`
+}
+
+// requestKey names a request of a flow.
+type requestKey struct {
+	flow wire.Flow
+	id   uint64
+}
+
+// running is a request in a slot.
+type running struct {
+	timer *time.Timer
+	p     *pb.Packet
+	from  netip.AddrPort
+}
+
+// Server is a running server.
+type Server struct {
+	Addr   netip.AddrPort
+	Health string
+
+	cfg  Config
+	conn *net.UDPConn
+
+	mu      sync.Mutex
+	sw      Switches
+	stats   Stats
+	flows   map[wire.Flow]struct{}
+	work    map[*running]struct{}
+	runs    map[requestKey]int
+	cold    bool
+	warming int
+	// coldArrivals are the openings of the last second of a cold phase.
+	coldArrivals []time.Time
+	drainSince   time.Time
+	history      []snapshot
+}
+
+// Start runs a server until the context ends.
+func Start(ctx context.Context, cfg Config) (*Server, error) {
+	if cfg.Parts <= 0 {
+		cfg.Parts = 1
+	}
+	conn, err := wire.Listen(cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("server %s: %w", cfg.Name, err)
+	}
+	s := &Server{
+		Addr: wire.LocalAddr(conn), cfg: cfg, conn: conn,
+		flows: map[wire.Flow]struct{}{}, work: map[*running]struct{}{}, runs: map[requestKey]int{},
+		cold: cfg.WarmAfter > 0,
+	}
+	mux := http.NewServeMux()
+	mux.Handle(cuminshiftv1connect.NewBackendStatusHandler(s))
+	mux.Handle("/switch", httpserve.Switch(s.Switches, s.SetSwitches))
+	mux.HandleFunc("/stats", func(w http.ResponseWriter, _ *http.Request) { httpserve.WriteJSON(w, s.Stats()) })
+	h, err := httpserve.Start(ctx, cfg.Health, mux)
+	if err != nil {
+		_ = conn.Close()
+		return nil, fmt.Errorf("server %s: %w", cfg.Name, err)
+	}
+	s.Health = h.Addr
+	context.AfterFunc(ctx, func() { _ = conn.Close() })
+	go s.receive()
+	go s.sampleLoop(ctx)
+	return s, nil
+}
+
+// Switches returns the switches in force.
+func (s *Server) Switches() Switches {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sw
+}
+
+// SetSwitches replaces the switches. Setting Cold starts a cold phase.
+func (s *Server) SetSwitches(sw Switches) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if sw.Drain && !s.sw.Drain {
+		s.drainSince = time.Now()
+	}
+	if sw.Cold && !s.sw.Cold {
+		s.cold, s.warming, s.coldArrivals = true, 0, nil
+	}
+	s.sw = sw
+}
+
+// Stats returns the counters.
+func (s *Server) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := s.stats
+	out.Name, out.Service, out.Cold = s.cfg.Name, s.cfg.Service, s.cold
+	out.OpenFlows, out.BusySlots = len(s.flows), len(s.work)
+	return out
+}
+
+// Runs returns how often a request of a flow was started.
+func (s *Server) Runs(flow wire.Flow, requestID uint64) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[requestKey{flow, requestID}]
+}
+
+func (s *Server) receive() {
+	buf := make([]byte, wire.MaxDatagram)
+	for {
+		n, from, err := s.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		p, err := wire.Decode(buf[:n])
+		s.mu.Lock()
+		switch {
+		case err != nil:
+			s.stats.Malformed++
+		case s.sw.Silent || (s.sw.SilentPath != "" && s.sw.SilentPath == from.String()):
+		default:
+			s.handle(time.Now(), p, from)
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (s *Server) handle(now time.Time, p *pb.Packet, from netip.AddrPort) {
+	flow := wire.FlowOf(p)
+	switch p.GetKind() {
+	case pb.Kind_KIND_OPEN:
+		s.open(now, flow, p, from)
+	case pb.Kind_KIND_DATA:
+		s.data(flow, p, from)
+	case pb.Kind_KIND_CLOSE:
+		if _, ok := s.flows[flow]; ok {
+			s.stats.Closes++
+			delete(s.flows, flow)
+		}
+	case pb.Kind_KIND_REQUEST:
+		s.request(flow, p, from)
+	case pb.Kind_KIND_CANCEL:
+		s.cancel(flow, p)
+	default:
+		s.stats.Malformed++
+	}
+}
+
+// open acknowledges repeated openings of an open flow without counting them
+// again.
+func (s *Server) open(now time.Time, flow wire.Flow, p *pb.Packet, from netip.AddrPort) {
+	if _, ok := s.flows[flow]; ok {
+		s.send(s.reply(p, pb.Kind_KIND_OPEN_ACK, s.payload(0, "")), from)
+		return
+	}
+	if s.sw.Drain && now.Sub(s.drainSince) > leaveGrace {
+		s.stats.OpeningsAfterLeft++
+	}
+	if s.sw.RefuseOpenings {
+		s.refuse(p, from, pb.Reason_REASON_DRAINING, pb.Outcome_OUTCOME_DID_NOT_RUN)
+		return
+	}
+	s.stats.Openings++
+	s.flows[flow] = struct{}{}
+	ack := s.reply(p, pb.Kind_KIND_OPEN_ACK, s.payload(0, ""))
+	if s.cold && s.coldOpening(now) {
+		time.AfterFunc(overloadFactor*s.cfg.ServiceTime, func() { s.send(ack, from) })
+		return
+	}
+	s.send(ack, from)
+	s.warm()
+}
+
+// coldOpening counts an opening of the cold phase and reports whether it is
+// above what the server bears in one second.
+func (s *Server) coldOpening(now time.Time) bool {
+	s.stats.ColdOpeningsReceived++
+	s.coldArrivals = append(s.coldArrivals, now)
+	for now.Sub(s.coldArrivals[0]) >= time.Second {
+		s.coldArrivals = s.coldArrivals[1:]
+	}
+	if s.cfg.ColdOpenings <= 0 {
+		return false
+	}
+	s.stats.ColdPeak = max(s.stats.ColdPeak, float64(len(s.coldArrivals))/float64(s.cfg.ColdOpenings))
+	over := len(s.coldArrivals) > s.cfg.ColdOpenings
+	if over {
+		s.stats.ColdOpeningsOver++
+	}
+	return over
+}
+
+// warm counts good work of the cold phase and ends the phase after WarmAfter.
+func (s *Server) warm() {
+	if !s.cold {
+		return
+	}
+	if s.warming++; s.warming >= s.cfg.WarmAfter {
+		s.cold, s.sw.Cold = false, false
+	}
+}
+
+func (s *Server) data(flow wire.Flow, p *pb.Packet, from netip.AddrPort) {
+	if _, ok := s.flows[flow]; !ok {
+		s.stats.UnknownFlow++
+		s.refuse(p, from, pb.Reason_REASON_UNKNOWN_FLOW, pb.Outcome_OUTCOME_DID_NOT_RUN)
+		return
+	}
+	s.stats.Echoes++
+	s.send(s.reply(p, pb.Kind_KIND_DATA, s.payload(0, string(p.GetPayload()))), from)
+}
+
+func (s *Server) request(flow wire.Flow, p *pb.Packet, from netip.AddrPort) {
+	s.stats.Requests++
+	if _, ok := s.flows[flow]; !ok {
+		s.stats.UnknownFlow++
+		s.refuse(p, from, pb.Reason_REASON_UNKNOWN_FLOW, pb.Outcome_OUTCOME_DID_NOT_RUN)
+		return
+	}
+	if s.sw.Shed || len(s.work) >= s.cfg.Slots {
+		s.stats.Shed++
+		s.refuse(p, from, pb.Reason_REASON_SHED, pb.Outcome_OUTCOME_DID_NOT_RUN)
+		return
+	}
+	s.countRun(flow, p)
+	took := s.cfg.ServiceTime
+	if s.cold && s.coldRequest() {
+		took *= overloadFactor
+	}
+	r := &running{p: p, from: from}
+	s.work[r] = struct{}{}
+	if d := time.Duration(p.GetDeadlineMs()) * time.Millisecond; d > 0 && d < took {
+		r.timer = time.AfterFunc(d, func() { s.expire(r) })
+		return
+	}
+	r.timer = time.AfterFunc(took, func() { s.finish(r) })
+}
+
+func (s *Server) countRun(flow wire.Flow, p *pb.Packet) {
+	key := requestKey{flow, p.GetRequestId()}
+	if s.runs[key]++; s.runs[key] < 2 {
+		return
+	}
+	if p.GetIdempotent() {
+		s.stats.DoubleIdempotent++
+	} else {
+		s.stats.DoubleRuns++
+	}
+}
+
+// coldRequest reports whether a request that is about to start is above what
+// the cold server bears.
+func (s *Server) coldRequest() bool {
+	if s.cfg.ColdSlots <= 0 {
+		return false
+	}
+	load := len(s.work) + 1
+	s.stats.ColdPeak = max(s.stats.ColdPeak, float64(load)/float64(s.cfg.ColdSlots))
+	if load > s.cfg.ColdSlots {
+		s.stats.ColdRequestsOver++
+		return true
+	}
+	return false
+}
+
+func (s *Server) finish(r *running) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.release(r) {
+		return
+	}
+	s.stats.Answered++
+	s.warm()
+	for k := range s.cfg.Parts {
+		a := s.reply(r.p, pb.Kind_KIND_ANSWER, s.payload(k, string(r.p.GetPayload())))
+		a.Part, a.Parts = uint32(k), uint32(s.cfg.Parts)
+		s.send(a, r.from)
+	}
+}
+
+// expire stops a request whose deadline passed. It ran in part, so its outcome
+// is unknown.
+func (s *Server) expire(r *running) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.release(r) {
+		s.stats.Expired++
+		s.refuse(r.p, r.from, pb.Reason_REASON_DEADLINE, pb.Outcome_OUTCOME_UNKNOWN)
+	}
+}
+
+func (s *Server) cancel(flow wire.Flow, p *pb.Packet) {
+	for r := range s.work {
+		if r.p.GetRequestId() == p.GetRequestId() && r.p.GetAttempt() == p.GetAttempt() && wire.FlowOf(r.p) == flow {
+			r.timer.Stop()
+			s.release(r)
+			s.stats.Cancelled++
+			s.refuse(r.p, r.from, pb.Reason_REASON_CANCELLED, pb.Outcome_OUTCOME_UNKNOWN)
+		}
+	}
+}
+
+// release frees the slot of a request and reports whether it was still held.
+func (s *Server) release(r *running) bool {
+	_, ok := s.work[r]
+	delete(s.work, r)
+	return ok
+}
+
+func (s *Server) payload(part int, body string) []byte {
+	return wire.Reply{Service: s.cfg.Service, Server: s.cfg.Name, Part: part, Body: body}.Payload()
+}
+
+func (s *Server) reply(p *pb.Packet, kind pb.Kind, payload []byte) *pb.Packet {
+	return &pb.Packet{
+		Kind: kind, CallerIp: p.GetCallerIp(), CallerPort: p.GetCallerPort(),
+		ServiceIp: p.GetServiceIp(), ServicePort: p.GetServicePort(),
+		RequestId: p.GetRequestId(), Attempt: p.GetAttempt(), CallerAttempt: p.GetCallerAttempt(),
+		Idempotent: p.GetIdempotent(), Payload: payload,
+		Cold: s.cold && (kind == pb.Kind_KIND_OPEN_ACK || kind == pb.Kind_KIND_ANSWER || kind == pb.Kind_KIND_REFUSAL),
+	}
+}
+
+func (s *Server) refuse(p *pb.Packet, to netip.AddrPort, reason pb.Reason, outcome pb.Outcome) {
+	r := s.reply(p, pb.Kind_KIND_REFUSAL, nil)
+	r.Reason, r.Outcome = reason, outcome
+	s.send(r, to)
+}
+
+// send ignores errors as a datagram server does: the peer repeats.
+func (s *Server) send(p *pb.Packet, to netip.AddrPort) {
+	b, err := proto.Marshal(p)
+	if err != nil {
+		return
+	}
+	_, _ = s.conn.WriteToUDPAddrPort(b, to)
+}
--- /dev/null
+++ b/internal/standin/store/store.go
@@ -0,0 +1,214 @@
+// Package store is a stand-in for the platform's object store: versions,
+// conditional updates and watches, in memory, with faults that can be switched
+// while it runs.
+package store
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/gen/cuminshift/v1/cuminshiftv1connect"
+	"cuminshift/internal/standin/httpserve"
+)
+
+// MaxValue is the largest value of an object, in bytes; see docs/design.md,
+// section 1, Platform.
+const MaxValue = 1 << 20
+
+// Fault selects the faults in force.
+type Fault struct {
+	// Down fails every call, including waiting watches, with UNAVAILABLE.
+	Down bool `json:"down"`
+	// Silent accepts calls and never answers them.
+	Silent bool `json:"silent"`
+	// SlowMS delays every answer, in milliseconds.
+	SlowMS int `json:"slow_ms"`
+	// Stale answers reads and watches from the objects as they were when the
+	// fault was switched on.
+	Stale bool `json:"stale"`
+	// LoseAnswers is the number of following writes that take effect and then
+	// fail with UNAVAILABLE.
+	LoseAnswers int `json:"lose_answers"`
+}
+
+// Stats counts the calls received.
+type Stats struct {
+	Gets, Puts, Watches, Conflicts, LostAnswers uint64
+}
+
+type object struct {
+	version uint64
+	value   []byte
+}
+
+// Store holds the objects. It implements the ObjectStore handler.
+type Store struct {
+	mu      sync.Mutex
+	objects map[string]object
+	frozen  map[string]object
+	fault   Fault
+	stats   Stats
+	// changed is closed and replaced on each write and each fault change.
+	changed chan struct{}
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{objects: map[string]object{}, changed: make(chan struct{})}
+}
+
+// Start serves a new store on addr until the context ends.
+func Start(ctx context.Context, addr string) (*Store, *httpserve.Server, error) {
+	s := New()
+	mux := http.NewServeMux()
+	mux.Handle(cuminshiftv1connect.NewObjectStoreHandler(s))
+	mux.Handle("/fault", httpserve.Switch(s.Fault, s.SetFault))
+	mux.HandleFunc("/stats", func(w http.ResponseWriter, _ *http.Request) { httpserve.WriteJSON(w, s.Stats()) })
+	srv, err := httpserve.Start(ctx, addr, mux)
+	return s, srv, err
+}
+
+// Fault returns the faults in force.
+func (s *Store) Fault() Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fault
+}
+
+// SetFault replaces the faults in force.
+func (s *Store) SetFault(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f.Stale && !s.fault.Stale {
+		s.frozen = make(map[string]object, len(s.objects))
+		for k, o := range s.objects {
+			s.frozen[k] = o
+		}
+	}
+	s.fault = f
+	s.wake()
+}
+
+// Stats returns the call counters.
+func (s *Store) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stats
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func unavailable(text string) error {
+	return connect.NewError(connect.CodeUnavailable, errors.New(text))
+}
+
+// begin applies the faults that precede a call.
+func (s *Store) begin(ctx context.Context) error {
+	f := s.Fault()
+	if f.Silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if f.SlowMS > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(time.Duration(f.SlowMS) * time.Millisecond):
+		}
+	}
+	if f.Down {
+		return unavailable("object store is down")
+	}
+	return nil
+}
+
+func (s *Store) read(key string) object {
+	if s.fault.Stale {
+		return s.frozen[key]
+	}
+	return s.objects[key]
+}
+
+// Get implements the ObjectStore handler.
+func (s *Store) Get(ctx context.Context, r *connect.Request[pb.GetRequest]) (*connect.Response[pb.GetResponse], error) {
+	if err := s.begin(ctx); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Gets++
+	return response(s.read(r.Msg.GetKey())), nil
+}
+
+func response(o object) *connect.Response[pb.GetResponse] {
+	return connect.NewResponse(&pb.GetResponse{Version: o.version, Value: o.value})
+}
+
+// Put implements the ObjectStore handler.
+func (s *Store) Put(ctx context.Context, r *connect.Request[pb.PutRequest]) (*connect.Response[pb.PutResponse], error) {
+	if err := s.begin(ctx); err != nil {
+		return nil, err
+	}
+	if len(r.Msg.GetValue()) > MaxValue {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("value is larger than 1 MB"))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Puts++
+	o := s.objects[r.Msg.GetKey()]
+	if r.Msg.IfVersion != nil && r.Msg.GetIfVersion() != o.version {
+		s.stats.Conflicts++
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errors.New("object has another version"))
+	}
+	o = object{o.version + 1, append([]byte(nil), r.Msg.GetValue()...)}
+	s.objects[r.Msg.GetKey()] = o
+	s.wake()
+	if s.fault.LoseAnswers > 0 {
+		s.fault.LoseAnswers--
+		s.stats.LostAnswers++
+		return nil, unavailable("connection lost")
+	}
+	return connect.NewResponse(&pb.PutResponse{Version: o.version}), nil
+}
+
+// Watch implements the ObjectStore handler.
+func (s *Store) Watch(ctx context.Context, r *connect.Request[pb.WatchRequest]) (*connect.Response[pb.GetResponse], error) {
+	if err := s.begin(ctx); err != nil {
+		return nil, err
+	}
+	timeout := time.NewTimer(time.Duration(r.Msg.GetWaitMs()) * time.Millisecond)
+	defer timeout.Stop()
+	s.mu.Lock()
+	s.stats.Watches++
+	s.mu.Unlock()
+	for expired := false; ; {
+		s.mu.Lock()
+		o, f, changed := s.read(r.Msg.GetKey()), s.fault, s.changed
+		s.mu.Unlock()
+		switch {
+		case f.Silent:
+			<-ctx.Done()
+			return nil, ctx.Err()
+		case f.Down:
+			return nil, unavailable("object store is down")
+		case expired || o.version > r.Msg.GetAfterVersion():
+			return response(o), nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-timeout.C:
+			expired = true
+		case <-changed:
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/wire/wire.go
@@ -0,0 +1,113 @@
+// Package wire encodes the datagrams and payloads that the stand-ins share.
+package wire
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"strconv"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+)
+
+// MaxDatagram is the largest datagram the stand-ins read, in bytes.
+const MaxDatagram = 64 << 10
+
+// SocketBuffer is the kernel buffer of each stand-in socket that serves many
+// peers, in bytes. The default overflows when thousands of flows open at once.
+const SocketBuffer = 4 << 20
+
+// Listen opens an unconnected UDP socket with large kernel buffers.
+func Listen(addr string) (*net.UDPConn, error) {
+	a, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen address %q: %w", addr, err)
+	}
+	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(a))
+	if err != nil {
+		return nil, err
+	}
+	// The kernel may cap the size; a smaller buffer is not an error.
+	_ = c.SetReadBuffer(SocketBuffer)
+	_ = c.SetWriteBuffer(SocketBuffer)
+	return c, nil
+}
+
+// LocalAddr returns the bound address of a socket.
+func LocalAddr(c *net.UDPConn) netip.AddrPort {
+	a := c.LocalAddr().(*net.UDPAddr).AddrPort()
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
+
+// Decode parses a datagram.
+func Decode(b []byte) (*pb.Packet, error) {
+	p := new(pb.Packet)
+	if err := proto.Unmarshal(b, p); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// Send encodes a packet and sends it as one datagram.
+func Send(c *net.UDPConn, p *pb.Packet, to netip.AddrPort) error {
+	b, err := proto.Marshal(p)
+	if err != nil {
+		return err
+	}
+	_, err = c.WriteToUDPAddrPort(b, to)
+	return err
+}
+
+// SetCaller stores a caller address in a packet.
+func SetCaller(p *pb.Packet, a netip.AddrPort) {
+	p.CallerIp, p.CallerPort = a.Addr().Unmap().AsSlice(), uint32(a.Port())
+}
+
+// SetService stores a service address in a packet.
+func SetService(p *pb.Packet, a netip.AddrPort) {
+	p.ServiceIp, p.ServicePort = a.Addr().Unmap().AsSlice(), uint32(a.Port())
+}
+
+// Flow is the pair of addresses that names a flow.
+type Flow struct {
+	Caller, Service netip.AddrPort
+}
+
+// FlowOf returns the flow of a packet.
+func FlowOf(p *pb.Packet) Flow {
+	caller, _ := netip.AddrFromSlice(p.GetCallerIp())
+	service, _ := netip.AddrFromSlice(p.GetServiceIp())
+	return Flow{
+		netip.AddrPortFrom(caller.Unmap(), uint16(p.GetCallerPort())),
+		netip.AddrPortFrom(service.Unmap(), uint16(p.GetServicePort())),
+	}
+}
+
+// Reply is the content of a server's echo or of one part of its answer. Part
+// is repeated inside the payload so that a caller notices mixed-up parts.
+type Reply struct {
+	Service, Server string
+	Part            int
+	Body            string
+}
+
+// Payload returns the payload form of a reply.
+func (r Reply) Payload() []byte {
+	return []byte(r.Service + "|" + r.Server + "|" + strconv.Itoa(r.Part) + "|" + r.Body)
+}
+
+// ParseReply reverses Payload.
+func ParseReply(b []byte) (Reply, error) {
+	f := strings.SplitN(string(b), "|", 4)
+	if len(f) != 4 {
+		return Reply{}, fmt.Errorf("payload of %d bytes is no reply", len(b))
+	}
+	part, err := strconv.Atoi(f[2])
+	if err != nil {
+		return Reply{}, fmt.Errorf("part number of reply: %w", err)
+	}
+	return Reply{f[0], f[1], part, f[3]}, nil
+}
