--- a/internal/standin/instancelist/instancelist.go
+++ b/internal/standin/instancelist/instancelist.go
@@ -173,11 +173,11 @@
 	return f.Instances, nil
 }
 
-// ParseEntry parses NAME,DATA_CENTRE,PEER_ADDRESS,PACKET_ADDRESS,OPERATOR_ADDRESS.
+// ParseEntry parses NAME/DATA_CENTRE/PEER_ADDRESS/PACKET_ADDRESS/OPERATOR_ADDRESS.
 func ParseEntry(s string) (Entry, error) {
-	f := strings.Split(s, ",")
+	f := strings.Split(s, "/")
 	if len(f) != 5 {
-		return Entry{}, fmt.Errorf("instance %q: want 5 fields separated by commas", s)
+		return Entry{}, fmt.Errorf("instance %q: want 5 fields separated by slashes", s)
 	}
 	return Entry{Instance: f[0], DataCentre: f[1], PeerAddress: f[2], PacketAddress: f[3], OperatorAddress: f[4]}, nil
 }
