--- /dev/null
+++ b/internal/packet/encode.go
@@ -0,0 +1,74 @@
+package packet
+
+import (
+	"net/netip"
+
+	"google.golang.org/protobuf/encoding/protowire"
+)
+
+// Append appends the encoding of p to b and returns the extended buffer. It
+// allocates only when b lacks capacity. Fields with their zero value are left
+// out, as in proto.Marshal.
+func (p *Packet) Append(b []byte) []byte {
+	b = appendNonZero(b, FieldKind, uint64(int64(p.Kind)))
+	b = appendAddr(b, FieldCallerIP, p.Caller.Addr())
+	b = appendNonZero(b, FieldCallerPort, uint64(p.Caller.Port()))
+	b = appendAddr(b, FieldServiceIP, p.Service.Addr())
+	b = appendNonZero(b, FieldServicePort, uint64(p.Service.Port()))
+	if p.RequestID != 0 {
+		b = protowire.AppendTag(b, FieldRequestID, protowire.Fixed64Type)
+		b = protowire.AppendFixed64(b, p.RequestID)
+	}
+	b = appendNonZero(b, FieldIdempotent, protowire.EncodeBool(p.Idempotent))
+	b = appendNonZero(b, FieldPriority, uint64(p.Priority))
+	b = appendNonZero(b, FieldDeadlineMS, uint64(p.DeadlineMS))
+	b = appendNonZero(b, FieldCallerAttempt, uint64(p.CallerAttempt))
+	b = appendNonZero(b, FieldAttempt, uint64(p.Attempt))
+	b = appendNonZero(b, FieldPart, uint64(p.Part))
+	b = appendNonZero(b, FieldParts, uint64(p.Parts))
+	if len(p.Payload) > 0 {
+		b = protowire.AppendTag(b, FieldPayload, protowire.BytesType)
+		b = protowire.AppendBytes(b, p.Payload)
+	}
+	b = appendNonZero(b, FieldReason, uint64(int64(p.Reason)))
+	b = appendNonZero(b, FieldOutcome, uint64(int64(p.Outcome)))
+	b = appendNonZero(b, FieldRelayed, protowire.EncodeBool(p.Relayed))
+	return appendNonZero(b, FieldCold, protowire.EncodeBool(p.Cold))
+}
+
+// AppendUint32 appends a new value of an integer field to an encoded packet.
+// The last value of a scalar field wins, so a datagram can be changed without
+// encoding it again. Zero is written too, because it must replace the earlier
+// value.
+func AppendUint32(datagram []byte, field Field, v uint32) []byte {
+	datagram = protowire.AppendTag(datagram, field, protowire.VarintType)
+	return protowire.AppendVarint(datagram, uint64(v))
+}
+
+// AppendBool is AppendUint32 for a boolean field.
+func AppendBool(datagram []byte, field Field, v bool) []byte {
+	datagram = protowire.AppendTag(datagram, field, protowire.VarintType)
+	return protowire.AppendVarint(datagram, protowire.EncodeBool(v))
+}
+
+func appendNonZero(b []byte, field Field, v uint64) []byte {
+	if v == 0 {
+		return b
+	}
+	b = protowire.AppendTag(b, field, protowire.VarintType)
+	return protowire.AppendVarint(b, v)
+}
+
+func appendAddr(b []byte, field Field, addr netip.Addr) []byte {
+	switch {
+	case addr.Is4():
+		raw := addr.As4()
+		b = protowire.AppendTag(b, field, protowire.BytesType)
+		return protowire.AppendBytes(b, raw[:])
+	case addr.Is6():
+		raw := addr.As16()
+		b = protowire.AppendTag(b, field, protowire.BytesType)
+		return protowire.AppendBytes(b, raw[:])
+	}
+	return b
+}
