packet: refuse field numbers above the protobuf maximum

The fuzz target found that protowire.ConsumeTag accepts field numbers above 1<<29-1, which proto.Unmarshal refuses. Decode now refuses them; 30 s of fuzzing find no other difference.

--- a/internal/packet/packet.go
+++ b/internal/packet/packet.go
@@ -115,7 +115,8 @@
 	var callerPort, servicePort uint32
 	for b := datagram; len(b) > 0; {
 		num, typ, n := protowire.ConsumeTag(b)
-		if n < 0 {
+		// ConsumeTag accepts field numbers that proto.Unmarshal refuses.
+		if n < 0 || num > protowire.MaxValidNumber {
 			return ErrMalformed
 		}
 		b = b[n:]
--- a/internal/packet/packet_test.go
+++ b/internal/packet/packet_test.go
@@ -110,6 +110,7 @@
 func FuzzDecode(f *testing.F) {
 	f.Add(sample().Append(nil))
 	f.Add([]byte("\x12\x05abcde"))
+	f.Add([]byte("\xb9\x9d\x90\xc5000000000")) // field number above 1<<29-1
 	f.Add(AppendUint32(sample().Append(nil), 200, 3))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		var p Packet
