--- /dev/null
+++ b/internal/admission/admission.go
@@ -0,0 +1,370 @@
+// Package admission grants the slots of backend servers. The admitter of a
+// server (see dcstate.State.Admitter) owns its slots: outstanding grants, a
+// priority queue, the cold-start ramp and the memory of non-idempotent
+// requests.
+package admission
+
+import (
+	"sort"
+	"time"
+
+	"cuminshift/internal/dcstate"
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/model"
+	"cuminshift/internal/peer"
+	"cuminshift/internal/rendezvous"
+)
+
+// SequenceBase is added to the sequence numbers of AdmitterHandover messages,
+// so that their Acks differ from those of other packages.
+const SequenceBase = 1 << 40
+
+// Config holds the parameters; zero fields take the defaults.
+type Config struct {
+	Self model.InstanceID
+	// Fenced reports whether the instance may take no decision; nil means
+	// never. It is asked at each decision, because an instance that was
+	// frozen must not act on what it believed before.
+	Fenced func(now time.Time) bool
+	// QueueLength bounds the queue of each server; default 64.
+	QueueLength int
+	// MaxGrant bounds the time from the request of a grant to its expiry,
+	// without Margin; it must equal requests.Config.MaxGrant. Default 10 s.
+	MaxGrant time.Duration
+	// Margin is the longest datagram lifetime within a data centre; default
+	// 300 ms.
+	Margin time.Duration
+	// DeadAfter is the time after which an instance is declared out; default
+	// 1 s.
+	DeadAfter time.Duration
+	// RequestMemory is how long a non-idempotent request is remembered after
+	// its last grant; default 30 s. It must exceed MaxGrant + Margin.
+	RequestMemory time.Duration
+	// MaxRemembered bounds the memory of each server; above it non-idempotent
+	// requests are refused. Default 32768.
+	MaxRemembered int
+	// RampInterval is the shortest time between two steps of the ramp;
+	// default 1 s.
+	RampInterval time.Duration
+	// SlowFactor is the ratio of recent to usual latency that sets the ramp
+	// back; default 3.
+	SlowFactor float64
+	// ReportWait bounds the wait for the GrantReports of the members after an
+	// unplanned change of admitter; default 200 ms.
+	ReportWait time.Duration
+	// HandoverWait bounds the wait for the former admitter's handover. It
+	// must exceed DeadAfter, so that a former admitter that is gone has left
+	// the view by then or is fenced; default 1.5 s.
+	HandoverWait time.Duration
+	// HandoverRetry is the time after which an unacknowledged handover is
+	// repeated; default 200 ms.
+	HandoverRetry time.Duration
+}
+
+func (c *Config) setDefaults() {
+	setDefault(&c.QueueLength, 64)
+	setDefault(&c.MaxGrant, 10*time.Second)
+	setDefault(&c.Margin, 300*time.Millisecond)
+	setDefault(&c.DeadAfter, time.Second)
+	setDefault(&c.RequestMemory, 30*time.Second)
+	setDefault(&c.MaxRemembered, 32768)
+	setDefault(&c.RampInterval, time.Second)
+	setDefault(&c.SlowFactor, 3)
+	setDefault(&c.ReportWait, 200*time.Millisecond)
+	setDefault(&c.HandoverWait, 1500*time.Millisecond)
+	setDefault(&c.HandoverRetry, 200*time.Millisecond)
+	if c.Fenced == nil {
+		c.Fenced = func(time.Time) bool { return false }
+	}
+}
+
+func setDefault[T int | float64 | time.Duration](v *T, d T) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+// Held returns the grants that the instance's own coordinator holds of a
+// server; see requests.Coordinator.Held.
+type Held func(server model.ServerID) []*pb.OutstandingGrant
+
+// Status describes the slots of a server at its admitter.
+type Status struct {
+	// Admitter is false when this instance does not grant the server's slots
+	// at present; the other fields are then zero.
+	Admitter    bool
+	Allowed     int
+	Outstanding int
+	Queued      int
+	Remembered  int
+	Cold        bool
+}
+
+// Admitter holds the servers of which this instance is the admitter. It is
+// not safe for concurrent use.
+type Admitter struct {
+	cfg        Config
+	infos      map[model.ServerID]*model.BackendServer
+	conditions map[model.ServerID]pb.ServerCondition
+	known      []model.InstanceID
+	state      *dcstate.State
+	servers    map[model.ServerID]*server
+	handovers  map[uint64]*handover
+	sequence   uint64
+	// early holds reports that came before the state that they belong to.
+	early []earlyReport
+	// applied are the latest handovers that were applied; a repeated one is
+	// only acknowledged again.
+	applied      map[handoverID]bool
+	appliedOrder []handoverID
+}
+
+// New returns an Admitter that owns no server. firstSequence should differ
+// between incarnations of the instance.
+func New(cfg Config, firstSequence uint64) *Admitter {
+	cfg.setDefaults()
+	return &Admitter{
+		cfg: cfg, infos: map[model.ServerID]*model.BackendServer{}, conditions: map[model.ServerID]pb.ServerCondition{},
+		servers: map[model.ServerID]*server{}, handovers: map[uint64]*handover{}, sequence: SequenceBase + firstSequence,
+		applied: map[handoverID]bool{},
+	}
+}
+
+// SetServers replaces the servers of the data centre. A server that is new to
+// the catalog starts cold at its admitter.
+func (a *Admitter) SetServers(now time.Time, servers map[model.ServerID]*model.BackendServer) []peer.Message {
+	var out []peer.Message
+	for _, id := range sortedServers(a.servers) {
+		s := a.servers[id]
+		if info := servers[id]; info != nil {
+			s.info = info
+			s.ramp.resize(info)
+			continue
+		}
+		out = append(out, s.refuseAll(pb.GrantResult_GRANT_RESULT_REFUSED, pb.Reason_REASON_NO_SERVER)...)
+		delete(a.servers, id)
+	}
+	added := addedServers(a.infos, servers)
+	a.infos = servers
+	if a.state == nil {
+		return out
+	}
+	for _, id := range added {
+		if a.state.Admitter(id) == a.cfg.Self && a.servers[id] == nil {
+			a.servers[id] = a.newServer(now, id)
+		}
+	}
+	return append(out, a.pumpAll(now)...)
+}
+
+// SetKnownInstances tells the instances of the instance list. While the view
+// lacks half of them, the data centre may be partitioned, and only the side
+// with the larger part grants slots of cold servers.
+func (a *Admitter) SetKnownInstances(now time.Time, ids []model.InstanceID) []peer.Message {
+	a.known = append(a.known[:0], ids...)
+	return a.pumpAll(now)
+}
+
+// Observe tells the condition of a server as this instance's serverhealth
+// sees it. It sets the ramp back when the server goes cold, sheds or falls
+// silent.
+func (a *Admitter) Observe(now time.Time, id model.ServerID, c pb.ServerCondition) []peer.Message {
+	was := a.conditions[id]
+	a.conditions[id] = c
+	s := a.servers[id]
+	if s == nil || was == c {
+		return nil
+	}
+	s.ramp.observe(now, s.info, c)
+	return a.pump(now, s)
+}
+
+// Status returns the state of a server's slots.
+func (a *Admitter) Status(now time.Time, id model.ServerID) Status {
+	s := a.servers[id]
+	if s == nil || s.phase != owned {
+		return Status{}
+	}
+	return Status{
+		Admitter: true, Allowed: a.allowed(s), Outstanding: s.busy(now), Queued: s.queue.Len(),
+		Remembered: s.memory.len(), Cold: s.ramp.cold,
+	}
+}
+
+// HandlePeer handles GrantRequest, GrantRelease, GrantReport,
+// AdmitterHandover and the Acks of handovers.
+func (a *Admitter) HandlePeer(now time.Time, from model.InstanceID, body *pb.PeerMessage) []peer.Message {
+	switch m := body.GetBody().(type) {
+	case *pb.PeerMessage_GrantRequest:
+		return a.grantRequest(now, from, m.GrantRequest)
+	case *pb.PeerMessage_GrantRelease:
+		return a.grantRelease(now, from, m.GrantRelease)
+	case *pb.PeerMessage_GrantReport:
+		return a.grantReport(now, from, m.GrantReport)
+	case *pb.PeerMessage_AdmitterHandover:
+		return a.takeHandover(now, from, m.AdmitterHandover)
+	case *pb.PeerMessage_Ack:
+		if h := a.handovers[m.Ack.GetSequence()]; h != nil && h.to == from {
+			delete(a.handovers, m.Ack.GetSequence())
+		}
+	}
+	return nil
+}
+
+// Tick expires grants and queue entries, ends waits and repeats handovers.
+func (a *Admitter) Tick(now time.Time) []peer.Message {
+	var out []peer.Message
+	for _, id := range sortedServers(a.servers) {
+		s := a.servers[id]
+		if s.phase == awaiting && !now.Before(s.awaitUntil) {
+			a.takeOver(now, s)
+			if to := a.state.Admitter(id); to != a.cfg.Self && to != "" {
+				out = append(out, a.lose(now, s, to)...)
+				continue
+			}
+		}
+		s.expireGrants(now)
+		s.memory.expire(now)
+		out = append(out, s.expireQueue(now)...)
+		out = append(out, a.pump(now, s)...)
+	}
+	return append(out, a.repeatHandovers(now)...)
+}
+
+// HandoversPending returns the number of handovers that are not yet
+// acknowledged; a leaving instance waits for zero.
+func (a *Admitter) HandoversPending() int { return len(a.handovers) }
+
+func (a *Admitter) grantRequest(now time.Time, from model.InstanceID, r *pb.GrantRequest) []peer.Message {
+	id := model.ServerID(r.GetServer())
+	s := a.servers[id]
+	if s == nil || a.cfg.Fenced(now) || a.state.Admitter(id) != a.cfg.Self {
+		return []peer.Message{reply(from, r.GetGrant(), pb.GrantResult_GRANT_RESULT_NOT_ADMITTER, pb.Reason_REASON_INSTANCE_NOT_READY)}
+	}
+	key := grantKey{from, r.GetGrant()}
+	if s.grants[key] != nil {
+		return []peer.Message{reply(from, r.GetGrant(), pb.GrantResult_GRANT_RESULT_GRANTED, 0)}
+	}
+	if s.queue.has(key) {
+		return nil
+	}
+	left := time.Duration(r.GetDeadlineMs()) * time.Millisecond
+	if left <= 0 || left > a.cfg.MaxGrant {
+		left = a.cfg.MaxGrant
+	}
+	w := &waiter{key: key, request: r, deadline: now.Add(left), arrival: s.nextArrival()}
+	if result, reason := s.check(now, w, &a.cfg); result != pb.GrantResult_GRANT_RESULT_GRANTED && s.phase == owned {
+		return []peer.Message{reply(from, r.GetGrant(), result, reason)}
+	}
+	s.queue.add(w)
+	out := a.pump(now, s)
+	for s.queue.Len() > a.cfg.QueueLength {
+		last := s.queue.removeLast()
+		out = append(out, refuse(last, pb.Reason_REASON_OVERLOAD))
+	}
+	return out
+}
+
+func (a *Admitter) grantRelease(now time.Time, from model.InstanceID, r *pb.GrantRelease) []peer.Message {
+	s := a.servers[model.ServerID(r.GetServer())]
+	if s == nil {
+		return nil
+	}
+	key := grantKey{from, r.GetGrant()}
+	s.queue.remove(key)
+	if g := s.grants[key]; g != nil {
+		delete(s.grants, key)
+		if !g.idempotent {
+			s.memory.released(now, g.request, from, r.GetDidNotRun())
+		}
+		s.ramp.release(now, s.info, &a.cfg, g.grantedAt, r)
+	}
+	return a.pump(now, s)
+}
+
+// pump grants free slots to the head of the queue.
+func (a *Admitter) pump(now time.Time, s *server) []peer.Message {
+	if s.phase != owned || a.cfg.Fenced(now) || (now.Before(s.openAt) && len(s.unheard) > 0) {
+		return nil
+	}
+	s.expireGrants(now)
+	var out []peer.Message
+	for s.queue.Len() > 0 && s.busy(now) < a.allowed(s) {
+		w := s.queue.first()
+		s.queue.remove(w.key)
+		if !now.Before(w.deadline) {
+			out = append(out, refuse(w, pb.Reason_REASON_DEADLINE))
+			continue
+		}
+		result, reason := s.check(now, w, &a.cfg)
+		if result == pb.GrantResult_GRANT_RESULT_GRANTED {
+			s.grant(now, w, &a.cfg)
+		}
+		out = append(out, reply(w.key.holder, w.key.id, result, reason))
+	}
+	return out
+}
+
+func (a *Admitter) pumpAll(now time.Time) []peer.Message {
+	var out []peer.Message
+	for _, id := range sortedServers(a.servers) {
+		out = append(out, a.pump(now, a.servers[id])...)
+	}
+	return out
+}
+
+// allowed returns the slots that may be busy at present.
+func (a *Admitter) allowed(s *server) int {
+	if s.ramp.cold && !a.largerPart() {
+		return 0
+	}
+	return s.ramp.slots
+}
+
+// largerPart reports whether the view holds more than half of the known
+// instances; of two halves, the one with the first in rank is the larger.
+func (a *Admitter) largerPart() bool {
+	if len(a.known) == 0 {
+		return true
+	}
+	n := 0
+	for _, id := range a.known {
+		if _, ok := a.state.Member(id); ok {
+			n++
+		}
+	}
+	if 2*n != len(a.known) {
+		return 2*n > len(a.known)
+	}
+	first := rendezvous.Ranked(rendezvous.NewKey("larger part", 0), a.known, 1)[0]
+	_, ok := a.state.Member(first)
+	return ok
+}
+
+func refuse(w *waiter, reason pb.Reason) peer.Message {
+	return reply(w.key.holder, w.key.id, pb.GrantResult_GRANT_RESULT_REFUSED, reason)
+}
+
+func reply(to model.InstanceID, grant uint64, result pb.GrantResult, reason pb.Reason) peer.Message {
+	r := &pb.GrantReply{Grant: grant, Result: result, Reason: reason}
+	return peer.Message{To: to, Body: &pb.PeerMessage{Body: &pb.PeerMessage_GrantReply{GrantReply: r}}}
+}
+
+func sortedServers[T any](m map[model.ServerID]T) []model.ServerID {
+	ids := make([]model.ServerID, 0, len(m))
+	for id := range m {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+func addedServers(old, new map[model.ServerID]*model.BackendServer) []model.ServerID {
+	var added []model.ServerID
+	for _, id := range sortedServers(new) {
+		if old[id] == nil {
+			added = append(added, id)
+		}
+	}
+	return added
+}
--- /dev/null
+++ b/internal/admission/memory.go
@@ -0,0 +1,123 @@
+package admission
+
+import (
+	"time"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/model"
+)
+
+// requestKey identifies a caller's request.
+type requestKey struct {
+	flow model.FlowHash
+	id   uint64
+}
+
+func keyOf(r *pb.GrantRequest) requestKey {
+	return requestKey{model.FlowHash(r.GetFlow()), r.GetRequestId()}
+}
+
+// memo is what is remembered of a non-idempotent request. An empty holder
+// means that the server said that it did not run: any instance may send it.
+type memo struct {
+	holder  model.InstanceID
+	expires time.Time
+}
+
+type remembered struct {
+	key     requestKey
+	expires time.Time
+}
+
+// memory remembers the non-idempotent requests that were granted.
+type memory struct {
+	keep  time.Duration
+	max   int
+	memos map[requestKey]memo
+	// order holds the keys as they were remembered; one that was remembered
+	// again appears again.
+	order []remembered
+	// lossyUntil is the time until which requests granted by a dead admitter
+	// may be missing.
+	lossyUntil time.Time
+}
+
+func newMemory(cfg *Config) memory {
+	return memory{keep: cfg.RequestMemory, max: cfg.MaxRemembered, memos: map[requestKey]memo{}}
+}
+
+func (m *memory) len() int { return len(m.memos) }
+
+func (m *memory) lossy(now time.Time) bool { return now.Before(m.lossyUntil) }
+
+func (m *memory) full(now time.Time) bool {
+	m.expire(now)
+	return len(m.memos) >= m.max
+}
+
+func (m *memory) lookup(now time.Time, k requestKey) (known bool, holder model.InstanceID) {
+	e, ok := m.memos[k]
+	if !ok || !now.Before(e.expires) {
+		return false, ""
+	}
+	return true, e.holder
+}
+
+func (m *memory) remember(until time.Time, k requestKey, holder model.InstanceID) {
+	m.memos[k] = memo{holder, until}
+	m.order = append(m.order, remembered{k, until})
+}
+
+// released records the end of a grant: the request may be sent again by
+// anyone if it did not run, else only a retry of its holder may follow.
+func (m *memory) released(now time.Time, k requestKey, holder model.InstanceID, didNotRun bool) {
+	e, ok := m.memos[k]
+	if !ok || e.holder != holder {
+		return
+	}
+	if didNotRun {
+		holder = ""
+	}
+	m.remember(now.Add(m.keep), k, holder)
+}
+
+// expire forgets what has expired, oldest first.
+func (m *memory) expire(now time.Time) {
+	for len(m.order) > 0 && !now.Before(m.order[0].expires) {
+		k := m.order[0].key
+		if !now.Before(m.memos[k].expires) {
+			delete(m.memos, k)
+		}
+		m.order = m.order[1:]
+	}
+}
+
+// proto lists what is remembered at now.
+func (m *memory) proto(now time.Time) []*pb.RememberedRequest {
+	var out []*pb.RememberedRequest
+	listed := make(map[requestKey]bool, len(m.memos))
+	for _, r := range m.order {
+		e, ok := m.memos[r.key]
+		if !ok || listed[r.key] || !now.Before(e.expires) {
+			continue
+		}
+		listed[r.key] = true
+		out = append(out, &pb.RememberedRequest{
+			Flow: uint64(r.key.flow), RequestId: r.key.id, ExpiresMs: milliseconds(e.expires.Sub(now)), Holder: string(e.holder),
+		})
+	}
+	return out
+}
+
+// adopt adds what a former admitter remembered, without changing what is
+// already known here.
+func (m *memory) adopt(now time.Time, list []*pb.RememberedRequest) {
+	for _, r := range list {
+		k := requestKey{model.FlowHash(r.GetFlow()), r.GetRequestId()}
+		if known, _ := m.lookup(now, k); known {
+			continue
+		}
+		left := min(time.Duration(r.GetExpiresMs())*time.Millisecond, m.keep)
+		m.remember(now.Add(left), k, model.InstanceID(r.GetHolder()))
+	}
+}
--- /dev/null
+++ b/internal/admission/queue.go
@@ -0,0 +1,98 @@
+package admission
+
+import (
+	"container/heap"
+	"time"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+)
+
+// waiter is a request for a grant that waits for a slot.
+type waiter struct {
+	key      grantKey
+	request  *pb.GrantRequest
+	deadline time.Time
+	arrival  uint64
+	index    int
+}
+
+// before orders waiters by priority, then arrival.
+func (w *waiter) before(o *waiter) bool {
+	if w.request.GetPriority() != o.request.GetPriority() {
+		return w.request.GetPriority() < o.request.GetPriority()
+	}
+	return w.arrival < o.arrival
+}
+
+// queue is a priority queue with removal by key.
+type queue struct {
+	heap  waiterHeap
+	byKey map[grantKey]*waiter
+}
+
+func newQueue() queue { return queue{byKey: map[grantKey]*waiter{}} }
+
+// Len returns the number of waiters.
+func (q *queue) Len() int { return len(q.heap) }
+
+func (q *queue) has(k grantKey) bool { return q.byKey[k] != nil }
+
+func (q *queue) add(w *waiter) {
+	heap.Push(&q.heap, w)
+	q.byKey[w.key] = w
+}
+
+func (q *queue) first() *waiter { return q.heap[0] }
+
+func (q *queue) remove(k grantKey) {
+	if w := q.byKey[k]; w != nil {
+		heap.Remove(&q.heap, w.index)
+		delete(q.byKey, k)
+	}
+}
+
+// removeLast removes the waiter of the lowest priority that came last. The
+// scan is bounded by the length of the queue.
+func (q *queue) removeLast() *waiter {
+	last := q.heap[0]
+	for _, w := range q.heap {
+		if last.before(w) {
+			last = w
+		}
+	}
+	q.remove(last.key)
+	return last
+}
+
+func (q *queue) expired(now time.Time) []*waiter {
+	var out []*waiter
+	for _, w := range q.heap {
+		if !now.Before(w.deadline) {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+type waiterHeap []*waiter
+
+func (h waiterHeap) Len() int           { return len(h) }
+func (h waiterHeap) Less(i, j int) bool { return h[i].before(h[j]) }
+func (h waiterHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+func (h *waiterHeap) Push(x any) {
+	w := x.(*waiter)
+	w.index = len(*h)
+	*h = append(*h, w)
+}
+
+func (h *waiterHeap) Pop() any {
+	old := *h
+	w := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return w
+}
--- /dev/null
+++ b/internal/admission/ramp.go
@@ -0,0 +1,111 @@
+package admission
+
+import (
+	"time"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/model"
+)
+
+const (
+	// minSlowdown keeps the noise of fast answers from counting as slowness.
+	minSlowdown = 20 * time.Millisecond
+	// minLatencySamples must be seen before latency is judged.
+	minLatencySamples = 8
+)
+
+// ramp is the number of slots of a server that may be busy. It starts at
+// ColdSlots and doubles per interval while clean answers come.
+type ramp struct {
+	slots int
+	cold  bool
+	// clean counts answers without a sign of trouble since the last step.
+	clean              int
+	steppedAt, resetAt time.Time
+	fastLatency, usual float64
+	samples            int
+}
+
+func coldSlots(info *model.BackendServer) int { return min(info.ColdSlots, info.Slots) }
+
+// start sets the ramp from what this instance's serverhealth knows. A server
+// without evidence counts as cold.
+func (r *ramp) start(now time.Time, info *model.BackendServer, c pb.ServerCondition) {
+	r.reset(now, info)
+	switch c {
+	case pb.ServerCondition_SERVER_CONDITION_HEALTHY, pb.ServerCondition_SERVER_CONDITION_DRAINING:
+		r.slots = info.Slots
+	case pb.ServerCondition_SERVER_CONDITION_SHEDDING:
+	default:
+		r.cold = true
+	}
+}
+
+// reset sets the ramp back to its start.
+func (r *ramp) reset(now time.Time, info *model.BackendServer) {
+	r.slots, r.clean, r.resetAt, r.steppedAt = coldSlots(info), 0, now, now
+}
+
+func (r *ramp) resize(info *model.BackendServer) {
+	r.slots = min(max(r.slots, coldSlots(info)), info.Slots)
+}
+
+// observe applies a change of condition. Healthy alone gives no slots, except
+// the first one of a server that bears none while cold.
+func (r *ramp) observe(now time.Time, info *model.BackendServer, c pb.ServerCondition) {
+	switch c {
+	case pb.ServerCondition_SERVER_CONDITION_COLD, pb.ServerCondition_SERVER_CONDITION_SILENT:
+		r.reset(now, info)
+		r.cold = true
+	case pb.ServerCondition_SERVER_CONDITION_SHEDDING:
+		r.reset(now, info)
+	case pb.ServerCondition_SERVER_CONDITION_HEALTHY:
+		r.slots = min(max(r.slots, 1), info.Slots)
+	}
+}
+
+// release applies the evidence of an ended attempt.
+func (r *ramp) release(now time.Time, info *model.BackendServer, cfg *Config, grantedAt time.Time, m *pb.GrantRelease) {
+	switch m.GetCondition() {
+	case pb.ServerCondition_SERVER_CONDITION_COLD:
+		r.reset(now, info)
+		r.cold = true
+		return
+	case pb.ServerCondition_SERVER_CONDITION_SHEDDING:
+		r.reset(now, info)
+		return
+	case pb.ServerCondition_SERVER_CONDITION_SILENT:
+		r.clean = 0
+		return
+	}
+	// An attempt from before the last set-back says nothing about the server
+	// since then.
+	if !m.GetAnswered() || grantedAt.Before(r.resetAt) {
+		return
+	}
+	if r.slow(time.Duration(m.GetLatencyMs())*time.Millisecond, cfg) {
+		r.reset(now, info)
+		r.cold = true
+		return
+	}
+	r.clean++
+	if r.clean >= r.slots && now.Sub(r.steppedAt) >= cfg.RampInterval {
+		r.cold = false
+		r.slots = min(max(2*r.slots, r.slots+1), info.Slots)
+		r.clean, r.steppedAt = 0, now
+	}
+}
+
+// slow reports whether recent answers take much longer than usual. The usual
+// latency follows slowly, so that lasting slowness becomes usual.
+func (r *ramp) slow(d time.Duration, cfg *Config) bool {
+	x := float64(d)
+	r.samples++
+	if r.samples == 1 {
+		r.fastLatency, r.usual = x, x
+		return false
+	}
+	r.fastLatency += (x - r.fastLatency) / 4
+	r.usual += (x - r.usual) / 64
+	return r.samples >= minLatencySamples && r.fastLatency > cfg.SlowFactor*r.usual && r.fastLatency > r.usual+float64(minSlowdown)
+}
--- /dev/null
+++ b/internal/admission/server.go
@@ -0,0 +1,191 @@
+package admission
+
+import (
+	"sort"
+	"time"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/model"
+	"cuminshift/internal/peer"
+)
+
+// phase says how far an instance is with taking over a server.
+type phase uint8
+
+const (
+	owned phase = iota
+	// awaiting means that the handover of the former admitter has not come.
+	awaiting
+)
+
+type grantKey struct {
+	holder model.InstanceID
+	id     uint64
+}
+
+type grant struct {
+	request    requestKey
+	idempotent bool
+	grantedAt  time.Time
+	expires    time.Time
+	// inherited grants were given by an earlier admitter.
+	inherited bool
+}
+
+// server is the state of one server's slots.
+type server struct {
+	id     model.ServerID
+	info   *model.BackendServer
+	phase  phase
+	grants map[grantKey]*grant
+	queue  queue
+	memory memory
+	ramp   ramp
+
+	// former is the admitter whose handover is awaited, with its
+	// incarnation; formerSure is false while it is only deduced from ranks.
+	former            model.InstanceID
+	formerIncarnation uint64
+	formerSure        bool
+	awaitUntil        time.Time
+
+	// unheard are the members whose GrantReport is missing; until openAt the
+	// admitter waits for them. reports holds what the others reported.
+	unheard map[model.InstanceID]bool
+	openAt  time.Time
+	reports map[model.InstanceID]map[uint64]bool
+	// unreported slots of a cold server count as busy until
+	// unreportedUntil: grants of a dead admitter may still use them.
+	unreported      int
+	unreportedUntil time.Time
+
+	arrivals uint64
+}
+
+func (a *Admitter) newServer(now time.Time, id model.ServerID) *server {
+	s := &server{
+		id: id, info: a.infos[id], grants: map[grantKey]*grant{}, queue: newQueue(), memory: newMemory(&a.cfg),
+		reports: map[model.InstanceID]map[uint64]bool{}, unheard: map[model.InstanceID]bool{},
+	}
+	s.ramp.start(now, s.info, a.conditions[id])
+	return s
+}
+
+func (s *server) nextArrival() uint64 {
+	s.arrivals++
+	return s.arrivals
+}
+
+// busy returns the slots that are or may be in use.
+func (s *server) busy(now time.Time) int {
+	n := len(s.grants)
+	if s.ramp.cold && now.Before(s.unreportedUntil) {
+		n += s.unreported
+	}
+	return n
+}
+
+// check says whether the request may be sent at all.
+func (s *server) check(now time.Time, w *waiter, cfg *Config) (pb.GrantResult, pb.Reason) {
+	r := w.request
+	if r.GetIdempotent() {
+		return pb.GrantResult_GRANT_RESULT_GRANTED, 0
+	}
+	known, holder := s.memory.lookup(now, keyOf(r))
+	switch {
+	case known && holder != "" && (holder != w.key.holder || !(r.GetRetry() || r.GetReasked())):
+		return pb.GrantResult_GRANT_RESULT_DUPLICATE, pb.Reason_REASON_DUPLICATE
+	case known:
+		return pb.GrantResult_GRANT_RESULT_GRANTED, 0
+	case r.GetRetry() || (r.GetCallerAttempt() > 1 && s.memory.lossy(now)):
+		// The request may have run, and the memory of it was lost.
+		return pb.GrantResult_GRANT_RESULT_DUPLICATE, pb.Reason_REASON_DUPLICATE
+	case s.memory.full(now):
+		return pb.GrantResult_GRANT_RESULT_REFUSED, pb.Reason_REASON_OVERLOAD
+	}
+	return pb.GrantResult_GRANT_RESULT_GRANTED, 0
+}
+
+// grant gives a slot to the waiter. It expires when the coordinator must have
+// ended the attempt, plus the time for which its packet may be under way.
+func (s *server) grant(now time.Time, w *waiter, cfg *Config) {
+	s.grants[w.key] = &grant{
+		request: keyOf(w.request), idempotent: w.request.GetIdempotent(),
+		grantedAt: now, expires: w.deadline.Add(cfg.Margin),
+	}
+	if !w.request.GetIdempotent() {
+		s.memory.remember(now.Add(cfg.RequestMemory), keyOf(w.request), w.key.holder)
+	}
+}
+
+func (s *server) expireGrants(now time.Time) {
+	for k, g := range s.grants {
+		if !now.Before(g.expires) {
+			delete(s.grants, k)
+		}
+	}
+}
+
+func (s *server) expireQueue(now time.Time) []peer.Message {
+	var out []peer.Message
+	for _, w := range s.queue.expired(now) {
+		s.queue.remove(w.key)
+		out = append(out, refuse(w, pb.Reason_REASON_DEADLINE))
+	}
+	return out
+}
+
+// refuseAll empties the queue with one reply.
+func (s *server) refuseAll(result pb.GrantResult, reason pb.Reason) []peer.Message {
+	var out []peer.Message
+	for s.queue.Len() > 0 {
+		w := s.queue.first()
+		s.queue.remove(w.key)
+		out = append(out, reply(w.key.holder, w.key.id, result, reason))
+	}
+	return out
+}
+
+// inherit adds a grant that an earlier admitter gave, unless its holder has
+// reported that it does not hold it.
+func (s *server) inherit(now time.Time, o *pb.OutstandingGrant, cfg *Config) {
+	holder := model.InstanceID(o.GetHolder())
+	key := grantKey{holder, o.GetGrant()}
+	if ids, heard := s.reports[holder]; s.grants[key] != nil || (heard && !ids[o.GetGrant()]) {
+		return
+	}
+	left := min(time.Duration(o.GetExpiresMs())*time.Millisecond, cfg.MaxGrant+cfg.Margin)
+	request := requestKey{model.FlowHash(o.GetFlow()), o.GetRequestId()}
+	s.grants[key] = &grant{request: request, idempotent: o.GetIdempotent(), grantedAt: now, expires: now.Add(left), inherited: true}
+	if known, _ := s.memory.lookup(now, request); !known && !o.GetIdempotent() {
+		s.memory.remember(now.Add(cfg.RequestMemory), request, holder)
+	}
+}
+
+// outstanding lists the grants in the order of holder and number.
+func (s *server) outstanding(now time.Time) []*pb.OutstandingGrant {
+	var out []*pb.OutstandingGrant
+	for k, g := range s.grants {
+		out = append(out, &pb.OutstandingGrant{
+			Holder: string(k.holder), Grant: k.id, Server: uint64(s.id), ExpiresMs: milliseconds(g.expires.Sub(now)),
+			Flow: uint64(g.request.flow), RequestId: g.request.id, Idempotent: g.idempotent,
+		})
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Holder != out[j].Holder {
+			return out[i].Holder < out[j].Holder
+		}
+		return out[i].Grant < out[j].Grant
+	})
+	for i := 0; i < s.unreported && now.Before(s.unreportedUntil); i++ {
+		out = append(out, &pb.OutstandingGrant{
+			Grant: uint64(i), Server: uint64(s.id), ExpiresMs: milliseconds(s.unreportedUntil.Sub(now)), Idempotent: true,
+		})
+	}
+	return out
+}
+
+// milliseconds rounds up, so that nothing expires early at the receiver.
+func milliseconds(d time.Duration) uint32 {
+	return uint32(max(0, (d+time.Millisecond-1)/time.Millisecond))
+}
--- /dev/null
+++ b/internal/limits/limits.go
@@ -0,0 +1,338 @@
+// Package limits enforces the rate and concurrency limits that plans give
+// callers per service. Each limit is split over the instances of the data
+// centre, so that the sum holds without coordination.
+package limits
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/time/rate"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/model"
+	"cuminshift/internal/peer"
+	"cuminshift/internal/rendezvous"
+)
+
+// Verdict is the answer to an opening or a request.
+type Verdict uint8
+
+// Verdicts.
+const (
+	Allowed Verdict = iota + 1
+	Refused
+	// Asked means that this instance has no share of the limit and has asked
+	// one that has; Resolved follows under the ID of the decision.
+	Asked
+)
+
+// Decision is the outcome of Open and StartRequest.
+type Decision struct {
+	Verdict Verdict
+	// Reason of a refusal.
+	Reason pb.Reason
+	// ID and Message are set with Asked.
+	ID      uint64
+	Message peer.Message
+}
+
+// Resolved is the late outcome of a decision that was Asked.
+type Resolved struct {
+	ID     uint64
+	Reason pb.Reason
+	// Allowed means that the flow or request counts as started.
+	Allowed bool
+}
+
+// Config holds the parameters; zero durations take the defaults.
+type Config struct {
+	Self model.InstanceID
+	// HoldBack is how long an instance waits before it uses a larger share.
+	// It must exceed the time in which all instances learn of a change of
+	// the instance list or the view; default 3 s.
+	HoldBack time.Duration
+	// IdleAfter is when the state of an unused (caller, service) is dropped;
+	// default 1 min.
+	IdleAfter time.Duration
+	// AskTimeout bounds the wait for a reply of another instance; default
+	// 200 ms.
+	AskTimeout time.Duration
+	// MaxPending bounds the decisions that wait for a reply; default 4096.
+	MaxPending int
+}
+
+func (c *Config) setDefaults() {
+	if c.HoldBack == 0 {
+		c.HoldBack = 3 * time.Second
+	}
+	if c.IdleAfter == 0 {
+		c.IdleAfter = time.Minute
+	}
+	if c.AskTimeout == 0 {
+		c.AskTimeout = 200 * time.Millisecond
+	}
+	if c.MaxPending == 0 {
+		c.MaxPending = 4096
+	}
+}
+
+// kind distinguishes the two pairs of limits of a use.
+type kind uint8
+
+const (
+	openings kind = iota
+	requests
+	kinds
+)
+
+type key struct {
+	caller  string
+	service model.ServiceID
+	kind    kind
+}
+
+// entry is the state of one pair of limits (rate and concurrency).
+type entry struct {
+	limiter *rate.Limiter
+	// perSecond and concurrent are the limits of the plan; rateShare and
+	// countShare what this instance may use of them.
+	perSecond, concurrent int
+	rateShare             float64
+	countShare            int
+	// epoch is the epoch of the lists under which the shares were computed.
+	epoch uint64
+	// inUse counts what was started here, including lent units.
+	inUse int
+	// borrowed lists units that were allowed by other instances.
+	borrowed []unit
+	lastUse  time.Time
+}
+
+// unit identifies one flow or request that another instance counts.
+type unit struct {
+	holder model.InstanceID
+	id     uint64
+}
+
+// instanceList is a list of instances with the time at which it came.
+type instanceList struct {
+	ids   []model.InstanceID
+	since time.Time
+}
+
+// Limits holds the limits of one instance. It is not safe for concurrent use.
+type Limits struct {
+	cfg     Config
+	entries map[key]*entry
+	// lists holds the present list (last) and those that were replaced less
+	// than HoldBack ago.
+	lists  []instanceList
+	epoch  uint64
+	nextID uint64
+
+	pending  map[uint64]*pending
+	releases map[uint64]*release
+	lent     map[model.InstanceID]map[uint64]key
+}
+
+// New returns a Limits that knows no instance: until SetInstances it refuses
+// everything that is limited. firstID starts the IDs of its LimitRequests; it
+// should differ between incarnations of an instance (for example its start
+// time in nanoseconds).
+func New(cfg Config, firstID uint64) *Limits {
+	cfg.setDefaults()
+	return &Limits{
+		cfg: cfg, entries: map[key]*entry{}, nextID: firstID, epoch: 1,
+		pending: map[uint64]*pending{}, releases: map[uint64]*release{}, lent: map[model.InstanceID]map[uint64]key{},
+	}
+}
+
+// SetInstances tells the instances of the data centre: the larger of view and
+// instance list. A share that becomes smaller applies at once, a larger one
+// after HoldBack, so that the sum of the shares never exceeds the limit while
+// instances have different lists.
+func (l *Limits) SetInstances(now time.Time, ids []model.InstanceID) {
+	if n := len(l.lists); n > 0 && equal(l.lists[n-1].ids, ids) {
+		return
+	}
+	if len(l.lists) == 0 {
+		// An instance that starts had no share before.
+		l.lists = append(l.lists, instanceList{since: now})
+	}
+	l.lists = append(l.lists, instanceList{append([]model.InstanceID(nil), ids...), now})
+	l.epoch++
+	l.dropLent(ids)
+}
+
+// Open decides about an opening of the caller at the service and counts it
+// when allowed. Zero limits of the use mean no limit.
+func (l *Limits) Open(now time.Time, caller string, service model.ServiceID, use model.Use) Decision {
+	return l.start(now, key{caller, service, openings}, use.OpeningsPerSecond, use.ConcurrentFlows)
+}
+
+// AdoptFlow counts a flow that was opened through another instance. It never
+// refuses: an established flow survives any planned change.
+func (l *Limits) AdoptFlow(now time.Time, caller string, service model.ServiceID, use model.Use) {
+	e := l.entry(now, key{caller, service, openings}, use.OpeningsPerSecond, use.ConcurrentFlows)
+	e.inUse++
+}
+
+// CloseFlow ends a flow that was allowed or adopted.
+func (l *Limits) CloseFlow(now time.Time, caller string, service model.ServiceID) []peer.Message {
+	return l.end(now, key{caller, service, openings})
+}
+
+// StartRequest decides about a request, like Open.
+func (l *Limits) StartRequest(now time.Time, caller string, service model.ServiceID, use model.Use) Decision {
+	return l.start(now, key{caller, service, requests}, use.RequestsPerSecond, use.ConcurrentRequests)
+}
+
+// EndRequest ends a request that was allowed.
+func (l *Limits) EndRequest(now time.Time, caller string, service model.ServiceID) []peer.Message {
+	return l.end(now, key{caller, service, requests})
+}
+
+// Len returns the number of (caller, service) states held.
+func (l *Limits) Len() int { return len(l.entries) }
+
+func (l *Limits) start(now time.Time, k key, perSecond, concurrent int) Decision {
+	e := l.entry(now, k, perSecond, concurrent)
+	if (perSecond > 0 && e.rateShare == 0) || (concurrent > 0 && e.countShare == 0) {
+		return l.ask(now, k, perSecond, concurrent)
+	}
+	if reason := e.take(now); reason != 0 {
+		return Decision{Verdict: Refused, Reason: reason}
+	}
+	return Decision{Verdict: Allowed}
+}
+
+// take counts one unit, or returns why it may not. Concurrency is checked
+// first, so that a refusal for it uses up no rate.
+func (e *entry) take(now time.Time) pb.Reason {
+	if e.concurrent > 0 && e.inUse >= e.countShare {
+		return pb.Reason_REASON_CONCURRENCY_LIMIT
+	}
+	if e.perSecond > 0 && (e.rateShare == 0 || !e.limiter.AllowN(now, 1)) {
+		return pb.Reason_REASON_RATE_LIMIT
+	}
+	e.inUse++
+	return 0
+}
+
+func (l *Limits) end(now time.Time, k key) []peer.Message {
+	e := l.entries[k]
+	if e == nil {
+		return nil
+	}
+	e.lastUse = now
+	if n := len(e.borrowed); n > 0 {
+		u := e.borrowed[n-1]
+		e.borrowed = e.borrowed[:n-1]
+		return []peer.Message{l.release(now, k, u)}
+	}
+	if e.inUse > 0 {
+		e.inUse--
+	}
+	return nil
+}
+
+// entry returns the state for the key with its shares up to date.
+func (l *Limits) entry(now time.Time, k key, perSecond, concurrent int) *entry {
+	l.expireLists(now)
+	e := l.entries[k]
+	if e == nil {
+		e = &entry{}
+		l.entries[k] = e
+	}
+	e.lastUse = now
+	if e.epoch != l.epoch || e.perSecond != perSecond || e.concurrent != concurrent {
+		e.perSecond, e.concurrent, e.epoch = perSecond, concurrent, l.epoch
+		l.share(now, k, e)
+	}
+	return e
+}
+
+// expireLists drops the lists that were replaced more than HoldBack ago.
+func (l *Limits) expireLists(now time.Time) {
+	for len(l.lists) > 1 && now.Sub(l.lists[1].since) >= l.cfg.HoldBack {
+		l.lists = l.lists[1:]
+		l.epoch++
+	}
+}
+
+// share sets the shares of an entry: the smallest under any list in force
+// within HoldBack.
+func (l *Limits) share(now time.Time, k key, e *entry) {
+	for i, list := range l.lists {
+		r, c := l.sharesUnder(list.ids, k, e)
+		if i == 0 {
+			e.rateShare, e.countShare = r, c
+		}
+		e.rateShare, e.countShare = min(e.rateShare, r), min(e.countShare, c)
+	}
+	if len(l.lists) == 0 {
+		e.rateShare, e.countShare = 0, 0
+	}
+	if e.perSecond == 0 {
+		return
+	}
+	// A tenth of a second's worth may pass at once.
+	burst := max(1, int(e.rateShare/10))
+	if e.limiter == nil {
+		e.limiter = rate.NewLimiter(rate.Limit(e.rateShare), burst)
+		return
+	}
+	e.limiter.SetLimitAt(now, rate.Limit(e.rateShare))
+	e.limiter.SetBurstAt(now, burst)
+}
+
+// sharesUnder returns the shares of this instance under one list. A rate is
+// split evenly; the units of a concurrency limit that do not divide, and a
+// limit smaller than the list, go to the instances of the highest rank. Both
+// grow with the limit, so during a plan edit the sum stays below the larger
+// of the two limits.
+func (l *Limits) sharesUnder(ids []model.InstanceID, k key, e *entry) (float64, int) {
+	n := len(ids)
+	if !contains(ids, l.cfg.Self) {
+		return 0, 0
+	}
+	rateShare := float64(e.perSecond) / float64(n)
+	if e.perSecond < n {
+		rateShare = 0
+		if contains(holders(ids, k, e.perSecond), l.cfg.Self) {
+			rateShare = 1
+		}
+	}
+	countShare := e.concurrent / n
+	if rest := e.concurrent % n; rest > 0 && contains(holders(ids, k, rest), l.cfg.Self) {
+		countShare++
+	}
+	return rateShare, countShare
+}
+
+func holders(ids []model.InstanceID, k key, n int) []model.InstanceID {
+	number := xxhash.Sum64String(k.caller) ^ uint64(k.service) + uint64(k.kind)
+	return rendezvous.Ranked(rendezvous.NewKey("limit", number), ids, n)
+}
+
+func equal(a, b []model.InstanceID) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+func contains(ids []model.InstanceID, id model.InstanceID) bool {
+	for _, other := range ids {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/requests/answer.go
@@ -0,0 +1,196 @@
+package requests
+
+import (
+	"time"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/serverhealth"
+)
+
+// answerPart adds a part to the answer of its attempt. The first answer that
+// is whole is passed on, even if it is that of an earlier attempt.
+func (c *Coordinator) answerPart(now time.Time, r *request, a *attempt, p ServerPacket) []Action {
+	n := max(1, p.Parts)
+	if p.Part >= n || int(n) > c.cfg.MaxParts || c.bytes+len(p.Payload) > c.cfg.MaxBytes {
+		return nil
+	}
+	if a.parts == nil {
+		a.parts, a.missing = make([][]byte, n), int(n)
+	}
+	if len(a.parts) != int(n) || a.parts[p.Part] != nil {
+		return nil
+	}
+	if p.Payload == nil {
+		p.Payload = []byte{}
+	}
+	a.parts[p.Part], a.didNotRun = p.Payload, false
+	a.bytes += len(p.Payload)
+	c.bytes += len(p.Payload)
+	if a.missing--; a.missing > 0 {
+		return nil
+	}
+	condition := serverhealth.Healthy
+	if p.Cold {
+		condition = serverhealth.Cold
+	}
+	actions := c.release(now, a, &pb.GrantRelease{Condition: condition, Answered: true})
+	o := serverhealth.Observation{Kind: serverhealth.Answered, Cold: p.Cold, Latency: now.Sub(a.sentAt)}
+	actions = append(actions, Observe{r.Key, a.server, o})
+	if !r.Idempotent {
+		c.finished.add(now, r.Key, a.parts)
+	}
+	return append(actions, c.finish(now, r, func() []Action { return answerActions(r.Key, a.parts) })...)
+}
+
+func answerActions(k Key, parts [][]byte) []Action {
+	actions := make([]Action, 0, len(parts))
+	for i, payload := range parts {
+		actions = append(actions, ReplyToCaller{Key: k, Kind: pb.Kind_KIND_ANSWER, Part: uint32(i), Parts: uint32(len(parts)), Payload: payload})
+	}
+	return actions
+}
+
+// serverRefusal ends an attempt that the server refused.
+func (c *Coordinator) serverRefusal(now time.Time, r *request, a *attempt, p ServerPacket) []Action {
+	// Of contradictory statements about one attempt, the first stands, except
+	// that an answer shows that it ran.
+	if a.refused || a.parts != nil {
+		return nil
+	}
+	wasOver := a.over
+	a.refused, a.over = true, true
+	a.didNotRun = p.Outcome == pb.Outcome_OUTCOME_DID_NOT_RUN
+	actions := c.release(now, a, &pb.GrantRelease{Condition: refusalCondition(p), DidNotRun: a.didNotRun})
+	o := serverhealth.Observation{Kind: serverhealth.Refused, Reason: p.Reason, Cold: p.Cold}
+	actions = append(actions, Observe{r.Key, a.server, o})
+	switch {
+	case wasOver:
+		return actions
+	case r.phase == cancelling:
+		return append(actions, c.finish(now, r, r.refusalLater(pb.Reason_REASON_CANCELLED))...)
+	case !retryable(p.Reason) || !(r.Idempotent || r.serverSaidDidNotRun()):
+		return append(actions, c.finish(now, r, r.refusalLater(p.Reason))...)
+	}
+	c.moveServer(now, r)
+	return append(actions, c.backOff(now, r, p.Reason)...)
+}
+
+// serverSaidDidNotRun reports whether each attempt was refused as not run.
+func (r *request) serverSaidDidNotRun() bool {
+	for _, a := range r.attempts {
+		if !a.didNotRun {
+			return false
+		}
+	}
+	return true
+}
+
+// retryable reports whether another attempt may fare better.
+func retryable(reason pb.Reason) bool {
+	switch reason {
+	case pb.Reason_REASON_UNKNOWN_FLOW, pb.Reason_REASON_NOT_IN_PLAN, pb.Reason_REASON_CANCELLED, pb.Reason_REASON_DUPLICATE:
+		return false
+	}
+	return true
+}
+
+func refusalCondition(p ServerPacket) serverhealth.Condition {
+	switch {
+	case p.Cold:
+		return serverhealth.Cold
+	case p.Reason == pb.Reason_REASON_DRAINING:
+		return serverhealth.Draining
+	case p.Reason == pb.Reason_REASON_SHED || p.Reason == pb.Reason_REASON_OVERLOAD:
+		return serverhealth.Shedding
+	}
+	return serverhealth.Unknown
+}
+
+// latePacket uses a packet for a request that is over: it shows that the
+// server has ended the attempt, whose grant can be released.
+func (c *Coordinator) latePacket(now time.Time, p ServerPacket) []Action {
+	for _, id := range c.lingering(p) {
+		g := c.held[id]
+		delete(c.held, id)
+		release := &pb.GrantRelease{
+			Grant: id, Server: uint64(g.server), Condition: refusalCondition(p),
+			DidNotRun: p.Kind == pb.Kind_KIND_REFUSAL && p.Outcome == pb.Outcome_OUTCOME_DID_NOT_RUN,
+		}
+		kind := serverhealth.Answered
+		if p.Kind == pb.Kind_KIND_REFUSAL {
+			kind = serverhealth.Refused
+		}
+		o := serverhealth.Observation{Kind: kind, Reason: p.Reason, Cold: p.Cold}
+		return []Action{ReleaseGrant{g.server, release}, Observe{p.Key, g.server, o}}
+	}
+	return nil
+}
+
+// lingering returns the grant of the packet's attempt, if it is still held
+// and the packet is the last of the attempt.
+func (c *Coordinator) lingering(p ServerPacket) []uint64 {
+	if p.Kind == pb.Kind_KIND_ANSWER && p.Part+1 < p.Parts {
+		return nil
+	}
+	for id, g := range c.held {
+		if g.key == p.Key && g.attempt == p.Attempt && g.server == p.Server {
+			return []uint64{id}
+		}
+	}
+	return nil
+}
+
+// answerMemory keeps answers for repeated copies of their requests.
+type answerMemory struct {
+	keep     time.Duration
+	maxBytes int
+	bytes    int
+	answers  map[Key]answer
+	order    []Key
+}
+
+type answer struct {
+	parts   [][]byte
+	bytes   int
+	expires time.Time
+}
+
+func newAnswerMemory(keep time.Duration, maxBytes int) *answerMemory {
+	return &answerMemory{keep: keep, maxBytes: maxBytes, answers: map[Key]answer{}}
+}
+
+// answerOverhead approximates the memory of an answer without payload.
+const answerOverhead = 128
+
+func (m *answerMemory) add(now time.Time, k Key, parts [][]byte) {
+	size := answerOverhead
+	for _, p := range parts {
+		size += len(p)
+	}
+	if _, ok := m.answers[k]; ok || size > m.maxBytes {
+		return
+	}
+	for m.bytes+size > m.maxBytes {
+		m.drop()
+	}
+	m.answers[k] = answer{parts, size, now.Add(m.keep)}
+	m.order = append(m.order, k)
+	m.bytes += size
+}
+
+func (m *answerMemory) lookup(now time.Time, k Key) [][]byte {
+	m.expire(now)
+	return m.answers[k].parts
+}
+
+func (m *answerMemory) expire(now time.Time) {
+	for len(m.order) > 0 && !now.Before(m.answers[m.order[0]].expires) {
+		m.drop()
+	}
+}
+
+func (m *answerMemory) drop() {
+	m.bytes -= m.answers[m.order[0]].bytes
+	delete(m.answers, m.order[0])
+	m.order = m.order[1:]
+}
--- /dev/null
+++ b/internal/requests/requests.go
@@ -0,0 +1,399 @@
+// Package requests coordinates callers' requests: it asks for a grant before
+// each attempt, sends one attempt at a time, assembles answers and decides
+// about retries, deadlines and refusals.
+package requests
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"cuminshift/internal/dcstate"
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/model"
+	"cuminshift/internal/serverhealth"
+)
+
+// Key identifies a request of a caller.
+type Key struct {
+	Service model.ServiceID
+	Flow    model.FlowHash
+	ID      uint64
+}
+
+// Request is a caller's request as it reached this instance.
+type Request struct {
+	Key
+	// Server is the flow's server.
+	Server     model.ServerID
+	Idempotent bool
+	// Priority 0 is the highest.
+	Priority uint32
+	// Deadline of the caller; zero means MaxGrant from now.
+	Deadline time.Time
+	// CallerAttempt counts the caller's transmissions from 1.
+	CallerAttempt uint32
+	// Payload is kept until the request ends; the caller must not reuse it.
+	Payload []byte
+}
+
+// ServerPacket is an ANSWER or REFUSAL from a server.
+type ServerPacket struct {
+	Key
+	Server  model.ServerID
+	Kind    pb.Kind
+	Attempt uint32
+	// Part is numbered from 0; Parts of 0 means 1.
+	Part, Parts uint32
+	// Payload is kept until the answer is passed on.
+	Payload []byte
+	Reason  pb.Reason
+	Outcome pb.Outcome
+	Cold    bool
+}
+
+// Action is a decision for the caller of this package to carry out.
+type Action interface{ action() }
+
+// AskGrant sends the request to the admitter of the server.
+type AskGrant struct {
+	Server  model.ServerID
+	Request *pb.GrantRequest
+}
+
+// ReleaseGrant sends the release to the admitter of the server.
+type ReleaseGrant struct {
+	Server  model.ServerID
+	Release *pb.GrantRelease
+}
+
+// SendToServer sends one attempt. The deadline told to the server is the time
+// left to Deadline.
+type SendToServer struct {
+	Key
+	Server        model.ServerID
+	Attempt       uint32
+	Deadline      time.Time
+	Idempotent    bool
+	Priority      uint32
+	CallerAttempt uint32
+	Payload       []byte
+}
+
+// SendCancel withdraws an attempt from the server.
+type SendCancel struct {
+	Key
+	Server  model.ServerID
+	Attempt uint32
+}
+
+// ReplyToCaller sends one part of an answer (Kind ANSWER) or a refusal.
+type ReplyToCaller struct {
+	Key
+	Kind          pb.Kind
+	Part, Parts   uint32
+	Payload       []byte
+	Reason        pb.Reason
+	Outcome       pb.Outcome
+	CallerAttempt uint32
+}
+
+// Observe passes an observation to serverhealth.
+type Observe struct {
+	Key
+	Server      model.ServerID
+	Observation serverhealth.Observation
+}
+
+// Ended says that a request that Start accepted is over.
+type Ended struct{ Key }
+
+func (AskGrant) action()      {}
+func (ReleaseGrant) action()  {}
+func (SendToServer) action()  {}
+func (SendCancel) action()    {}
+func (ReplyToCaller) action() {}
+func (Observe) action()       {}
+func (Ended) action()         {}
+
+// Config holds the parameters; zero fields take the defaults.
+type Config struct {
+	Self model.InstanceID
+	// Rand is the source of attempt and grant numbers and of jitter; required.
+	Rand *rand.Rand
+	// Choose returns another server for the next attempt of an idempotent
+	// request, or zero to stay; nil means to stay. A non-idempotent request
+	// stays, because only its server's admitter remembers it.
+	Choose func(now time.Time, key Key, failed model.ServerID) model.ServerID
+	// MaxGrant bounds the time from asking for a grant to the end of its
+	// attempt; it must equal admission.Config.MaxGrant. Default 10 s.
+	MaxGrant time.Duration
+	// Margin is the longest datagram lifetime within a data centre; default
+	// 300 ms.
+	Margin time.Duration
+	// MinAttempt is the shortest time that an attempt of an idempotent
+	// request gets; otherwise it gets half of the time left, so that one
+	// lost datagram leaves time for another attempt. Default 1 s.
+	MinAttempt time.Duration
+	// AskTimeout is the time after which an unanswered AskGrant is repeated;
+	// it doubles with each repetition. Default 500 ms.
+	AskTimeout time.Duration
+	// NotAdmitterWait bounds the wait after the first NOT_ADMITTER reply; it
+	// doubles up to AskTimeout. Default 50 ms.
+	NotAdmitterWait time.Duration
+	// BackoffBase and BackoffMax bound the exponential backoff; defaults
+	// 10 ms and 1 s.
+	BackoffBase, BackoffMax time.Duration
+	// RetryRatio is the share of requests that may be retried, RetryBurst
+	// how many of them at once, per service; defaults 0.1 and 10.
+	RetryRatio float64
+	RetryBurst float64
+	// CancelWait is how long a cancelled request waits for the server to say
+	// whether it ran; default 300 ms.
+	CancelWait time.Duration
+	// MaxInFlight bounds the requests; default 16384.
+	MaxInFlight int
+	// MaxParts bounds the parts of an answer; default 256.
+	MaxParts int
+	// MaxBytes bounds the payloads held, of requests and of answers;
+	// default 16 MiB.
+	MaxBytes int
+	// AnswerMemory is how long the answer of a non-idempotent request is kept
+	// for repeated copies; default 5 s. At most an eighth of MaxBytes is used.
+	AnswerMemory time.Duration
+}
+
+func (c *Config) setDefaults() {
+	setDefault(&c.MaxGrant, 10*time.Second)
+	setDefault(&c.Margin, 300*time.Millisecond)
+	setDefault(&c.MinAttempt, time.Second)
+	setDefault(&c.AskTimeout, 500*time.Millisecond)
+	setDefault(&c.NotAdmitterWait, 50*time.Millisecond)
+	setDefault(&c.BackoffBase, 10*time.Millisecond)
+	setDefault(&c.BackoffMax, time.Second)
+	setDefault(&c.RetryRatio, 0.1)
+	setDefault(&c.RetryBurst, 10)
+	setDefault(&c.CancelWait, 300*time.Millisecond)
+	setDefault(&c.MaxInFlight, 16384)
+	setDefault(&c.MaxParts, 256)
+	setDefault(&c.MaxBytes, 16<<20)
+	setDefault(&c.AnswerMemory, 5*time.Second)
+}
+
+func setDefault[T int | float64 | time.Duration](v *T, d T) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+// Coordinator holds the requests that this instance coordinates. It is not
+// safe for concurrent use.
+type Coordinator struct {
+	cfg      Config
+	requests map[Key]*request
+	asks     map[uint64]*request
+	held     map[uint64]*heldGrant
+	// abandoned remembers asks that were given up: a late grant is released.
+	abandoned   *fifo[uint64, model.ServerID]
+	finished    *answerMemory
+	budgets     map[model.ServiceID]*budget
+	timers      timers
+	nextGrant   uint64
+	nextAttempt uint32
+	bytes       int
+	stopping    bool
+}
+
+// maxAbandoned bounds the memory of asks that were given up.
+const maxAbandoned = 4096
+
+// New returns a Coordinator without requests.
+func New(cfg Config) *Coordinator {
+	cfg.setDefaults()
+	return &Coordinator{
+		cfg: cfg, requests: map[Key]*request{}, asks: map[uint64]*request{}, held: map[uint64]*heldGrant{},
+		abandoned: newFIFO[uint64, model.ServerID](maxAbandoned), finished: newAnswerMemory(cfg.AnswerMemory, cfg.MaxBytes/8),
+		budgets: map[model.ServiceID]*budget{},
+		// Random starts keep the numbers of one incarnation apart from those
+		// that servers and admitters still hold from an earlier one.
+		nextGrant: cfg.Rand.Uint64N(1 << 48), nextAttempt: cfg.Rand.Uint32(),
+	}
+}
+
+// Running reports whether a request with the key is in flight: a copy of it
+// joins it and is not counted again.
+func (c *Coordinator) Running(k Key) bool { return c.requests[k] != nil }
+
+// InFlight returns the number of requests that are not yet answered.
+func (c *Coordinator) InFlight() int { return len(c.requests) }
+
+// Idle reports that no request is in flight and no grant is held; a stopping
+// instance waits for it.
+func (c *Coordinator) Idle() bool { return len(c.requests) == 0 && len(c.held) == 0 }
+
+// Stop begins a planned stop: requests in flight are finished, new ones are
+// refused.
+func (c *Coordinator) Stop() { c.stopping = true }
+
+// Next returns when Tick must be called next; false means not before another
+// event.
+func (c *Coordinator) Next() (time.Time, bool) {
+	if len(c.timers) == 0 {
+		return time.Time{}, false
+	}
+	return c.timers[0].at, true
+}
+
+// Start begins a request. A repeated copy of a request in flight joins it:
+// the one reply serves both.
+func (c *Coordinator) Start(now time.Time, req Request) []Action {
+	if c.requests[req.Key] != nil {
+		return nil
+	}
+	if parts := c.finished.lookup(now, req.Key); parts != nil && !req.Idempotent {
+		return answerActions(req.Key, parts)
+	}
+	if req.Deadline.IsZero() {
+		req.Deadline = now.Add(c.cfg.MaxGrant)
+	}
+	r := &request{Request: req}
+	switch {
+	case c.stopping:
+		return c.refuseNew(r, pb.Reason_REASON_INSTANCE_NOT_READY)
+	case !now.Before(req.Deadline):
+		return c.refuseNew(r, pb.Reason_REASON_DEADLINE)
+	case req.Server == 0:
+		return c.refuseNew(r, pb.Reason_REASON_NO_SERVER)
+	case len(c.requests) >= c.cfg.MaxInFlight || c.bytes+len(req.Payload) > c.cfg.MaxBytes:
+		return c.refuseNew(r, pb.Reason_REASON_OVERLOAD)
+	}
+	c.requests[req.Key] = r
+	c.bytes += len(req.Payload)
+	c.budget(req.Service).earn(&c.cfg)
+	return c.ask(now, r)
+}
+
+func (c *Coordinator) refuseNew(r *request, reason pb.Reason) []Action {
+	return []Action{r.refusal(reason), Ended{r.Key}}
+}
+
+// GrantReply handles the admitter's reply to an AskGrant.
+func (c *Coordinator) GrantReply(now time.Time, m *pb.GrantReply) []Action {
+	r := c.asks[m.GetGrant()]
+	if r == nil {
+		return c.lateGrant(m)
+	}
+	switch m.GetResult() {
+	case pb.GrantResult_GRANT_RESULT_GRANTED:
+		return c.granted(now, r)
+	case pb.GrantResult_GRANT_RESULT_DUPLICATE:
+		c.forgetAsk(r)
+		r.copyElsewhere = true
+		return c.finish(now, r, r.refusalLater(pb.Reason_REASON_DUPLICATE))
+	case pb.GrantResult_GRANT_RESULT_REFUSED:
+		c.forgetAsk(r)
+		return c.grantRefused(now, r, m.GetReason())
+	}
+	// Not, or not yet, the admitter: the published state is about to change.
+	r.notAdmitter = min(r.notAdmitter+1, 16)
+	r.nextAsk = now.Add(c.jitter(min(c.cfg.AskTimeout, c.cfg.NotAdmitterWait<<(r.notAdmitter-1))))
+	c.schedule(r)
+	return nil
+}
+
+// lateGrant gives back a grant that is not used any more.
+func (c *Coordinator) lateGrant(m *pb.GrantReply) []Action {
+	server, ok := c.abandoned.get(m.GetGrant())
+	if !ok || m.GetResult() != pb.GrantResult_GRANT_RESULT_GRANTED {
+		return nil
+	}
+	return []Action{unusedRelease(server, m.GetGrant())}
+}
+
+// ServerPacket handles an answer part or a refusal of a server.
+func (c *Coordinator) ServerPacket(now time.Time, p ServerPacket) []Action {
+	r := c.requests[p.Key]
+	if r == nil {
+		return c.latePacket(now, p)
+	}
+	a := r.attempt(p.Attempt)
+	if a == nil || a.server != p.Server {
+		return c.latePacket(now, p)
+	}
+	switch p.Kind {
+	case pb.Kind_KIND_ANSWER:
+		return c.answerPart(now, r, a, p)
+	case pb.Kind_KIND_REFUSAL:
+		return c.serverRefusal(now, r, a, p)
+	}
+	return nil
+}
+
+// Cancel withdraws a request for its caller. If an attempt is under way, the
+// reply waits a little for the server to say whether it ran.
+func (c *Coordinator) Cancel(now time.Time, k Key) []Action {
+	r := c.requests[k]
+	if r == nil || r.phase == cancelling {
+		return nil
+	}
+	actions := c.abandonAsk(r)
+	a := r.current()
+	if r.phase != running || a == nil {
+		return append(actions, c.finish(now, r, r.refusalLater(pb.Reason_REASON_CANCELLED))...)
+	}
+	r.phase = cancelling
+	r.cancelUntil = now.Add(c.cfg.CancelWait)
+	c.schedule(r)
+	return append(actions, c.cancelAttempt(r, a)...)
+}
+
+// StateChanged asks again for the grants that were asked of instances that
+// are no longer the admitters. Asks get new numbers, so that a grant of a
+// former admitter is never used.
+func (c *Coordinator) StateChanged(now time.Time, old, new *dcstate.State) []Action {
+	var actions []Action
+	for _, id := range sortedKeys(c.asks) {
+		r := c.asks[id]
+		if !admitterChanged(old, new, r.Server) {
+			continue
+		}
+		c.abandoned.put(id, r.Server)
+		delete(c.asks, id)
+		r.reasked = true
+		actions = append(actions, c.askNumbered(now, r)...)
+	}
+	return actions
+}
+
+// Held returns the grants of a server that this instance holds.
+func (c *Coordinator) Held(now time.Time, server model.ServerID) []*pb.OutstandingGrant {
+	var out []*pb.OutstandingGrant
+	for _, id := range sortedKeys(c.held) {
+		g := c.held[id]
+		if g.server != server || !now.Before(g.expires) {
+			continue
+		}
+		out = append(out, &pb.OutstandingGrant{
+			Holder: string(c.cfg.Self), Grant: id, Server: uint64(server), ExpiresMs: milliseconds(g.expires.Sub(now)),
+			Flow: uint64(g.key.Flow), RequestId: g.key.ID, Idempotent: g.idempotent,
+		})
+	}
+	return out
+}
+
+// Tick carries out what is due.
+func (c *Coordinator) Tick(now time.Time) []Action {
+	var actions []Action
+	for {
+		t, ok := c.timers.due(now)
+		if !ok {
+			break
+		}
+		if t.grant != 0 {
+			actions = append(actions, c.endLinger(now, t)...)
+		} else if r := c.requests[t.key]; r != nil && r.wake.Equal(t.at) {
+			actions = append(actions, c.wake(now, r)...)
+		}
+	}
+	c.finished.expire(now)
+	return actions
+}
--- /dev/null
+++ b/internal/requests/support.go
@@ -0,0 +1,90 @@
+package requests
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// budget is the token bucket of retries.
+type budget struct{ tokens float64 }
+
+func (b *budget) earn(cfg *Config) { b.tokens = min(cfg.RetryBurst, b.tokens+cfg.RetryRatio) }
+
+func (b *budget) take() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// timer is due at a time for a request, or for a lingering grant.
+type timer struct {
+	at    time.Time
+	key   Key
+	grant uint64
+}
+
+// timers is a heap by time. A request whose time has changed leaves its
+// former timer in the heap; Tick skips it.
+type timers []timer
+
+func (t *timers) add(x timer) { heap.Push(t, x) }
+
+// due removes and returns the first timer that is due.
+func (t *timers) due(now time.Time) (timer, bool) {
+	if len(*t) == 0 || now.Before((*t)[0].at) {
+		return timer{}, false
+	}
+	return heap.Pop(t).(timer), true
+}
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at.Before(t[j].at) }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+
+func (t *timers) Pop() any {
+	old := *t
+	x := old[len(old)-1]
+	*t = old[:len(old)-1]
+	return x
+}
+
+// fifo is a map that forgets its oldest entry when it is full.
+type fifo[K comparable, V any] struct {
+	max   int
+	m     map[K]V
+	order []K
+}
+
+func newFIFO[K comparable, V any](max int) *fifo[K, V] {
+	return &fifo[K, V]{max: max, m: map[K]V{}}
+}
+
+func (f *fifo[K, V]) put(k K, v V) {
+	if _, ok := f.m[k]; !ok {
+		if len(f.order) >= f.max {
+			delete(f.m, f.order[0])
+			f.order = f.order[1:]
+		}
+		f.order = append(f.order, k)
+	}
+	f.m[k] = v
+}
+
+func (f *fifo[K, V]) get(k K) (V, bool) {
+	v, ok := f.m[k]
+	return v, ok
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/serverhealth/serverhealth.go
@@ -0,0 +1,291 @@
+// Package serverhealth keeps one instance's evidence about backend servers:
+// what it sent and received itself, and what the servers' health endpoints
+// say. Own observations outrank the endpoints, which lag or mislead.
+package serverhealth
+
+import (
+	"sort"
+	"time"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/model"
+)
+
+// Condition is the condition of a server as this instance sees it.
+type Condition = pb.ServerCondition
+
+// Conditions. Unknown means that there is no evidence yet; admission treats
+// such a server as cold.
+const (
+	Unknown  = pb.ServerCondition_SERVER_CONDITION_UNSPECIFIED
+	Healthy  = pb.ServerCondition_SERVER_CONDITION_HEALTHY
+	Cold     = pb.ServerCondition_SERVER_CONDITION_COLD
+	Shedding = pb.ServerCondition_SERVER_CONDITION_SHEDDING
+	Draining = pb.ServerCondition_SERVER_CONDITION_DRAINING
+	Silent   = pb.ServerCondition_SERVER_CONDITION_SILENT
+)
+
+// Kind says what was observed.
+type Kind uint8
+
+// Kinds of observations.
+const (
+	// Sent is a packet that the server must answer: an opening or a request.
+	Sent Kind = iota + 1
+	// Answered is an OPEN_ACK or the last part of an answer.
+	Answered
+	// Refused is a REFUSAL by the server.
+	Refused
+	// TimedOut is a sent packet that was not answered in time.
+	TimedOut
+	// FlowOpened and FlowEnded change the number of open flows.
+	FlowOpened
+	FlowEnded
+)
+
+// Observation is one event between this instance and a server.
+type Observation struct {
+	Kind Kind
+	// Reason of a refusal; SHED and DRAINING change the condition.
+	Reason pb.Reason
+	// Cold is the cold flag of OPEN_ACK, ANSWER or REFUSAL.
+	Cold bool
+	// Latency from sending to the answer; zero when not measured. Openings
+	// and requests differ in cost, so the caller passes it for one of them.
+	Latency time.Duration
+}
+
+// Config holds the thresholds; zero fields take the defaults.
+type Config struct {
+	// SilentAfter is the shortest time without any answer after which a path
+	// or a server counts as silent; default 500 ms.
+	SilentAfter time.Duration
+	// SilentMisses is the number of unanswered packets that it takes; default 3.
+	SilentMisses int
+	// Recover is the shortest time that cold, shedding and draining last
+	// after their last sign; default 1 s.
+	Recover time.Duration
+	// RecoverAnswers is the number of clean answers in a row that end them;
+	// default 4.
+	RecoverAnswers int
+	// SlowFactor is the ratio of recent to usual latency from which a server
+	// counts as cold; default 3.
+	SlowFactor float64
+	// EndpointMaxAge is the age at which an endpoint status is no longer
+	// used; default 5 s.
+	EndpointMaxAge time.Duration
+	// ReplaceInterval is the shortest time between replacements of one path;
+	// default 1 s.
+	ReplaceInterval time.Duration
+	// MaxReports bounds the routine reports of one heartbeat; default 8,
+	// which is about 1.2 KB/s for each receiver.
+	MaxReports int
+}
+
+func (c *Config) setDefaults() {
+	setDefault(&c.SilentAfter, 500*time.Millisecond)
+	setDefault(&c.SilentMisses, 3)
+	setDefault(&c.Recover, time.Second)
+	setDefault(&c.RecoverAnswers, 4)
+	setDefault(&c.SlowFactor, 3)
+	setDefault(&c.EndpointMaxAge, 5*time.Second)
+	setDefault(&c.ReplaceInterval, time.Second)
+	setDefault(&c.MaxReports, 8)
+}
+
+func setDefault[T int | float64 | time.Duration](v *T, d T) {
+	if *v == 0 {
+		*v = d
+	}
+}
+
+// Action is a decision for the caller to carry out: ReplacePath.
+type Action interface{ action() }
+
+// ReplacePath asks for a new socket for a silent path.
+type ReplacePath struct {
+	Server model.ServerID
+	Path   int
+}
+
+func (ReplacePath) action() {}
+
+// Health is the evidence of one instance. It is not safe for concurrent use.
+type Health struct {
+	cfg        Config
+	servers    map[model.ServerID]*server
+	order      []model.ServerID
+	distrusted map[model.ServiceID]bool
+}
+
+// New returns a Health without servers.
+func New(cfg Config) *Health {
+	cfg.setDefaults()
+	return &Health{cfg: cfg, servers: map[model.ServerID]*server{}, distrusted: map[model.ServiceID]bool{}}
+}
+
+// SetServers replaces the set of servers: those of the instance's data
+// centre. Evidence about servers that stay is kept.
+func (h *Health) SetServers(now time.Time, servers map[model.ServerID]*model.BackendServer) {
+	for id := range h.servers {
+		if servers[id] == nil {
+			delete(h.servers, id)
+		}
+	}
+	h.order = h.order[:0]
+	for id, info := range servers {
+		if s := h.servers[id]; s != nil {
+			s.info = info
+		} else {
+			h.servers[id] = &server{info: info, paths: map[int]*path{}}
+		}
+		h.order = append(h.order, id)
+	}
+	sort.Slice(h.order, func(i, j int) bool { return h.order[i] < h.order[j] })
+	h.judgeEndpoints(now)
+	for _, s := range h.servers {
+		h.refresh(now, s)
+	}
+}
+
+// Observe adds an observation made on a path (local socket) to a server.
+// Observations of unknown servers are ignored.
+func (h *Health) Observe(now time.Time, id model.ServerID, pathID int, o Observation) {
+	s := h.servers[id]
+	if s == nil {
+		return
+	}
+	switch o.Kind {
+	case FlowOpened:
+		s.openFlows++
+	case FlowEnded:
+		s.openFlows--
+	case Sent:
+		s.path(pathID).sent(now)
+		s.sent(now)
+		return
+	case TimedOut:
+		s.path(pathID).misses++
+		s.misses++
+		s.clean = 0
+	case Answered:
+		s.answers++
+		s.heard(now, pathID)
+		s.observeAnswer(now, o, &h.cfg)
+	case Refused:
+		s.refusals++
+		s.heard(now, pathID)
+		s.observeRefusal(now, o)
+	}
+	h.refresh(now, s)
+}
+
+// Endpoint records what the server's health endpoint said; nil means that it
+// could not be reached.
+func (h *Health) Endpoint(now time.Time, id model.ServerID, status *pb.BackendStatusResponse) {
+	s := h.servers[id]
+	if s == nil {
+		return
+	}
+	s.endpoint, s.endpointAt = status.GetState(), now
+	if status == nil {
+		s.endpoint = pb.BackendStatusResponse_STATE_DOWN
+	}
+	h.judgeService(now, s.info.Service)
+	h.refresh(now, s)
+}
+
+// Condition returns the present condition of a server.
+func (h *Health) Condition(id model.ServerID) Condition {
+	if s := h.servers[id]; s != nil {
+		return s.condition
+	}
+	return Unknown
+}
+
+// EndpointsDistrusted reports whether the endpoints of a service are ignored
+// because more than half of its servers look dead by endpoint alone.
+func (h *Health) EndpointsDistrusted(service model.ServiceID) bool {
+	return h.distrusted[service]
+}
+
+// Tick detects silence. It is called every 100 ms or so.
+func (h *Health) Tick(now time.Time) []Action {
+	h.judgeEndpoints(now)
+	var actions []Action
+	for _, id := range h.order {
+		s := h.servers[id]
+		h.refresh(now, s)
+		for _, p := range s.silentPaths(now, &h.cfg) {
+			actions = append(actions, ReplacePath{id, p})
+		}
+	}
+	return actions
+}
+
+// Reports returns the summaries for the next heartbeat. A changed condition
+// is reported at once and repeated twice, because a heartbeat can be lost;
+// of the other servers, MaxReports are reported in turn.
+func (h *Health) Reports(now time.Time) []*pb.ServerReport {
+	var out []*pb.ServerReport
+	var routine []*server
+	for _, id := range h.order {
+		s := h.servers[id]
+		if s.urgent > 0 {
+			s.urgent--
+			out = append(out, s.report(id, now))
+		} else if s.condition != Unknown || s.openFlows != 0 {
+			routine = append(routine, s)
+		}
+	}
+	sort.SliceStable(routine, func(i, j int) bool { return routine[i].reportedAt.Before(routine[j].reportedAt) })
+	for i := 0; i < len(routine) && i < h.cfg.MaxReports; i++ {
+		out = append(out, routine[i].report(routine[i].info.ID, now))
+	}
+	return out
+}
+
+func (h *Health) judgeEndpoints(now time.Time) {
+	type tally struct{ dead, all int }
+	tallies := map[model.ServiceID]tally{}
+	for _, s := range h.servers {
+		t := tallies[s.info.Service]
+		t.all++
+		if s.deadByEndpointAlone(now, &h.cfg) {
+			t.dead++
+		}
+		tallies[s.info.Service] = t
+	}
+	clear(h.distrusted)
+	for service, t := range tallies {
+		if 2*t.dead > t.all {
+			h.distrusted[service] = true
+		}
+	}
+}
+
+func (h *Health) judgeService(now time.Time, service model.ServiceID) {
+	was := h.distrusted[service]
+	h.judgeEndpoints(now)
+	if was == h.distrusted[service] {
+		return
+	}
+	for _, s := range h.servers {
+		if s.info.Service == service {
+			h.refresh(now, s)
+		}
+	}
+}
+
+func (h *Health) refresh(now time.Time, s *server) {
+	c := s.judge(now, &h.cfg, h.distrusted[s.info.Service])
+	if c == s.condition {
+		return
+	}
+	if c == Cold {
+		s.coldSince = now
+		s.openings = openings{}
+	}
+	s.condition = c
+	s.urgent = 3
+}
