--- /dev/null
+++ b/internal/config/editor_test.go
@@ -0,0 +1,105 @@
+package config
+
+import (
+	"errors"
+	"slices"
+	"testing"
+)
+
+// Guards against an edit that is reported as accepted but not stored.
+func TestEditIsStored(t *testing.T) {
+	s := started(t)
+	callers := sampleCallers(3)
+	callers.Callers[1].Prefixes = []string{"10.9.0.0/16"}
+	done, err := run(t, s, EditorConfig{}, Edit{ID: "e2", Operator: "ana", BaseVersion: 1, Callers: callers}, atOnce)
+	if err != nil || done.Version != 2 {
+		t.Fatalf("got %+v, %v", done, err)
+	}
+	if want := []string{"~ caller c00001: prefixes -10.0.1.0/24, prefixes +10.9.0.0/16"}; !slices.Equal(done.Changes, want) {
+		t.Errorf("changes %q, want %q", done.Changes, want)
+	}
+	c, _ := s.content(t)
+	if got := c.Callers.Callers[1].Prefixes[0]; got != "10.9.0.0/16" {
+		t.Errorf("stored prefix %s", got)
+	}
+	if len(c.Plans.GetServices()) != 2 {
+		t.Errorf("an unset part changed: %v", c.Plans)
+	}
+}
+
+// Guards against an edit that reverts another one made since its base version.
+func TestDisjointEditsAreRebased(t *testing.T) {
+	s := started(t)
+	for i, prefix := range []string{"10.7.0.0/16", "10.8.0.0/16"} {
+		callers := sampleCallers(3)
+		callers.Callers[i].Prefixes = []string{prefix}
+		if _, err := run(t, s, EditorConfig{}, Edit{ID: prefix, Operator: "ana", BaseVersion: 1, Callers: callers}, atOnce); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c, root := s.content(t)
+	got := []string{c.Callers.Callers[0].Prefixes[0], c.Callers.Callers[1].Prefixes[0]}
+	if !slices.Equal(got, []string{"10.7.0.0/16", "10.8.0.0/16"}) || root.GetVersion() != 3 {
+		t.Errorf("version %d has %v", root.GetVersion(), got)
+	}
+}
+
+// Guards against the silent loss of one of two edits of the same entry.
+func TestSameEntryConflicts(t *testing.T) {
+	s := started(t)
+	edit := func(id, prefix string) error {
+		callers := sampleCallers(3)
+		callers.Callers[0].Prefixes = []string{prefix}
+		_, err := run(t, s, EditorConfig{}, Edit{ID: id, Operator: id, BaseVersion: 1, Callers: callers}, atOnce)
+		return err
+	}
+	if err := edit("ana", "10.7.0.0/16"); err != nil {
+		t.Fatal(err)
+	}
+	var conflict *Conflict
+	if err := edit("bruno", "10.8.0.0/16"); !errors.As(err, &conflict) {
+		t.Fatalf("got %v", err)
+	}
+	if len(conflict.Yours) != 1 || len(conflict.Theirs) != 1 || conflict.TheirEdits[0].GetOperator() != "ana" {
+		t.Errorf("conflict does not show both edits: %v", conflict)
+	}
+}
+
+// Guards against packets for one service at a server that some instances still
+// count as another service's.
+func TestMovedServerTakesTwoVersions(t *testing.T) {
+	s := started(t)
+	plans := samplePlans()
+	site := plans.Services[0].Sites[0]
+	moved := site.Servers[1]
+	site.Servers = site.Servers[:1]
+	moved.Name = "s3"
+	plans.Services[1].Sites[0].Servers = append(plans.Services[1].Sites[0].Servers, moved)
+
+	asked := 0
+	done, err := run(t, s, EditorConfig{}, Edit{ID: "move", Operator: "ana", BaseVersion: 1, Plans: plans}, func(wanted uint64) uint64 {
+		asked++
+		c, _ := s.content(t)
+		for _, service := range c.Plans.Services {
+			for _, server := range service.Sites[0].Servers {
+				if server.Address == moved.Address {
+					t.Errorf("version %d has %s in %s before it is in force", wanted, moved.Address, service.Name)
+				}
+			}
+		}
+		if asked < 3 {
+			return wanted - 1
+		}
+		return wanted
+	})
+	if err != nil || done.StepOne != 2 || done.Version != 3 || asked != 3 {
+		t.Fatalf("got %+v, %v after %d questions", done, err, asked)
+	}
+	c, root := s.content(t)
+	if n := len(c.Plans.Services[1].Sites[0].Servers); n != 3 {
+		t.Errorf("ordenes has %d servers", n)
+	}
+	if len(root.GetReleased()) != 0 {
+		t.Errorf("released %v", root.GetReleased())
+	}
+}
--- /dev/null
+++ b/internal/config/errors.go
@@ -0,0 +1,137 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+
+	"cuminshift/internal/findings"
+	pb "cuminshift/internal/gen/cuminshift/v1"
+)
+
+// Conflict says that another accepted edit touched the same entries, or that
+// the two edits together are not valid. The edit was not applied.
+type Conflict struct {
+	// Yours and Theirs describe both edits of the entries in question.
+	Yours, Theirs []string
+	// TheirEdits are the edits accepted since the base version.
+	TheirEdits []*pb.EditRecord
+	// Findings are the faults of the two edits taken together, if any.
+	Findings findings.Findings
+}
+
+func (e *Conflict) Error() string {
+	var b strings.Builder
+	b.WriteString("conflict with an accepted edit; nothing was changed\nyour edit:\n")
+	writeIndented(&b, e.Yours)
+	b.WriteString("accepted meanwhile:\n")
+	for _, r := range e.TheirEdits {
+		fmt.Fprintf(&b, "  version %d by %s: %s\n", r.GetVersion(), r.GetOperator(), r.GetSummary())
+	}
+	writeIndented(&b, e.Theirs)
+	if len(e.Findings) > 0 {
+		b.WriteString("both together are not valid:\n")
+		b.WriteString(e.Findings.String())
+	}
+	return b.String()
+}
+
+func writeIndented(b *strings.Builder, lines []string) {
+	for _, l := range lines {
+		b.WriteString("  " + l + "\n")
+	}
+}
+
+// StoreUnavailable says that the store did not answer until the deadline. The
+// edit was not applied.
+type StoreUnavailable struct {
+	// Published is the version of step one when the edit stopped after it, else 0.
+	Published uint64
+	Cause     error
+}
+
+func (e *StoreUnavailable) Error() string {
+	text := "the store is not available; nothing was changed"
+	if e.Published > 0 {
+		text = fmt.Sprintf("the store is not available; only step one was published, as version %d; repeat the edit to finish it", e.Published)
+	}
+	if e.Cause != nil {
+		text += ": " + e.Cause.Error()
+	}
+	return text
+}
+
+func (e *StoreUnavailable) Unwrap() error { return e.Cause }
+
+// OutcomeUnknown says that a write may or may not have taken effect. Repeating
+// the edit with the same id is safe.
+type OutcomeUnknown struct {
+	EditID string
+	Cause  error
+}
+
+func (e *OutcomeUnknown) Error() string {
+	return fmt.Sprintf("the store did not confirm the write and could not be read back; repeat edit %s with the same id: %v", e.EditID, e.Cause)
+}
+
+func (e *OutcomeUnknown) Unwrap() error { return e.Cause }
+
+// Contention says that other edits won each attempt until the deadline. The
+// edit was not applied.
+type Contention struct {
+	Attempts int
+	// Published is the version of step one when the edit stopped after it, else 0.
+	Published uint64
+}
+
+func (e *Contention) Error() string {
+	if e.Published > 0 {
+		return fmt.Sprintf("other edits came first %d times; only step one was published, as version %d; repeat the edit to finish it", e.Attempts, e.Published)
+	}
+	return fmt.Sprintf("other edits came first %d times; nothing was changed", e.Attempts)
+}
+
+// NotInForce says that an earlier version did not come into force before the
+// deadline, so an address could not be given to its new owner.
+type NotInForce struct {
+	// Version is the version waited for. With Published it is step one of this
+	// edit, else an earlier edit that released an address.
+	Version   uint64
+	Published bool
+}
+
+func (e *NotInForce) Error() string {
+	if e.Published {
+		return fmt.Sprintf("step one was published as version %d, which is not in force everywhere yet; repeat the edit to finish it", e.Version)
+	}
+	return fmt.Sprintf("version %d released an address that this edit uses and is not in force everywhere yet; nothing was changed", e.Version)
+}
+
+// BaseUnknown says that the root no longer holds the base version of an edit.
+type BaseUnknown struct {
+	Base, Oldest, Newest uint64
+}
+
+func (e *BaseUnknown) Error() string {
+	return fmt.Sprintf("the edit is based on version %d; the store holds versions %d to %d; export the lists again and repeat the edit", e.Base, e.Oldest, e.Newest)
+}
+
+// Damaged says that an object in the store or from a peer is not what its
+// writer wrote.
+type Damaged struct {
+	Object string
+	Cause  error
+}
+
+func (e *Damaged) Error() string { return fmt.Sprintf("damaged %s: %v", e.Object, e.Cause) }
+
+func (e *Damaged) Unwrap() error { return e.Cause }
+
+// TooLarge says that the configuration does not fit the store's values.
+type TooLarge struct {
+	Object string
+	Bytes  int
+}
+
+func (e *TooLarge) Error() string {
+	return fmt.Sprintf("%s has %d bytes; at most %d", e.Object, e.Bytes, MaxValueBytes)
+}
--- /dev/null
+++ b/internal/config/root.go
@@ -0,0 +1,173 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+)
+
+const (
+	// maxEdits bounds the edits that the root remembers: 1.4 h at 8,500 edits a
+	// day. An edit based on an older version is refused.
+	maxEdits = 512
+	// maxEditBytes bounds their size, so that the root keeps room for the shard
+	// references of the two-year scale.
+	maxEditBytes = 300_000
+	// maxRecordText bounds an edit's id, operator and summary, in bytes.
+	maxRecordText = 256
+)
+
+// digestOf covers what the version consists of; the edits are only its history.
+func digestOf(version uint64, refs []*pb.ShardRef) string {
+	h := sha256.New()
+	fmt.Fprintf(h, "%d\n", version)
+	for _, r := range refs {
+		fmt.Fprintf(h, "%s %s\n", r.GetName(), r.GetHash())
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+var (
+	errDigest = errors.New("digest does not match")
+	errOrder  = errors.New("shard references are not in order")
+)
+
+// DecodeRoot decodes and verifies the root object; no value is version 0.
+func DecodeRoot(value []byte) (*pb.Root, error) {
+	root := &pb.Root{}
+	if len(value) == 0 {
+		return root, nil
+	}
+	if err := proto.Unmarshal(value, root); err != nil {
+		return nil, &Damaged{Object: "root", Cause: err}
+	}
+	return root, verifyRoot(root)
+}
+
+func verifyRoot(root *pb.Root) error {
+	refs := root.GetShards()
+	for i := 1; i < len(refs); i++ {
+		if refs[i-1].GetName() >= refs[i].GetName() {
+			return &Damaged{Object: "root", Cause: errOrder}
+		}
+	}
+	if root.GetDigest() != digestOf(root.GetVersion(), refs) {
+		return &Damaged{Object: "root", Cause: errDigest}
+	}
+	return nil
+}
+
+func encodeRoot(root *pb.Root) ([]byte, error) {
+	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(root)
+	if err != nil {
+		return nil, err
+	}
+	if len(value) > MaxValueBytes {
+		return nil, &TooLarge{Object: "root", Bytes: len(value)}
+	}
+	return value, nil
+}
+
+// trimEdits drops the oldest edits beyond the bounds; the newest stays.
+func trimEdits(edits []*pb.EditRecord) []*pb.EditRecord {
+	size, keep := 0, 0
+	for keep < len(edits) && keep < maxEdits {
+		size += proto.Size(edits[len(edits)-1-keep])
+		if size > maxEditBytes && keep > 0 {
+			break
+		}
+		keep++
+	}
+	return edits[len(edits)-keep:]
+}
+
+// findEdit returns the record of an edit, or nil.
+func findEdit(root *pb.Root, id string) *pb.EditRecord {
+	for _, r := range slices.Backward(root.GetEdits()) {
+		if r.GetId() == id {
+			return r
+		}
+	}
+	return nil
+}
+
+// oldestKnown returns the oldest version whose references RefsAt can give.
+func oldestKnown(root *pb.Root) uint64 {
+	oldest := root.GetVersion()
+	for _, r := range slices.Backward(root.GetEdits()) {
+		if r.GetVersion() != oldest || oldest == 0 {
+			break
+		}
+		oldest--
+	}
+	return oldest
+}
+
+// RefsAt returns the shard references of an earlier version by undoing the
+// remembered edits, or false when the root does not reach back that far.
+func RefsAt(root *pb.Root, version uint64) ([]*pb.ShardRef, bool) {
+	if version > root.GetVersion() || version < oldestKnown(root) {
+		return nil, false
+	}
+	refs := refMap(root.GetShards())
+	for _, r := range slices.Backward(root.GetEdits()) {
+		if r.GetVersion() <= version {
+			break
+		}
+		applyRefs(refs, r.GetReplaced())
+	}
+	return refList(refs), true
+}
+
+func refMap(refs []*pb.ShardRef) map[string]string {
+	m := make(map[string]string, len(refs))
+	for _, r := range refs {
+		m[r.GetName()] = r.GetHash()
+	}
+	return m
+}
+
+func refList(m map[string]string) []*pb.ShardRef {
+	refs := make([]*pb.ShardRef, 0, len(m))
+	for name, hash := range m {
+		refs = append(refs, &pb.ShardRef{Name: name, Hash: hash})
+	}
+	slices.SortFunc(refs, func(a, b *pb.ShardRef) int { return strings.Compare(a.GetName(), b.GetName()) })
+	return refs
+}
+
+// applyRefs sets the given references; an empty hash removes one.
+func applyRefs(refs map[string]string, changes []*pb.ShardRef) {
+	for _, c := range changes {
+		if c.GetHash() == "" {
+			delete(refs, c.GetName())
+		} else {
+			refs[c.GetName()] = c.GetHash()
+		}
+	}
+}
+
+// refChanges returns the references that turn one set into the other; a
+// removed one has an empty hash.
+func refChanges(from, to []*pb.ShardRef) []*pb.ShardRef {
+	a, b := refMap(from), refMap(to)
+	diff := map[string]string{}
+	for name, hash := range b {
+		if a[name] != hash {
+			diff[name] = hash
+		}
+	}
+	for name := range a {
+		if _, ok := b[name]; !ok {
+			diff[name] = ""
+		}
+	}
+	return refList(diff)
+}
--- /dev/null
+++ b/internal/config/shards.go
@@ -0,0 +1,248 @@
+// Package config splits the configuration into shards named by content hash
+// under one root object, edits it by conditional update and keeps the newest
+// version of an instance.
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"slices"
+	"sort"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/lists"
+)
+
+const (
+	// RootKey is the store key of the root object.
+	RootKey = "config/root"
+	// MaxValueBytes leaves room for the call's framing below the store's limit
+	// of 1 MB.
+	MaxValueBytes = 1_000_000
+	// shardBytes is the size above which a shard is split. An edit sends each
+	// changed shard to all instances, while smaller shards make the root larger.
+	shardBytes = 16 << 10
+)
+
+// ShardKey returns the store key of a shard.
+func ShardKey(hash string) string { return "config/shard/" + hash }
+
+// The families of shards; a shard's name is family/bits, except marksName.
+const (
+	familyCallers  = "callers"
+	familyPlans    = "plans"
+	familyServices = "services"
+	marksName      = "marks"
+)
+
+// Set is the configuration as shards.
+type Set struct {
+	// Refs are ordered by name.
+	Refs []*pb.ShardRef
+	// Shards holds the encoded ShardContent by hash.
+	Shards map[string][]byte
+}
+
+// Split distributes content over shards. Each family is a binary tree over the
+// entries' key hashes, and each leaf above shardBytes is split, so a change of
+// one entry changes one shard, or replaces it by its halves.
+func Split(c lists.Content) (*Set, error) { return splitItems(lists.Flatten(c)) }
+
+func splitItems(items lists.Items) (*Set, error) {
+	families := map[string][]hashedItem{}
+	for _, k := range items.Keys() {
+		f := familyOf(k.Kind)
+		families[f] = append(families[f], hashedItem{keyHash(k), k, items[k], proto.Size(items[k]) + itemOverhead})
+	}
+	set := &Set{Shards: map[string][]byte{}}
+	for _, f := range []string{familyCallers, familyPlans, familyServices} {
+		sort.SliceStable(families[f], func(i, j int) bool { return families[f][i].hash < families[f][j].hash })
+		if err := set.splitFamily(f, "", families[f]); err != nil {
+			return nil, err
+		}
+	}
+	if len(families[marksName]) > 0 {
+		if err := set.add(marksName, families[marksName]); err != nil {
+			return nil, err
+		}
+	}
+	slices.SortFunc(set.Refs, func(a, b *pb.ShardRef) int { return strings.Compare(a.GetName(), b.GetName()) })
+	return set, nil
+}
+
+// itemOverhead is the largest tag and length prefix of an entry in its shard.
+const itemOverhead = 6
+
+type hashedItem struct {
+	hash  uint64
+	key   lists.Key
+	value proto.Message
+	bytes int
+}
+
+func familyOf(k lists.Kind) string {
+	switch k {
+	case lists.KindCaller:
+		return familyCallers
+	case lists.KindPlan:
+		return familyPlans
+	case lists.KindService, lists.KindSite, lists.KindServer:
+		return familyServices
+	}
+	return marksName
+}
+
+// keyHash places the parts of one service side by side: the upper half comes
+// from the service's name, the lower from the server's. A new service then
+// touches few shards.
+func keyHash(k lists.Key) uint64 {
+	h := xxhash.Sum64String(k.Name)
+	if familyOf(k.Kind) != familyServices {
+		return h
+	}
+	if k.Kind != lists.KindServer {
+		return h &^ (1<<32 - 1)
+	}
+	return h&^(1<<32-1) | xxhash.Sum64String(k.Sub)>>32
+}
+
+// splitFamily takes items that are ordered by hash and share the given prefix.
+func (s *Set) splitFamily(family, bits string, items []hashedItem) error {
+	if len(items) == 0 {
+		return nil
+	}
+	size := 0
+	for _, it := range items {
+		size += it.bytes
+	}
+	if size <= shardBytes || len(items) == 1 || len(bits) == 64 {
+		return s.add(family+"/"+bits, items)
+	}
+	mask := uint64(1) << (63 - len(bits))
+	half := sort.Search(len(items), func(i int) bool { return items[i].hash&mask != 0 })
+	if err := s.splitFamily(family, bits+"0", items[:half]); err != nil {
+		return err
+	}
+	return s.splitFamily(family, bits+"1", items[half:])
+}
+
+func (s *Set) add(name string, items []hashedItem) error {
+	part := make(lists.Items, len(items))
+	for _, it := range items {
+		part[it.key] = it.value
+	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(shardContent(name, lists.Join(part)))
+	if err != nil {
+		return err
+	}
+	if len(data) > MaxValueBytes {
+		return &TooLarge{Object: "shard " + name, Bytes: len(data)}
+	}
+	hash := hashOf(data)
+	s.Refs = append(s.Refs, &pb.ShardRef{Name: name, Hash: hash})
+	s.Shards[hash] = data
+	return nil
+}
+
+func shardContent(name string, c lists.Content) *pb.ShardContent {
+	switch family, _, _ := strings.Cut(name, "/"); family {
+	case familyCallers:
+		return &pb.ShardContent{Body: &pb.ShardContent_Callers{Callers: c.Callers}}
+	case familyPlans:
+		return &pb.ShardContent{Body: &pb.ShardContent_Plans{Plans: &pb.PlanShard{Plans: c.Plans.GetPlans()}}}
+	case familyServices:
+		return &pb.ShardContent{Body: &pb.ShardContent_Services{Services: &pb.ServiceShard{Services: c.Plans.GetServices()}}}
+	}
+	return &pb.ShardContent{Body: &pb.ShardContent_Marks{Marks: c.Marks}}
+}
+
+func hashOf(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+// verifyShard checks that data is the shard with the given hash.
+func verifyShard(hash string, data []byte) error {
+	if got := hashOf(data); got != hash {
+		return &Damaged{Object: "shard " + hash, Cause: fmt.Errorf("its content has the hash %s", got)}
+	}
+	return nil
+}
+
+// MissingShards says that shards named by a root are not at hand.
+type MissingShards struct {
+	Hashes []string
+}
+
+func (e *MissingShards) Error() string {
+	return fmt.Sprintf("%d shards are missing", len(e.Hashes))
+}
+
+// Assemble puts the content of the shards together. It fails with
+// *MissingShards or *Damaged.
+func Assemble(refs []*pb.ShardRef, shard func(hash string) ([]byte, bool)) (lists.Content, error) {
+	items, err := assembleItems(refs, shard)
+	if err != nil {
+		return lists.Content{}, err
+	}
+	return lists.Join(items), nil
+}
+
+func assembleItems(refs []*pb.ShardRef, shard func(hash string) ([]byte, bool)) (lists.Items, error) {
+	items := lists.Items{}
+	var missing []string
+	for _, ref := range refs {
+		data, ok := shard(ref.GetHash())
+		if !ok {
+			missing = append(missing, ref.GetHash())
+			continue
+		}
+		if err := addShard(items, ref.GetName(), data); err != nil {
+			return nil, err
+		}
+	}
+	if len(missing) > 0 {
+		return nil, &MissingShards{Hashes: missing}
+	}
+	return items, nil
+}
+
+func addShard(items lists.Items, name string, data []byte) error {
+	content := &pb.ShardContent{}
+	if err := proto.Unmarshal(data, content); err != nil {
+		return &Damaged{Object: "shard " + name, Cause: err}
+	}
+	part, err := flattenShard(content)
+	if err != nil {
+		return &Damaged{Object: "shard " + name, Cause: err}
+	}
+	for k, v := range part {
+		if _, ok := items[k]; ok {
+			return &Damaged{Object: "shard " + name, Cause: fmt.Errorf("%s is in another shard as well", k)}
+		}
+		items[k] = v
+	}
+	return nil
+}
+
+var errEmptyShard = errors.New("unknown kind of content")
+
+func flattenShard(content *pb.ShardContent) (lists.Items, error) {
+	switch body := content.GetBody().(type) {
+	case *pb.ShardContent_Callers:
+		return lists.Flatten(lists.Content{Callers: body.Callers}), nil
+	case *pb.ShardContent_Plans:
+		return lists.Flatten(lists.Content{Plans: &pb.PlanList{Plans: body.Plans.GetPlans()}}), nil
+	case *pb.ShardContent_Services:
+		return lists.FlattenParts(body.Services.GetServices()), nil
+	case *pb.ShardContent_Marks:
+		return lists.Flatten(lists.Content{Marks: body.Marks}), nil
+	}
+	return nil, errEmptyShard
+}
--- /dev/null
+++ b/internal/config/store_test.go
@@ -0,0 +1,206 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/lists"
+)
+
+var errFault = errors.New("generated fault")
+
+type object struct {
+	version uint64
+	value   []byte
+}
+
+// fakeStore holds objects, their history for stale reads, and writes that are
+// still on their way. fault picks the fault of each call.
+type fakeStore struct {
+	objects map[string][]object
+	delayed []func()
+	fault   func() fault
+}
+
+type fault int
+
+const (
+	noFault fault = iota
+	down
+	stale
+	lostBefore // the call is lost and has no effect
+	lostAfter  // the write takes effect and its answer is lost
+	late       // the answer is lost and the write takes effect later
+)
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{objects: map[string][]object{}, fault: func() fault { return noFault }}
+}
+
+func (s *fakeStore) latest(key string) object {
+	if h := s.objects[key]; len(h) > 0 {
+		return h[len(h)-1]
+	}
+	return object{}
+}
+
+func (s *fakeStore) get(key string, f fault) object {
+	if h := s.objects[key]; f == stale && len(h) > 1 {
+		return h[len(h)-2]
+	}
+	return s.latest(key)
+}
+
+func (s *fakeStore) put(key string, value []byte, ifVersion uint64) bool {
+	if s.latest(key).version != ifVersion {
+		return false
+	}
+	s.objects[key] = append(s.objects[key], object{ifVersion + 1, value})
+	return true
+}
+
+// perform carries out a store action with a generated fault.
+func (s *fakeStore) perform(a Action) Answer {
+	f := s.fault()
+	if f == down {
+		return StoreFailed{Unavailable, errFault}
+	}
+	switch a := a.(type) {
+	case ReadRoot:
+		if f > stale {
+			return StoreFailed{Unavailable, errFault}
+		}
+		o := s.get(RootKey, f)
+		return RootRead{o.version, o.value}
+	case ReadShards:
+		if f > stale {
+			return StoreFailed{Unavailable, errFault}
+		}
+		out := map[string][]byte{}
+		for _, hash := range a.Hashes {
+			if o := s.latest(ShardKey(hash)); o.version > 0 {
+				out[hash] = o.value
+			}
+		}
+		return ShardsRead{out}
+	case WriteShards:
+		for i, shard := range a.Shards {
+			if f >= lostBefore && i > 0 {
+				return StoreFailed{Unknown, errFault}
+			}
+			s.put(ShardKey(shard.GetHash()), shard.GetContent(), 0)
+		}
+		return ShardsWritten{}
+	case WriteRoot:
+		switch f {
+		case lostBefore:
+			return StoreFailed{Unknown, errFault}
+		case late:
+			s.delayed = append(s.delayed, func() { s.put(RootKey, a.Value, a.IfVersion) })
+			return StoreFailed{Unknown, errFault}
+		}
+		ok := s.put(RootKey, a.Value, a.IfVersion)
+		switch {
+		case f == lostAfter:
+			return StoreFailed{Unknown, errFault}
+		case !ok:
+			return StoreFailed{Mismatch, errFault}
+		}
+		return RootWritten{}
+	}
+	panic(fmt.Sprintf("not a store action: %T", a))
+}
+
+var epoch = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+// run drives one editor to its end on a clock that moves 1 ms per step.
+func run(t testing.TB, s *fakeStore, cfg EditorConfig, edit Edit, inForce func(wanted uint64) uint64) (Done, error) {
+	t.Helper()
+	if cfg.Rand == nil {
+		cfg.Rand = rand.New(rand.NewPCG(1, 1))
+	}
+	if cfg.Deadline.IsZero() {
+		cfg.Deadline = epoch.Add(6 * time.Second)
+	}
+	now, editor := epoch, NewEditor(cfg, edit)
+	action := editor.Start(now)
+	for range 100_000 {
+		now = now.Add(time.Millisecond)
+		var answer Answer
+		switch a := action.(type) {
+		case Done:
+			return a, nil
+		case Fail:
+			return Done{}, a.Err
+		case Wait:
+			now, answer = a.Until, Elapsed{}
+		case AwaitInForce:
+			answer = InForce{inForce(a.Version)}
+		default:
+			answer = s.perform(a)
+		}
+		action = editor.Handle(now, answer)
+	}
+	t.Fatal("the editor does not end")
+	return Done{}, nil
+}
+
+func atOnce(wanted uint64) uint64 { return wanted }
+
+// content returns the newest content of the store.
+func (s *fakeStore) content(t testing.TB) (lists.Content, *pb.Root) {
+	t.Helper()
+	root, err := DecodeRoot(s.latest(RootKey).value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := Assemble(root.GetShards(), func(hash string) ([]byte, bool) {
+		o := s.latest(ShardKey(hash))
+		return o.value, o.version > 0
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c, root
+}
+
+func server(name, address string) *pb.ServerEntry {
+	return &pb.ServerEntry{Name: name, Address: address, Slots: 3, Connections: 2000, ColdSlots: 1, ColdOpeningsPerSecond: 10}
+}
+
+// samplePlans has services campo and ordenes with two servers each.
+func samplePlans() *pb.PlanList {
+	return &pb.PlanList{
+		Plans: []*pb.PlanEntry{{Name: "gold", Uses: []*pb.PlanUse{{Service: "campo", RequestsPerSecond: 100}}}},
+		Services: []*pb.ServiceEntry{
+			{Name: "campo", Objective: &pb.Objective{RefusedPpm: 1000}, Sites: []*pb.ServiceSite{{DataCentre: "norte",
+				Address: "127.0.1.1:9000", Servers: []*pb.ServerEntry{server("s1", "127.0.2.1:9000"), server("s2", "127.0.2.2:9000")}}}},
+			{Name: "ordenes", Sites: []*pb.ServiceSite{{DataCentre: "norte",
+				Address: "127.0.1.2:9000", Servers: []*pb.ServerEntry{server("s1", "127.0.3.1:9000"), server("s2", "127.0.3.2:9000")}}}},
+		},
+	}
+}
+
+func sampleCallers(n int) *pb.CallerList {
+	c := &pb.CallerList{}
+	for i := range n {
+		c.Callers = append(c.Callers, &pb.CallerEntry{Name: fmt.Sprintf("c%05d", i), Plan: "gold",
+			Prefixes: []string{fmt.Sprintf("10.%d.%d.0/24", i/256, i%256)}})
+	}
+	return c
+}
+
+// started returns a store that holds the samples as version 1.
+func started(t testing.TB) *fakeStore {
+	t.Helper()
+	s := newFakeStore()
+	done, err := run(t, s, EditorConfig{}, Edit{ID: "init", Operator: "ana", Callers: sampleCallers(3), Plans: samplePlans()}, atOnce)
+	if err != nil || done.Version != 1 {
+		t.Fatalf("first edit: %+v, %v", done, err)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/findings/yaml.go
@@ -0,0 +1,218 @@
+package findings
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"buf.build/go/protoyaml"
+	"go.yaml.in/yaml/v3"
+	"google.golang.org/protobuf/proto"
+)
+
+// Source is the text form of a message; it locates fields. A nil Source
+// locates nothing.
+type Source struct {
+	File string
+	root *yaml.Node
+}
+
+// ParseYAML decodes one YAML document into the message. Unknown and repeated
+// fields are findings. The Source is never nil.
+func ParseYAML(file string, data []byte, into proto.Message) (*Source, Findings) {
+	src := &Source{File: file}
+	if found := checkLineBreaks(file, data); len(found) > 0 {
+		return src, found
+	}
+	doc, found := parseNodes(file, data)
+	if doc == nil || len(found) > 0 {
+		return src, found
+	}
+	src.root = doc
+	found = append(found, duplicateKeys(file, doc)...)
+	err := protoyaml.UnmarshalOptions{Path: file}.Unmarshal(data, into)
+	found = append(found, splitErrors(file, err)...)
+	found.Sort()
+	return src, found
+}
+
+// checkLineBreaks rejects the line breaks that YAML counts but protoyaml does
+// not: protoyaml indexes its lines with YAML's line number and would panic.
+func checkLineBreaks(file string, data []byte) Findings {
+	line, start := 1, 0
+	for i := 0; i < len(data); i++ {
+		rest := data[i:]
+		switch {
+		case rest[0] == '\n':
+			line, start = line+1, i+1
+		case rest[0] == '\r' && !bytes.HasPrefix(rest, []byte("\r\n")),
+			bytes.HasPrefix(rest, []byte("\u0085")),
+			bytes.HasPrefix(rest, []byte("\u2028")),
+			bytes.HasPrefix(rest, []byte("\u2029")):
+			return Findings{{File: file, Line: line, Column: i - start + 1, Message: "line break other than LF or CR LF"}}
+		}
+	}
+	return nil
+}
+
+var yamlErrorLine = regexp.MustCompile(`^yaml: line (\d+): (.*)$`)
+
+// parseNodes returns the only document, or nil for an empty file.
+func parseNodes(file string, data []byte) (*yaml.Node, Findings) {
+	dec := yaml.NewDecoder(bytes.NewReader(data))
+	var doc, second yaml.Node
+	switch err := dec.Decode(&doc); {
+	case errors.Is(err, io.EOF):
+		return nil, nil
+	case err != nil:
+		return nil, Findings{yamlFinding(file, err)}
+	}
+	switch err := dec.Decode(&second); {
+	case errors.Is(err, io.EOF):
+	case err != nil:
+		return nil, Findings{yamlFinding(file, err)}
+	default:
+		return nil, Findings{{File: file, Line: max(second.Line, 1), Column: max(second.Column, 1), Message: "second document in the file"}}
+	}
+	if len(doc.Content) != 1 {
+		return nil, nil
+	}
+	return doc.Content[0], nil
+}
+
+func yamlFinding(file string, err error) Finding {
+	f := Finding{File: file, Line: 1, Column: 1, Message: strings.TrimPrefix(err.Error(), "yaml: ")}
+	if m := yamlErrorLine.FindStringSubmatch(err.Error()); m != nil {
+		f.Line, _ = strconv.Atoi(m[1])
+		f.Message = m[2]
+	}
+	return f
+}
+
+// duplicateKeys finds fields given twice, which protoyaml accepts.
+func duplicateKeys(file string, n *yaml.Node) Findings {
+	var found Findings
+	if n.Kind == yaml.MappingNode {
+		first := map[string]*yaml.Node{}
+		for i := 0; i+1 < len(n.Content); i += 2 {
+			key := n.Content[i]
+			name := strings.ToLower(strings.ReplaceAll(key.Value, "_", ""))
+			if prior, ok := first[name]; ok {
+				found = append(found, Finding{File: file, Line: key.Line, Column: key.Column,
+					Message: "duplicate field " + strconv.Quote(key.Value) + ", first given at line " + strconv.Itoa(prior.Line)})
+				continue
+			}
+			first[name] = key
+		}
+	}
+	for _, c := range n.Content {
+		found = append(found, duplicateKeys(file, c)...)
+	}
+	return found
+}
+
+var nodeError = regexp.MustCompile(`^(.*):(\d+):(\d+) (.*)$`)
+
+// splitErrors turns the joined errors of protoyaml into findings. Its error
+// type is not exported, so the place is read from the text.
+func splitErrors(file string, err error) Findings {
+	if err == nil {
+		return nil
+	}
+	if joined, ok := err.(interface{ Unwrap() []error }); ok {
+		var found Findings
+		for _, e := range joined.Unwrap() {
+			found = append(found, splitErrors(file, e)...)
+		}
+		return found
+	}
+	first, _, _ := strings.Cut(err.Error(), "\n")
+	f := Finding{File: file, Line: 1, Column: 1, Message: first}
+	if m := nodeError.FindStringSubmatch(first); m != nil {
+		f.Line, _ = strconv.Atoi(m[2])
+		f.Column, _ = strconv.Atoi(m[3])
+		f.Message = m[4]
+	}
+	return Findings{f}
+}
+
+// At returns a finding for the field that the path leads to. Path elements are
+// field names (string) and list positions (int). Where the text lacks the
+// field, the place is that of the nearest enclosing one.
+func (s *Source) At(message string, path ...any) Finding {
+	f := Finding{Path: formatPath(path), Message: message}
+	if s == nil {
+		return f
+	}
+	f.File = s.File
+	n := s.root
+	for _, step := range path {
+		if n == nil {
+			break
+		}
+		f.Line, f.Column = n.Line, n.Column
+		n = child(n, step)
+	}
+	if n != nil {
+		f.Line, f.Column = n.Line, n.Column
+	}
+	return f
+}
+
+func child(n *yaml.Node, step any) *yaml.Node {
+	switch step := step.(type) {
+	case int:
+		if n.Kind == yaml.SequenceNode && step < len(n.Content) {
+			return n.Content[step]
+		}
+	case string:
+		if n.Kind != yaml.MappingNode {
+			return nil
+		}
+		json := jsonName(step)
+		for i := 0; i+1 < len(n.Content); i += 2 {
+			if k := n.Content[i].Value; k == step || k == json {
+				return n.Content[i+1]
+			}
+		}
+	}
+	return nil
+}
+
+// jsonName is the lower camel case form, which protoyaml accepts as well.
+func jsonName(field string) string {
+	var b strings.Builder
+	upper := false
+	for _, r := range field {
+		if r == '_' {
+			upper = true
+			continue
+		}
+		if upper {
+			b.WriteString(strings.ToUpper(string(r)))
+		} else {
+			b.WriteRune(r)
+		}
+		upper = false
+	}
+	return b.String()
+}
+
+func formatPath(path []any) string {
+	var b strings.Builder
+	for _, step := range path {
+		switch step := step.(type) {
+		case int:
+			b.WriteString("[" + strconv.Itoa(step) + "]")
+		case string:
+			if b.Len() > 0 {
+				b.WriteByte('.')
+			}
+			b.WriteString(step)
+		}
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/lists/check.go
@@ -0,0 +1,395 @@
+package lists
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"unicode"
+
+	"cuminshift/internal/findings"
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/model"
+)
+
+const (
+	// maxNameBytes keeps names usable as metric labels and shard entries.
+	maxNameBytes = 63
+	// maxPrefixesPerCaller keeps one caller's entry (up to 45 bytes a prefix)
+	// below half of the store's 1 MB value limit.
+	maxPrefixesPerCaller = 10_000
+	// maxRate is per second; the fleet opens 720,000 flows/s in two years.
+	maxRate = 10_000_000
+	// maxConcurrent exceeds the 470 M open flows of the two-year scale.
+	maxConcurrent = 1_000_000_000
+	// maxSlots and maxConnections are per server, far above the 3 slots and
+	// 2,000 connections of the known servers.
+	maxSlots       = 100_000
+	maxConnections = 10_000_000
+	// maxPriority is the lowest priority that a plan may name.
+	maxPriority = 255
+	// maxLateMS is one hour; requests have deadlines of seconds.
+	maxLateMS  = 3_600_000
+	ppmOfWhole = 1_000_000
+)
+
+// checker collects the faults of one configuration.
+type checker struct {
+	callers Callers
+	plans   Plans
+	marks   *pb.Marks
+	found   findings.Findings
+
+	planNames    map[string]bool
+	serviceNames map[string]bool
+	addresses    map[netip.AddrPort]string
+	health       map[netip.AddrPort]string
+	serverIDs    map[model.ServerID]string
+	// hashServer is model.NewServerID except in tests of collisions.
+	hashServer  func(service, server string) model.ServerID
+	hashService func(name string) model.ServiceID
+}
+
+func newChecker(callers Callers, plans Plans, marks *pb.Marks) *checker {
+	c := Content{callers.List, plans.List, marks}.withDefaults()
+	callers.List, plans.List = c.Callers, c.Plans
+	if callers.Source == nil {
+		callers.Source = &findings.Source{File: "callers"}
+	}
+	if plans.Source == nil {
+		plans.Source = &findings.Source{File: "plans"}
+	}
+	return &checker{
+		callers: callers, plans: plans, marks: c.Marks,
+		planNames: map[string]bool{}, serviceNames: map[string]bool{},
+		addresses: map[netip.AddrPort]string{}, health: map[netip.AddrPort]string{},
+		serverIDs:  map[model.ServerID]string{},
+		hashServer: model.NewServerID, hashService: model.NewServiceID,
+	}
+}
+
+func (c *checker) inCallers(message string, path ...any) {
+	c.found = append(c.found, c.callers.Source.At(message, path...))
+}
+
+func (c *checker) inPlans(message string, path ...any) {
+	c.found = append(c.found, c.plans.Source.At(message, path...))
+}
+
+func (c *checker) inMarks(message string, path ...any) {
+	c.found = append(c.found, (&findings.Source{File: "marks"}).At(message, path...))
+}
+
+// checkAll runs the checks that each version must pass.
+func (c *checker) checkAll() {
+	c.checkServices()
+	c.checkPlans()
+	c.checkCallers()
+	c.checkMarks()
+}
+
+func (c *checker) checkServices() {
+	ids := map[model.ServiceID]string{}
+	for i, s := range c.plans.List.GetServices() {
+		at := []any{"services", i}
+		name := s.GetName()
+		c.checkName(c.inPlans, "service", name, path(at, "name")...)
+		if c.serviceNames[name] {
+			c.inPlans(fmt.Sprintf("duplicate service %q", name), path(at, "name")...)
+			continue
+		}
+		c.serviceNames[name] = true
+		id := c.hashService(name)
+		if other, ok := ids[id]; ok {
+			c.inPlans(fmt.Sprintf("service %q has the same id hash as %q; rename one", name, other), path(at, "name")...)
+		}
+		ids[id] = name
+		c.checkObjective(s.GetObjective(), path(at, "objective"))
+		c.checkSites(s, at)
+	}
+}
+
+func (c *checker) checkObjective(o *pb.Objective, at []any) {
+	share := func(field string, v uint32) {
+		if v > ppmOfWhole {
+			c.inPlans(fmt.Sprintf("%s %d is above %d (all)", field, v, ppmOfWhole), path(at, field)...)
+		}
+	}
+	share("broken_flows_ppm", o.GetBrokenFlowsPpm())
+	share("refused_ppm", o.GetRefusedPpm())
+	share("late_ppm", o.GetLatePpm())
+	if o.GetLatePpm() > 0 && o.GetLateMs() == 0 {
+		c.inPlans("late_ppm needs late_ms", path(at, "late_ppm")...)
+	}
+	if o.GetLateMs() > maxLateMS {
+		c.inPlans(fmt.Sprintf("late_ms %d is above %d", o.GetLateMs(), maxLateMS), path(at, "late_ms")...)
+	}
+}
+
+func (c *checker) checkSites(s *pb.ServiceEntry, at []any) {
+	centres, servers := map[string]bool{}, map[string]bool{}
+	for i, site := range s.GetSites() {
+		at := path(at, "sites", i)
+		dc := site.GetDataCentre()
+		c.checkName(c.inPlans, "data centre", dc, path(at, "data_centre")...)
+		if centres[dc] {
+			c.inPlans(fmt.Sprintf("service %q has two sites in data centre %q", s.GetName(), dc), path(at, "data_centre")...)
+		}
+		centres[dc] = true
+		c.own(c.addresses, site.GetAddress(), fmt.Sprintf("service %q in %s", s.GetName(), dc), path(at, "address"))
+		for j, server := range site.GetServers() {
+			at := path(at, "servers", j)
+			if servers[server.GetName()] {
+				c.inPlans(fmt.Sprintf("duplicate server %q in service %q", server.GetName(), s.GetName()), path(at, "name")...)
+			} else {
+				servers[server.GetName()] = true
+				c.checkServerID(s.GetName(), server.GetName(), path(at, "name"))
+			}
+			c.checkServer(s.GetName(), server, at)
+		}
+	}
+}
+
+func (c *checker) checkServerID(service, server string, at []any) {
+	id, name := c.hashServer(service, server), service+"/"+server
+	if id == 0 {
+		c.inPlans(fmt.Sprintf("server %q has the reserved id hash 0; rename it", name), at...)
+		return
+	}
+	if other, ok := c.serverIDs[id]; ok {
+		c.inPlans(fmt.Sprintf("server %q has the same id hash as %q; rename one", name, other), at...)
+		return
+	}
+	c.serverIDs[id] = name
+}
+
+func (c *checker) checkServer(service string, s *pb.ServerEntry, at []any) {
+	c.checkName(c.inPlans, "server", s.GetName(), path(at, "name")...)
+	owner := fmt.Sprintf("server %q of service %q", s.GetName(), service)
+	c.own(c.addresses, s.GetAddress(), owner, path(at, "address"))
+	if s.GetHealth() != "" {
+		c.own(c.health, s.GetHealth(), owner, path(at, "health"))
+	}
+	c.inRange("slots", s.GetSlots(), 1, maxSlots, at)
+	c.inRange("connections", s.GetConnections(), 1, maxConnections, at)
+	c.inRange("cold_slots", s.GetColdSlots(), 1, maxSlots, at)
+	c.inRange("cold_openings_per_second", s.GetColdOpeningsPerSecond(), 1, maxRate, at)
+	if s.GetColdSlots() > s.GetSlots() {
+		c.inPlans(fmt.Sprintf("cold_slots %d is above slots %d", s.GetColdSlots(), s.GetSlots()), path(at, "cold_slots")...)
+	}
+	if s.GetColdOpeningsPerSecond() > s.GetConnections() {
+		c.inPlans(fmt.Sprintf("cold_openings_per_second %d is above connections %d",
+			s.GetColdOpeningsPerSecond(), s.GetConnections()), path(at, "cold_openings_per_second")...)
+	}
+}
+
+func (c *checker) inRange(field string, v, lowest, highest uint32, at []any) {
+	if v < lowest || v > highest {
+		c.inPlans(fmt.Sprintf("%s %d is outside %d to %d", field, v, lowest, highest), path(at, field)...)
+	}
+}
+
+// own records the owner of an address and reports a bad or shared one.
+func (c *checker) own(owners map[netip.AddrPort]string, text, owner string, at []any) {
+	addr, err := ParseAddress(text)
+	if err != nil {
+		c.inPlans(err.Error(), at...)
+		return
+	}
+	if other, ok := owners[addr]; ok {
+		c.inPlans(fmt.Sprintf("address %s of %s belongs to %s already", addr, owner, other), at...)
+		return
+	}
+	owners[addr] = owner
+}
+
+func (c *checker) checkPlans() {
+	for i, p := range c.plans.List.GetPlans() {
+		at := []any{"plans", i}
+		c.checkName(c.inPlans, "plan", p.GetName(), path(at, "name")...)
+		if c.planNames[p.GetName()] {
+			c.inPlans(fmt.Sprintf("duplicate plan %q", p.GetName()), path(at, "name")...)
+		}
+		c.planNames[p.GetName()] = true
+		used := map[string]bool{}
+		for j, u := range p.GetUses() {
+			at := path(at, "uses", j)
+			if !c.serviceNames[u.GetService()] {
+				c.inPlans(fmt.Sprintf("plan %q uses the unknown service %q", p.GetName(), u.GetService()), path(at, "service")...)
+			}
+			if used[u.GetService()] {
+				c.inPlans(fmt.Sprintf("plan %q names service %q twice", p.GetName(), u.GetService()), path(at, "service")...)
+			}
+			used[u.GetService()] = true
+			c.checkUse(u, at)
+		}
+	}
+}
+
+func (c *checker) checkUse(u *pb.PlanUse, at []any) {
+	c.inRange("openings_per_second", u.GetOpeningsPerSecond(), 0, maxRate, at)
+	c.inRange("requests_per_second", u.GetRequestsPerSecond(), 0, maxRate, at)
+	c.inRange("concurrent_flows", u.GetConcurrentFlows(), 0, maxConcurrent, at)
+	c.inRange("concurrent_requests", u.GetConcurrentRequests(), 0, maxConcurrent, at)
+	c.inRange("priority", u.GetPriority(), 0, maxPriority, at)
+}
+
+func (c *checker) checkCallers() {
+	names := map[string]bool{}
+	var prefixes []ownedPrefix
+	for i, e := range c.callers.List.GetCallers() {
+		at := []any{"callers", i}
+		c.checkName(c.inCallers, "caller", e.GetName(), path(at, "name")...)
+		if names[e.GetName()] {
+			c.inCallers(fmt.Sprintf("duplicate caller %q", e.GetName()), path(at, "name")...)
+		}
+		names[e.GetName()] = true
+		if !c.planNames[e.GetPlan()] {
+			c.inCallers(fmt.Sprintf("caller %q is on the unknown plan %q", e.GetName(), e.GetPlan()), path(at, "plan")...)
+		}
+		switch n := len(e.GetPrefixes()); {
+		case n == 0:
+			c.inCallers(fmt.Sprintf("caller %q has no prefixes", e.GetName()), at...)
+		case n > maxPrefixesPerCaller:
+			c.inCallers(fmt.Sprintf("caller %q has %d prefixes; at most %d", e.GetName(), n, maxPrefixesPerCaller), path(at, "prefixes")...)
+		}
+		for j, text := range e.GetPrefixes() {
+			at := path(at, "prefixes", j)
+			prefix, err := ParsePrefix(text)
+			if err != nil {
+				c.inCallers(err.Error(), at...)
+				continue
+			}
+			prefixes = append(prefixes, ownedPrefix{prefix, e.GetName(), i, j})
+		}
+	}
+	c.checkOverlaps(prefixes)
+}
+
+type ownedPrefix struct {
+	prefix     netip.Prefix
+	caller     string
+	entry, pos int
+}
+
+// checkOverlaps sorts the prefixes so that each follows those that contain it,
+// and keeps the chain of containing prefixes on a stack.
+func (c *checker) checkOverlaps(prefixes []ownedPrefix) {
+	slices.SortStableFunc(prefixes, func(a, b ownedPrefix) int {
+		if n := a.prefix.Addr().Compare(b.prefix.Addr()); n != 0 {
+			return n
+		}
+		return a.prefix.Bits() - b.prefix.Bits()
+	})
+	var stack []ownedPrefix
+	for _, p := range prefixes {
+		for len(stack) > 0 && !stack[len(stack)-1].prefix.Overlaps(p.prefix) {
+			stack = stack[:len(stack)-1]
+		}
+		if len(stack) > 0 {
+			outer := stack[len(stack)-1]
+			switch {
+			case outer.entry != p.entry:
+				c.inCallers(fmt.Sprintf("prefix %s of caller %q overlaps %s of caller %q",
+					p.prefix, p.caller, outer.prefix, outer.caller), "callers", p.entry, "prefixes", p.pos)
+			case outer.prefix == p.prefix:
+				c.inCallers(fmt.Sprintf("duplicate prefix %s of caller %q", p.prefix, p.caller), "callers", p.entry, "prefixes", p.pos)
+			}
+		}
+		stack = append(stack, p)
+	}
+}
+
+func (c *checker) checkMarks() {
+	check := func(kind, field string, names []string) {
+		seen := map[string]bool{}
+		for i, name := range names {
+			c.checkName(c.inMarks, kind, name, field, i)
+			if seen[name] {
+				c.inMarks(fmt.Sprintf("%s %q is marked twice", kind, name), field, i)
+			}
+			seen[name] = true
+		}
+	}
+	check("data centre", "data_centres_out", c.marks.GetDataCentresOut())
+	check("instance", "instances_out", c.marks.GetInstancesOut())
+}
+
+// checkMarkedDataCentres reports marks that name no known data centre: such a
+// mark has no effect, and the operator would believe the data centre is out.
+func (c *checker) checkMarkedDataCentres() {
+	known := map[string]bool{}
+	for _, s := range c.plans.List.GetServices() {
+		for _, site := range s.GetSites() {
+			known[site.GetDataCentre()] = true
+		}
+	}
+	for i, dc := range c.marks.GetDataCentresOut() {
+		if !known[dc] {
+			c.inMarks(fmt.Sprintf("data centre %q has no site", dc), "data_centres_out", i)
+		}
+	}
+}
+
+func (c *checker) checkName(report func(string, ...any), kind, name string, at ...any) {
+	if err := CheckName(name); err != nil {
+		report(kind+" "+err.Error(), at...)
+	}
+}
+
+// CheckName allows letters, digits and ". _ -". The separators "/", "@" and
+// space are excluded because server ids, owners and explain subjects use them.
+func CheckName(name string) error {
+	switch {
+	case name == "":
+		return errors.New("name is missing")
+	case len(name) > maxNameBytes:
+		return fmt.Errorf("name %q is longer than %d bytes", name[:16]+"...", maxNameBytes)
+	case strings.IndexFunc(name, badNameRune) >= 0:
+		return fmt.Errorf("name %q has characters other than letters, digits, '.', '_' and '-'", name)
+	}
+	return nil
+}
+
+func badNameRune(r rune) bool {
+	return r == unicode.ReplacementChar || !unicode.IsLetter(r) && !unicode.IsDigit(r) && !strings.ContainsRune("._-", r)
+}
+
+// ParseAddress parses ip:port and rejects addresses that no single process can
+// own: unspecified, multicast, with a zone, IPv4 written as IPv6, or port 0.
+func ParseAddress(text string) (netip.AddrPort, error) {
+	a, err := netip.ParseAddrPort(text)
+	switch {
+	case err != nil:
+		return a, fmt.Errorf("bad address %q: want ip:port", text)
+	case a.Addr().Is4In6():
+		return a, fmt.Errorf("bad address %q: write IPv4 addresses as IPv4", text)
+	case a.Addr().Zone() != "":
+		return a, fmt.Errorf("bad address %q: zones are not allowed", text)
+	case a.Port() == 0:
+		return a, fmt.Errorf("bad address %q: port 0", text)
+	case a.Addr().IsUnspecified() || a.Addr().IsMulticast():
+		return a, fmt.Errorf("bad address %q: not an address of one host", text)
+	}
+	return a, nil
+}
+
+// ParsePrefix parses an address prefix in its canonical form.
+func ParsePrefix(text string) (netip.Prefix, error) {
+	p, err := netip.ParsePrefix(text)
+	switch {
+	case err != nil:
+		return p, fmt.Errorf("bad prefix %q: want ip/bits", text)
+	case p.Addr().Is4In6():
+		return p, fmt.Errorf("bad prefix %q: write IPv4 prefixes as IPv4", text)
+	case p != p.Masked():
+		return p, fmt.Errorf("bad prefix %q: bits beyond the length are set; %s contains it", text, p.Masked())
+	}
+	return p, nil
+}
+
+// path returns a longer path without sharing the backing array.
+func path(at []any, steps ...any) []any {
+	return append(slices.Clip(at), steps...)
+}
--- /dev/null
+++ b/internal/lists/diff.go
@@ -0,0 +1,151 @@
+package lists
+
+import (
+	"fmt"
+	"strings"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+)
+
+// Diff describes the changes between two valid contents, one a line.
+func Diff(from, to Content) []string {
+	return Describe(Changes(Flatten(from), Flatten(to)))
+}
+
+// Describe formats changes, one a line.
+func Describe(changes []Change) []string {
+	out := make([]string, 0, len(changes))
+	for _, c := range changes {
+		out = append(out, c.String())
+	}
+	return out
+}
+
+func (c Change) String() string {
+	switch {
+	case c.Key.Kind == KindDataCentreOut || c.Key.Kind == KindInstanceOut:
+		kind := map[Kind]string{KindDataCentreOut: "data centre", KindInstanceOut: "instance"}[c.Key.Kind]
+		if c.To == nil {
+			return kind + " " + c.Key.Name + ": marked in"
+		}
+		return kind + " " + c.Key.Name + ": marked out"
+	case c.From == nil:
+		return "+ " + c.Key.String() + ": " + describe(c.To)
+	case c.To == nil:
+		return "- " + c.Key.String()
+	}
+	return "~ " + c.Key.String() + ": " + strings.Join(fieldChanges(bare(c.From), bare(c.To)), ", ")
+}
+
+// bare drops the names that the key shows already.
+func bare(m proto.Message) protoreflect.Message {
+	s, ok := m.(*pb.ServiceEntry)
+	if !ok {
+		return m.ProtoReflect()
+	}
+	if len(s.GetSites()) != 1 {
+		if s.GetObjective() == nil {
+			return (&pb.Objective{}).ProtoReflect()
+		}
+		return s.GetObjective().ProtoReflect()
+	}
+	return s.GetSites()[0].ProtoReflect()
+}
+
+func describe(m proto.Message) string {
+	return strings.Join(fieldChanges(bare(m).New(), bare(m)), ", ")
+}
+
+// fieldChanges lists the fields that differ as "name old -> new".
+func fieldChanges(a, b protoreflect.Message) []string {
+	var out []string
+	fields := a.Descriptor().Fields()
+	for i := range fields.Len() {
+		f := fields.Get(i)
+		switch {
+		case f.IsList() && f.Message() != nil:
+			out = append(out, messageListChanges(f, a.Get(f).List(), b.Get(f).List())...)
+		case f.IsList():
+			out = append(out, valueListChanges(f, a.Get(f).List(), b.Get(f).List())...)
+		case f.Message() != nil:
+			out = append(out, fieldChanges(a.Get(f).Message(), b.Get(f).Message())...)
+		case !a.Get(f).Equal(b.Get(f)):
+			if a.Has(f) {
+				out = append(out, fmt.Sprintf("%s %v -> %v", f.Name(), a.Get(f), b.Get(f)))
+			} else {
+				out = append(out, fmt.Sprintf("%s %v", f.Name(), b.Get(f)))
+			}
+		}
+	}
+	return out
+}
+
+func valueListChanges(f protoreflect.FieldDescriptor, a, b protoreflect.List) []string {
+	in := func(l protoreflect.List) map[string]bool {
+		m := map[string]bool{}
+		for i := range l.Len() {
+			m[l.Get(i).String()] = true
+		}
+		return m
+	}
+	inA, inB := in(a), in(b)
+	var out []string
+	for i := range a.Len() {
+		if v := a.Get(i).String(); !inB[v] {
+			out = append(out, fmt.Sprintf("%s -%s", f.Name(), v))
+		}
+	}
+	for i := range b.Len() {
+		if v := b.Get(i).String(); !inA[v] {
+			out = append(out, fmt.Sprintf("%s +%s", f.Name(), v))
+		}
+	}
+	if len(out) == 0 && !listsEqual(a, b) {
+		out = append(out, fmt.Sprintf("%s in another order", f.Name()))
+	}
+	return out
+}
+
+func listsEqual(a, b protoreflect.List) bool {
+	return protoreflect.ValueOfList(a).Equal(protoreflect.ValueOfList(b))
+}
+
+// messageListChanges matches elements by their first field, which is a name.
+func messageListChanges(f protoreflect.FieldDescriptor, a, b protoreflect.List) []string {
+	name := f.Message().Fields().Get(0)
+	index := func(l protoreflect.List) map[string]protoreflect.Message {
+		m := map[string]protoreflect.Message{}
+		for i := range l.Len() {
+			m[l.Get(i).Message().Get(name).String()] = l.Get(i).Message()
+		}
+		return m
+	}
+	inA, inB := index(a), index(b)
+	var out []string
+	for i := range a.Len() {
+		if n := a.Get(i).Message().Get(name).String(); inB[n] == nil {
+			out = append(out, fmt.Sprintf("%s -%s", f.Name(), n))
+		}
+	}
+	for i := range b.Len() {
+		m := b.Get(i).Message()
+		n := m.Get(name).String()
+		from := inA[n]
+		if from == nil {
+			empty := m.New()
+			empty.Set(name, m.Get(name))
+			out = append(out, strings.TrimSpace(fmt.Sprintf("%s +%s %s", f.Name(), n, strings.Join(fieldChanges(empty, m), " "))))
+			continue
+		}
+		if changes := fieldChanges(from, m); len(changes) > 0 {
+			out = append(out, fmt.Sprintf("%s %s: %s", f.Name(), n, strings.Join(changes, " ")))
+		}
+	}
+	if len(out) == 0 && !listsEqual(a, b) {
+		out = append(out, fmt.Sprintf("%s in another order", f.Name()))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,219 @@
+// Package settings reads and checks the settings file of an entry instance.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"runtime"
+	"time"
+
+	"go.uber.org/zap/zapcore"
+
+	"cuminshift/internal/findings"
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/lists"
+	"cuminshift/internal/model"
+)
+
+// Defaults of the timing settings; docs/design.md, section 5 and 9.
+const (
+	DefaultHeartbeat       = 200 * time.Millisecond
+	DefaultLease           = 600 * time.Millisecond
+	DefaultDeadAfter       = time.Second
+	DefaultFlowIdleTimeout = 300 * time.Second
+	// MaxDatagramLifetime is the longest time a datagram stays in the network
+	// of a data centre; dead_after exceeds lease by more than this.
+	MaxDatagramLifetime = 300 * time.Millisecond
+)
+
+const (
+	minHeartbeat = 10 * time.Millisecond
+	// minFlowIdleTimeout keeps pins longer than any change of a bucket takes.
+	minFlowIdleTimeout = time.Second
+	maxFlowIdleTimeout = 24 * time.Hour
+	maxDeadAfter       = time.Minute
+	maxWorkers         = 1024
+	// heartbeatsPerLease is the number of heartbeats that a lease has to cover,
+	// so that the loss of one does not fence the instance.
+	heartbeatsPerLease = 2
+)
+
+// Settings are the validated settings of an entry instance.
+type Settings struct {
+	Instance        model.InstanceID
+	DataCentre      model.DataCentre
+	PacketAddress   netip.AddrPort
+	PeerAddress     netip.AddrPort
+	OperatorAddress netip.AddrPort
+	StoreURL        string
+	InstanceListURL string
+	LogLevel        zapcore.Level
+	Workers         int
+	Heartbeat       time.Duration
+	Lease           time.Duration
+	DeadAfter       time.Duration
+	FlowIdleTimeout time.Duration
+	// TLS is nil when connections are not encrypted.
+	TLS *TLS
+}
+
+// TLS names the files for connections with client certificates.
+type TLS struct {
+	CertificateFile, KeyFile, ClientCAFile string
+}
+
+// Load reads a settings file. The error is that of the file system or a
+// *findings.Error with all findings.
+func Load(file string) (*Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	s, found := Parse(file, data)
+	return s, found.Err()
+}
+
+// Parse decodes and checks settings; they are nil when there are findings.
+func Parse(file string, data []byte) (*Settings, findings.Findings) {
+	raw := &pb.EntrySettings{}
+	src, found := findings.ParseYAML(file, data, raw)
+	if len(found) > 0 {
+		return nil, found
+	}
+	c := &checker{src: src}
+	s := c.settings(raw)
+	if len(c.found) > 0 {
+		c.found.Sort()
+		return nil, c.found
+	}
+	return s, nil
+}
+
+type checker struct {
+	src   *findings.Source
+	found findings.Findings
+}
+
+func (c *checker) report(field, format string, args ...any) {
+	c.found = append(c.found, c.src.At(field+": "+fmt.Sprintf(format, args...), field))
+}
+
+func (c *checker) settings(raw *pb.EntrySettings) *Settings {
+	s := &Settings{
+		Instance:        model.InstanceID(c.name("instance", raw.GetInstance())),
+		DataCentre:      model.DataCentre(c.name("data_centre", raw.GetDataCentre())),
+		PacketAddress:   c.address("packet_address", raw.GetPacketAddress()),
+		PeerAddress:     c.address("peer_address", raw.GetPeerAddress()),
+		OperatorAddress: c.address("operator_address", raw.GetOperatorAddress()),
+		StoreURL:        c.url("store_url", raw.GetStoreUrl()),
+		InstanceListURL: c.url("instance_list_url", raw.GetInstanceListUrl()),
+		LogLevel:        c.level(raw.GetLogLevel()),
+		Workers:         c.workers(raw.GetWorkers()),
+		Heartbeat:       duration(raw.GetHeartbeatMs(), DefaultHeartbeat),
+		Lease:           duration(raw.GetLeaseMs(), DefaultLease),
+		DeadAfter:       duration(raw.GetDeadAfterMs(), DefaultDeadAfter),
+		FlowIdleTimeout: duration(raw.GetFlowIdleTimeoutMs(), DefaultFlowIdleTimeout),
+		TLS:             c.tls(raw.GetTls()),
+	}
+	c.checkTimes(s)
+	if s.PeerAddress.IsValid() && s.PeerAddress == s.OperatorAddress {
+		c.report("operator_address", "the same as peer_address")
+	}
+	return s
+}
+
+func (c *checker) name(field, value string) string {
+	if err := lists.CheckName(value); err != nil {
+		c.report(field, "%v", err)
+	}
+	return value
+}
+
+func (c *checker) address(field, value string) netip.AddrPort {
+	a, err := lists.ParseAddress(value)
+	if err != nil {
+		c.report(field, "%v", err)
+	}
+	return a
+}
+
+// url accepts only addresses: the platform resolves no names.
+func (c *checker) url(field, value string) string {
+	u, err := url.Parse(value)
+	switch {
+	case value == "":
+		c.report(field, "required")
+	case err != nil, u.Scheme != "http" && u.Scheme != "https", u.RawQuery != "", u.Fragment != "", u.User != nil:
+		c.report(field, "bad URL %q: want http://ip:port", value)
+	default:
+		if _, err := lists.ParseAddress(u.Host); err != nil {
+			c.report(field, "bad URL %q: want http://ip:port", value)
+		}
+	}
+	return value
+}
+
+func (c *checker) level(value string) zapcore.Level {
+	switch value {
+	case "", "info":
+		return zapcore.InfoLevel
+	case "debug":
+		return zapcore.DebugLevel
+	case "warn":
+		return zapcore.WarnLevel
+	case "error":
+		return zapcore.ErrorLevel
+	}
+	c.report("log_level", "%q is not debug, info, warn or error", value)
+	return zapcore.InfoLevel
+}
+
+func (c *checker) workers(n uint32) int {
+	if n > maxWorkers {
+		c.report("workers", "%d is above %d", n, maxWorkers)
+	}
+	if n == 0 {
+		return runtime.GOMAXPROCS(0)
+	}
+	return int(n)
+}
+
+func duration(ms uint32, byDefault time.Duration) time.Duration {
+	if ms == 0 {
+		return byDefault
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+func (c *checker) checkTimes(s *Settings) {
+	if s.Heartbeat < minHeartbeat {
+		c.report("heartbeat_ms", "%v is below %v", s.Heartbeat, minHeartbeat)
+	}
+	if s.Lease < heartbeatsPerLease*s.Heartbeat {
+		c.report("lease_ms", "%v is below %d heartbeats of %v", s.Lease, heartbeatsPerLease, s.Heartbeat)
+	}
+	if s.DeadAfter <= s.Lease+MaxDatagramLifetime {
+		c.report("dead_after_ms", "%v does not exceed the lease %v plus the datagram lifetime %v", s.DeadAfter, s.Lease, MaxDatagramLifetime)
+	}
+	if s.DeadAfter > maxDeadAfter {
+		c.report("dead_after_ms", "%v is above %v", s.DeadAfter, maxDeadAfter)
+	}
+	if s.FlowIdleTimeout < minFlowIdleTimeout || s.FlowIdleTimeout > maxFlowIdleTimeout {
+		c.report("flow_idle_timeout_ms", "%v is outside %v to %v", s.FlowIdleTimeout, minFlowIdleTimeout, maxFlowIdleTimeout)
+	}
+}
+
+func (c *checker) tls(raw *pb.TLSSettings) *TLS {
+	if raw == nil {
+		return nil
+	}
+	for field, value := range map[string]string{"certificate_file": raw.GetCertificateFile(),
+		"key_file": raw.GetKeyFile(), "client_ca_file": raw.GetClientCaFile()} {
+		if value == "" {
+			c.found = append(c.found, c.src.At(field+": required with tls", "tls", field))
+		}
+	}
+	return &TLS{raw.GetCertificateFile(), raw.GetKeyFile(), raw.GetClientCaFile()}
+}
--- /dev/null
+++ b/internal/storeclient/client.go
@@ -0,0 +1,148 @@
+// Package storeclient calls the platform's object store. Each call has a
+// deadline, and each failure says whether a write may have taken effect.
+package storeclient
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"connectrpc.com/connect"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/gen/cuminshift/v1/cuminshiftv1connect"
+)
+
+const (
+	// DefaultTimeout is far above the store's milliseconds and leaves time for
+	// several attempts within the 6 s of an edit.
+	DefaultTimeout = time.Second
+	// maxResponseBytes is the store's value limit of 1 MB with room for framing.
+	maxResponseBytes = 1<<20 + 4<<10
+	// maxIdleConns bounds the connections kept to the store.
+	maxIdleConns = 4
+)
+
+// Conflict says that the object's version differs from the condition.
+type Conflict struct{ Key string }
+
+func (e *Conflict) Error() string { return "store: version mismatch on " + e.Key }
+
+// Unavailable says that the call had no effect: it did not reach the store, or
+// was a read.
+type Unavailable struct{ Cause error }
+
+func (e *Unavailable) Error() string { return fmt.Sprintf("store: not available: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *Unavailable) Unwrap() error { return e.Cause }
+
+// Unknown says that a write may have taken effect.
+type Unknown struct{ Cause error }
+
+func (e *Unknown) Error() string { return fmt.Sprintf("store: outcome unknown: %v", e.Cause) }
+
+// Unwrap returns the cause.
+func (e *Unknown) Unwrap() error { return e.Cause }
+
+// Client is a store client; it is safe for concurrent use.
+type Client struct {
+	rpc     cuminshiftv1connect.ObjectStoreClient
+	http    *http.Client
+	timeout time.Duration
+}
+
+// New returns a client for the store at the base URL. Timeout bounds each call;
+// 0 means DefaultTimeout.
+func New(baseURL string, timeout time.Duration) *Client {
+	if timeout == 0 {
+		timeout = DefaultTimeout
+	}
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: timeout}).DialContext,
+		MaxIdleConnsPerHost: maxIdleConns,
+		IdleConnTimeout:     time.Minute,
+	}
+	httpClient := &http.Client{Transport: transport}
+	return &Client{
+		rpc:     cuminshiftv1connect.NewObjectStoreClient(httpClient, baseURL, connect.WithReadMaxBytes(maxResponseBytes)),
+		http:    httpClient,
+		timeout: timeout,
+	}
+}
+
+// Close drops idle connections. A connection on which a call timed out may be
+// silent while new ones work, so calls that time out close them as well.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Get returns an object; version 0 means that it does not exist.
+func (c *Client) Get(ctx context.Context, key string) (value []byte, version uint64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	resp, err := c.rpc.Get(ctx, connect.NewRequest(&pb.GetRequest{Key: key}))
+	if err != nil {
+		return nil, 0, c.readError(err)
+	}
+	return resp.Msg.GetValue(), resp.Msg.GetVersion(), nil
+}
+
+// Put writes an object. With ifVersion the write is conditional; 0 requires
+// that the object does not exist.
+func (c *Client) Put(ctx context.Context, key string, value []byte, ifVersion *uint64) (version uint64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	resp, err := c.rpc.Put(ctx, connect.NewRequest(&pb.PutRequest{Key: key, Value: value, IfVersion: ifVersion}))
+	if err != nil {
+		return 0, c.writeError(key, err)
+	}
+	return resp.Msg.GetVersion(), nil
+}
+
+// Watch returns the object when its version is above after, or as it is when
+// wait has passed.
+func (c *Client) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (value []byte, version uint64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout)
+	defer cancel()
+	resp, err := c.rpc.Watch(ctx, connect.NewRequest(&pb.WatchRequest{Key: key, AfterVersion: after, WaitMs: uint32(wait.Milliseconds())}))
+	if err != nil {
+		return nil, 0, c.readError(err)
+	}
+	return resp.Msg.GetValue(), resp.Msg.GetVersion(), nil
+}
+
+func (c *Client) readError(err error) error {
+	c.dropSilent(err)
+	return &Unavailable{Cause: err}
+}
+
+func (c *Client) writeError(key string, err error) error {
+	c.dropSilent(err)
+	switch {
+	case connect.CodeOf(err) == connect.CodeFailedPrecondition:
+		return &Conflict{Key: key}
+	case notSent(err):
+		return &Unavailable{Cause: err}
+	}
+	return &Unknown{Cause: err}
+}
+
+// dropSilent makes the next call dial again after a time-out.
+func (c *Client) dropSilent(err error) {
+	if connect.CodeOf(err) == connect.CodeDeadlineExceeded {
+		c.http.CloseIdleConnections()
+	}
+}
+
+// notSent says that the connection was never made, so the store cannot have
+// acted. Any other failure may have come after the write.
+func notSent(err error) bool {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return true
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- /dev/null
+++ b/internal/storeclient/edit.go
@@ -0,0 +1,146 @@
+package storeclient
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"cuminshift/internal/config"
+	pb "cuminshift/internal/gen/cuminshift/v1"
+)
+
+// parallelCalls bounds the concurrent calls of one edit. The store takes
+// several hundred writes per second and answers in milliseconds.
+const parallelCalls = 4
+
+// Store is the part of Client that an edit needs.
+type Store interface {
+	Get(ctx context.Context, key string) (value []byte, version uint64, err error)
+	Put(ctx context.Context, key string, value []byte, ifVersion *uint64) (version uint64, err error)
+}
+
+// RunEdit drives an Editor against the store until it is done. inForce returns
+// the newest version in force on all live instances. The error is one of the
+// typed errors of package config, *findings.Error, or that of the context.
+func RunEdit(ctx context.Context, store Store, editor *config.Editor, inForce func(context.Context) uint64) (config.Done, error) {
+	action := editor.Start(time.Now())
+	for {
+		switch a := action.(type) {
+		case config.Done:
+			return a, nil
+		case config.Fail:
+			return config.Done{}, a.Err
+		default:
+			answer := perform(ctx, store, a, inForce)
+			if next := editor.Handle(time.Now(), answer); ctx.Err() == nil || isEnd(next) {
+				action = next
+				continue
+			}
+			return config.Done{}, editor.Abort(ctx.Err())
+		}
+	}
+}
+
+func isEnd(a config.Action) bool {
+	switch a.(type) {
+	case config.Done, config.Fail:
+		return true
+	}
+	return false
+}
+
+func perform(ctx context.Context, store Store, action config.Action, inForce func(context.Context) uint64) config.Answer {
+	switch a := action.(type) {
+	case config.ReadRoot:
+		value, version, err := store.Get(ctx, config.RootKey)
+		if err != nil {
+			return failed(err)
+		}
+		return config.RootRead{ObjectVersion: version, Value: value}
+	case config.ReadShards:
+		return readShards(ctx, store, a.Hashes)
+	case config.WriteShards:
+		return writeShards(ctx, store, a.Shards)
+	case config.WriteRoot:
+		if _, err := store.Put(ctx, config.RootKey, a.Value, &a.IfVersion); err != nil {
+			return failed(err)
+		}
+		return config.RootWritten{}
+	case config.AwaitInForce:
+		return config.InForce{Version: inForce(ctx)}
+	case config.Wait:
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Until(a.Until)):
+		}
+	}
+	return config.Elapsed{}
+}
+
+func readShards(ctx context.Context, store Store, hashes []string) config.Answer {
+	shards, err := GetShards(ctx, store, hashes)
+	if err != nil {
+		return failed(err)
+	}
+	return config.ShardsRead{Shards: shards}
+}
+
+// GetShards reads shards; those that the store does not return are left out.
+func GetShards(ctx context.Context, store Store, hashes []string) (map[string][]byte, error) {
+	values := make([][]byte, len(hashes))
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(parallelCalls)
+	for i, hash := range hashes {
+		group.Go(func() (err error) {
+			values[i], _, err = store.Get(ctx, config.ShardKey(hash))
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	shards := make(map[string][]byte, len(hashes))
+	for i, value := range values {
+		if len(value) > 0 {
+			shards[hashes[i]] = value
+		}
+	}
+	return shards, nil
+}
+
+func writeShards(ctx context.Context, store Store, shards []*pb.Shard) config.Answer {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(parallelCalls)
+	for _, s := range shards {
+		group.Go(func() error {
+			var absent uint64
+			_, err := store.Put(ctx, config.ShardKey(s.GetHash()), s.GetContent(), &absent)
+			var exists *Conflict
+			if errors.As(err, &exists) {
+				// A shard is named by its content, so the one there is the same.
+				return nil
+			}
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return failed(err)
+	}
+	return config.ShardsWritten{}
+}
+
+// failed says how far a failed call may have got. An error of an unknown type
+// counts as an unknown outcome.
+func failed(err error) config.StoreFailed {
+	var conflict *Conflict
+	var unavailable *Unavailable
+	switch {
+	case errors.As(err, &conflict):
+		return config.StoreFailed{Reason: config.Mismatch, Err: err}
+	case errors.As(err, &unavailable):
+		return config.StoreFailed{Reason: config.Unavailable, Err: err}
+	}
+	return config.StoreFailed{Reason: config.Unknown, Err: err}
+}
