--- /dev/null
+++ b/internal/entry/core.go
@@ -0,0 +1,305 @@
+// Package entry composes the decision packages into the one surface of an
+// entry instance: events in, actions out. It has no sockets, timers or
+// goroutines; the time comes with each event.
+//
+// Concurrency: Handle and the reports take the core's mutex. FastFromCaller
+// and FastFromServer run in packet workers without it: they read an immutable
+// snapshot and take one flow table shard lock. Lock order: core mutex, then
+// shard lock.
+package entry
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"cuminshift/internal/admission"
+	"cuminshift/internal/burn"
+	"cuminshift/internal/config"
+	"cuminshift/internal/dcstate"
+	"cuminshift/internal/flowtable"
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/journal"
+	"cuminshift/internal/limits"
+	"cuminshift/internal/membership"
+	"cuminshift/internal/model"
+	"cuminshift/internal/packet"
+	"cuminshift/internal/placement"
+	"cuminshift/internal/requests"
+	"cuminshift/internal/serverhealth"
+	"cuminshift/internal/steering"
+)
+
+const (
+	// MaxDatagram is the largest datagram of a packet, in bytes.
+	MaxDatagram = 16 << 10
+	// PathsPerServer is the number of local sockets towards each server.
+	PathsPerServer = 4
+	// maxHeld bounds the packets that wait for a decision of another instance.
+	maxHeld = 16384
+	// heldTimeout drops a packet that waited for longer; the sender repeats it.
+	heldTimeout    = time.Second
+	journalEntries = 1024
+	flowShards     = 64
+	flowCapacity   = 1 << 20
+)
+
+// Config holds what an instance knows of itself at the start.
+type Config struct {
+	Self          model.InstanceID
+	DataCentre    model.DataCentre
+	Incarnation   uint64
+	PeerAddress   string
+	PacketAddress netip.AddrPort
+	Started       time.Time
+	Heartbeat     time.Duration
+	Lease         time.Duration
+	DeadAfter     time.Duration
+	FlowIdle      time.Duration
+	Seed          uint64
+	// FlowCapacity is the size of the flow table; 0 means a million flows.
+	FlowCapacity int
+}
+
+// snapshot is what the packet workers read.
+type snapshot struct {
+	catalog *model.Catalog
+	out     bool
+	servers map[netip.AddrPort]*model.BackendServer
+}
+
+// Core is the decision logic of one entry instance.
+type Core struct {
+	cfg    Config
+	flows  *flowtable.Table
+	fast   atomic.Pointer[snapshot]
+	counts counters
+
+	mu          sync.Mutex
+	catalog     *model.Catalog
+	state       *dcstate.State
+	members     *membership.Membership
+	publisher   *placement.Publisher
+	steering    *steering.Steering
+	health      *serverhealth.Health
+	admitter    *admission.Admitter
+	coordinator *requests.Coordinator
+	limits      *limits.Limits
+	holder      *config.Holder
+	journal     *journal.Journal
+	burn        *burn.Book
+	directory   directory
+	summaries   map[model.DataCentre]*summary
+	metrics     metrics.Registry
+	latency     map[model.ServiceID]metrics.Histogram
+
+	// held are packets that wait for another instance, by token.
+	held      map[uint64]*heldPacket
+	nextToken uint64
+	openings  openings
+	// running are the requests that the coordinator holds.
+	running map[requests.Key]*runningRequest
+	// counted are the flows that this instance counts against a limit.
+	counted map[flowtable.Key]string
+
+	// reports and empty are what heartbeats said, for the publisher.
+	reports *placement.Reports
+	empty   []placement.EmptyBuckets
+	// known are the instances that limits are shared with.
+	known []model.InstanceID
+
+	// configProblem is the last problem of the holder that was recorded.
+	configProblem error
+
+	nextSlow, nextSummary, nextHeldScan, nextReports time.Time
+	// serverReports are the reports for the next heartbeat, own the buckets
+	// of which this instance is the owner and holds no record.
+	serverReports []*pb.ServerReport
+	ownedBuckets  []*pb.OwnedBuckets
+
+	fenced, leaving, stopping, stopped bool
+	lingerFrom                         time.Time
+
+	// out collects the actions of the event being handled.
+	out  []Action
+	mail map[model.InstanceID][]*pb.PeerMessage
+	// inbox holds messages to the instance itself.
+	inbox []*pb.PeerMessage
+}
+
+// New returns the core of an instance that knows no configuration and no peer.
+func New(cfg Config) *Core {
+	if cfg.FlowCapacity == 0 {
+		cfg.FlowCapacity = flowCapacity
+	}
+	c := &Core{
+		cfg:       cfg,
+		flows:     flowtable.New(flowShards, cfg.FlowCapacity, cfg.Started),
+		state:     dcstate.New(dcstate.Version{}, nil, nil),
+		health:    serverhealth.New(serverhealth.Config{}),
+		limits:    limits.New(limits.Config{Self: cfg.Self}, cfg.Incarnation),
+		holder:    config.NewHolder(config.HolderConfig{Self: cfg.Self, DataCentre: cfg.DataCentre, Rand: rand.New(rand.NewPCG(cfg.Seed, 1))}),
+		journal:   journal.New(journalEntries),
+		burn:      burn.NewBook(),
+		reports:   placement.NewReports(),
+		directory: directory{},
+		summaries: map[model.DataCentre]*summary{},
+		held:      map[uint64]*heldPacket{},
+		openings:  newOpenings(),
+		counted:   map[flowtable.Key]string{},
+		running:   map[requests.Key]*runningRequest{},
+		mail:      map[model.InstanceID][]*pb.PeerMessage{},
+		metrics:   metrics.NewRegistry(),
+		latency:   map[model.ServiceID]metrics.Histogram{},
+	}
+	c.newParts()
+	c.fast.Store(&snapshot{})
+	return c
+}
+
+// newParts makes the parts that ask the core about its lease or its catalog.
+func (c *Core) newParts() {
+	cfg := c.cfg
+	c.members = membership.New(membership.Config{
+		Self: cfg.Self, Incarnation: cfg.Incarnation, Started: cfg.Started,
+		HeartbeatInterval: cfg.Heartbeat, Lease: cfg.Lease, DeadAfter: cfg.DeadAfter, FlowIdleTimeout: cfg.FlowIdle,
+	})
+	c.publisher = placement.NewPublisher(placement.Config{Self: cfg.Self, DataCentre: cfg.DataCentre, FlowIdleTimeout: cfg.FlowIdle})
+	c.steering = steering.New(steering.Config{
+		Self: cfg.Self, Incarnation: cfg.Incarnation, Belongs: c.belongs, Fenced: c.members.Fenced, FlowIdleTimeout: cfg.FlowIdle,
+	}, c.flows)
+	c.coordinator = requests.New(requests.Config{Self: cfg.Self, Rand: rand.New(rand.NewPCG(cfg.Seed, 2)), Choose: c.otherServer})
+	c.admitter = admission.New(admission.Config{Self: cfg.Self, Fenced: c.members.Fenced, DeadAfter: cfg.DeadAfter}, cfg.Incarnation)
+}
+
+// belongs reports whether a server is configured for a service in this data
+// centre.
+func (c *Core) belongs(service model.ServiceID, id model.ServerID) bool {
+	if c.catalog == nil {
+		return false
+	}
+	server := c.catalog.Servers[id]
+	return server != nil && server.Service == service && server.DataCentre == c.cfg.DataCentre
+}
+
+// Handle takes one event and returns the actions that follow from it.
+func (c *Core) Handle(now time.Time, ev Event) []Action {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dispatch(now, ev)
+	c.drainInbox(now)
+	return c.takeActions()
+}
+
+func (c *Core) dispatch(now time.Time, ev Event) {
+	switch e := ev.(type) {
+	case CallerPacket:
+		c.fromCaller(now, e.Data)
+	case ServerPacket:
+		c.fromServer(now, e)
+	case PeerBatch:
+		c.fromPeer(now, e.Batch)
+	case Tick:
+		c.tick(now)
+	case InstanceListRead:
+		c.instanceList(now, e.Instances)
+	case StoreRootRead:
+		changed, messages := c.holder.StoreRoot(now, e.Value)
+		c.configTaken(now, changed, messages, "read from the store")
+	case StoreShardsRead:
+		changed, messages := c.holder.AddShards(now, e.Shards)
+		c.configTaken(now, changed, messages, "read from the store")
+	case EndpointRead:
+		c.health.Endpoint(now, e.Server, e.Status)
+	case LeaveRequested:
+		c.stopping = true
+		c.leave(now, "planned stop")
+	}
+}
+
+func (c *Core) act(a Action) {
+	c.out = append(c.out, a)
+}
+
+// takeActions returns the collected actions, with one batch for each peer.
+func (c *Core) takeActions() []Action {
+	for to, messages := range c.mail {
+		delete(c.mail, to)
+		address, ok := c.directory.peerAddress(to)
+		if !ok {
+			c.counts.add(countNoAddress)
+			continue
+		}
+		c.act(SendToPeer{To: to, Address: address, Batch: &pb.PeerBatch{From: string(c.cfg.Self), Incarnation: c.cfg.Incarnation, Messages: messages}})
+	}
+	out := c.out
+	c.out = nil
+	return out
+}
+
+// Forward says where a packet of a known flow goes.
+type Forward struct {
+	Server  model.ServerID
+	Address netip.AddrPort
+	Path    int
+}
+
+// FastFromCaller decides about a data packet of a known flow whose plan was
+// checked under the catalog in force. It decodes into p and reports false for
+// any other packet, which then goes to Handle.
+func (c *Core) FastFromCaller(now time.Time, p *packet.Packet, data []byte) (Forward, bool) {
+	if err := p.Decode(data); err != nil || p.Kind != pb.Kind_KIND_DATA {
+		return Forward{}, false
+	}
+	s := c.fast.Load()
+	if s.catalog == nil || s.out {
+		return Forward{}, false
+	}
+	site := s.catalog.Sites[p.Service]
+	if site == nil || site.DataCentre != c.cfg.DataCentre {
+		return Forward{}, false
+	}
+	flow := p.Flow()
+	pin, ok := c.flows.Lookup(site.Service.ID, flow, now)
+	if !ok || pin.PlanVersion != s.catalog.Version {
+		return Forward{}, false
+	}
+	server := s.catalog.Servers[pin.Server]
+	if server == nil || server.Service != site.Service.ID {
+		return Forward{}, false
+	}
+	c.counts.add(countFastCaller)
+	return Forward{pin.Server, server.Address, pathOf(flow)}, true
+}
+
+// FastFromServer decides about a data packet from a server to the caller of a
+// known flow, like FastFromCaller.
+func (c *Core) FastFromServer(now time.Time, p *packet.Packet, from netip.AddrPort, data []byte) (netip.AddrPort, bool) {
+	if err := p.Decode(data); err != nil || p.Kind != pb.Kind_KIND_DATA {
+		return netip.AddrPort{}, false
+	}
+	s := c.fast.Load()
+	server := s.servers[from]
+	if server == nil || s.out {
+		return netip.AddrPort{}, false
+	}
+	site := s.catalog.Sites[p.Service]
+	if site == nil || site.Service.ID != server.Service {
+		return netip.AddrPort{}, false
+	}
+	pin, ok := c.flows.Lookup(server.Service, p.Flow(), now)
+	if !ok || pin.Server != server.ID || pin.PlanVersion != s.catalog.Version {
+		return netip.AddrPort{}, false
+	}
+	c.counts.add(countFastServer)
+	return p.Caller, true
+}
+
+// pathOf spreads flows over the paths with bits that the bucket does not use.
+func pathOf(flow model.FlowHash) int {
+	return int(uint64(flow) % PathsPerServer)
+}
--- /dev/null
+++ b/internal/entry/counters.go
@@ -0,0 +1,74 @@
+package entry
+
+import "sync/atomic"
+
+// count names a counter of the instance.
+type count int
+
+const (
+	countFastCaller count = iota
+	countFastServer
+	countSlowCaller
+	countSlowServer
+	countMalformed
+	countUnknownAddress
+	countUnknownServer
+	countWrongService
+	countRelayed
+	countRelayRefused
+	countOpenings
+	countOpenAcks
+	countRequests
+	countRefusals
+	countHeldFull
+	countHeldTimeout
+	countNoAddress
+	countFenced
+	countResolves
+	countCrossService
+	countNotInPlan
+	counterCount
+)
+
+var countNames = [counterCount]string{
+	"packets_fast_caller",
+	"packets_fast_server",
+	"packets_slow_caller",
+	"packets_slow_server",
+	"packets_malformed",
+	"packets_unknown_address",
+	"packets_unknown_server",
+	"packets_wrong_service",
+	"packets_relayed",
+	"packets_relay_refused",
+	"openings",
+	"open_acks",
+	"requests",
+	"refusals",
+	"held_full",
+	"held_timeout",
+	"peer_no_address",
+	"fenced_packets",
+	"resolves",
+	"cross_service_pins",
+	"answers_not_in_plan",
+}
+
+// counterStride keeps counters that different workers raise on different
+// cache lines.
+const counterStride = 8
+
+// counters can be raised without the core's mutex.
+type counters [int(counterCount) * counterStride]atomic.Uint64
+
+func (c *counters) add(n count) {
+	c[int(n)*counterStride].Add(1)
+}
+
+func (c *counters) snapshot() map[string]uint64 {
+	out := make(map[string]uint64, counterCount)
+	for n, name := range countNames {
+		out[name] = c[n*counterStride].Load()
+	}
+	return out
+}
--- /dev/null
+++ b/internal/entry/peers.go
@@ -0,0 +1,178 @@
+package entry
+
+import (
+	"time"
+
+	"cuminshift/internal/dcstate"
+	"cuminshift/internal/flowtable"
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/limits"
+	"cuminshift/internal/model"
+	"cuminshift/internal/peer"
+	"cuminshift/internal/placement"
+)
+
+// post queues a control message; messages to one peer leave in one batch.
+func (c *Core) post(m peer.Message) {
+	if ack := m.Body.GetHeartbeatAck(); ack != nil && c.catalog != nil {
+		ack.ConfigVersion = c.catalog.Version
+	}
+	if m.To == c.cfg.Self {
+		c.inbox = append(c.inbox, m.Body)
+		return
+	}
+	c.mail[m.To] = append(c.mail[m.To], m.Body)
+}
+
+func (c *Core) postAll(messages []peer.Message) {
+	for _, m := range messages {
+		c.post(m)
+	}
+}
+
+// maxInboxRounds bounds the messages that an instance exchanges with itself
+// in one event; two parts that answer each other without end would otherwise
+// hold the core.
+const maxInboxRounds = 16
+
+func (c *Core) drainInbox(now time.Time) {
+	for i := 0; i < maxInboxRounds && len(c.inbox) > 0; i++ {
+		messages := c.inbox
+		c.inbox = nil
+		for _, m := range messages {
+			c.fromPeerMessage(now, c.cfg.Self, c.cfg.Incarnation, m)
+		}
+	}
+}
+
+func (c *Core) fromPeer(now time.Time, batch *pb.PeerBatch) {
+	from := model.InstanceID(batch.GetFrom())
+	if from == c.cfg.Self {
+		return
+	}
+	for _, m := range batch.GetMessages() {
+		c.fromPeerMessage(now, from, batch.GetIncarnation(), m)
+	}
+}
+
+// fromPeerMessage passes a control message to the part that it is for.
+func (c *Core) fromPeerMessage(now time.Time, from model.InstanceID, incarnation uint64, m *pb.PeerMessage) {
+	switch body := m.GetBody().(type) {
+	case *pb.PeerMessage_Heartbeat:
+		c.heartbeat(now, from, incarnation, body.Heartbeat)
+	case *pb.PeerMessage_HeartbeatAck:
+		c.postAll(c.members.HeartbeatAck(now, from, body.HeartbeatAck))
+		c.versionSeen(now, from, body.HeartbeatAck.GetConfigVersion())
+	case *pb.PeerMessage_StateUpdate:
+		c.applyUpdate(now, from, body.StateUpdate)
+	case *pb.PeerMessage_StateRequest:
+		c.stateRequest(from, body.StateRequest)
+	case *pb.PeerMessage_GrantReply:
+		c.requestActions(now, c.coordinator.GrantReply(now, body.GrantReply))
+	case *pb.PeerMessage_GrantRequest, *pb.PeerMessage_GrantRelease, *pb.PeerMessage_AdmitterHandover, *pb.PeerMessage_GrantReport:
+		c.postAll(c.admitter.HandlePeer(now, from, m))
+	case *pb.PeerMessage_ConfigRequest:
+		c.postAll(c.holder.HandleRequest(now, from, body.ConfigRequest))
+	case *pb.PeerMessage_ConfigReply:
+		changed, messages := c.holder.HandleReply(now, from, body.ConfigReply)
+		c.configTaken(now, changed, messages, "from instance "+string(from))
+	case *pb.PeerMessage_Summary:
+		c.summary(now, from, body.Summary)
+	case *pb.PeerMessage_LimitRequest, *pb.PeerMessage_LimitReply:
+		c.limitMessage(now, from, m)
+	case *pb.PeerMessage_FlowsEnded:
+		c.flowsEnded(now, body.FlowsEnded)
+	case *pb.PeerMessage_Ack:
+		c.postAll(c.admitter.HandlePeer(now, from, m))
+		c.steerActions(now, c.steering.HandlePeer(now, from, m))
+	default:
+		c.steerActions(now, c.steering.HandlePeer(now, from, m))
+	}
+}
+
+func (c *Core) heartbeat(now time.Time, from model.InstanceID, incarnation uint64, h *pb.Heartbeat) {
+	c.postAll(c.members.Heartbeat(now, from, incarnation, h))
+	c.reports.Add(now, from, incarnation, h.GetServers())
+	c.addEmpty(from, dcstate.Version{Generation: h.GetGeneration(), Publisher: model.InstanceID(h.GetPublisher())}, h.GetOwned())
+	c.versionSeen(now, from, h.GetConfigVersion())
+}
+
+// addEmpty keeps the buckets that an owner has declared empty, for the
+// publisher's next decision.
+func (c *Core) addEmpty(owner model.InstanceID, confirmed dcstate.Version, owned []*pb.OwnedBuckets) {
+	for _, o := range owned {
+		c.empty = append(c.empty, placement.EmptyBuckets{Owner: owner, Confirmed: confirmed, Service: model.ServiceID(o.GetService()), Buckets: o.GetEmpty()})
+	}
+	if extra := len(c.empty) - maxEmptyReports; extra > 0 {
+		c.empty = c.empty[extra:]
+	}
+}
+
+// maxEmptyReports bounds the reports kept for the next publication; an
+// instance that is not the publisher has no use for them.
+const maxEmptyReports = 4096
+
+// stateRequest answers with the whole state when it is newer than the asker's.
+func (c *Core) stateRequest(from model.InstanceID, r *pb.StateRequest) {
+	have := dcstate.Version{Generation: r.GetGeneration(), Publisher: model.InstanceID(r.GetPublisher())}
+	if have.Less(c.state.Version) {
+		c.post(peer.Message{To: from, Body: &pb.PeerMessage{Body: &pb.PeerMessage_StateUpdate{StateUpdate: c.state.Full()}}})
+	}
+}
+
+func (c *Core) limitMessage(now time.Time, from model.InstanceID, m *pb.PeerMessage) {
+	messages, resolved := c.limits.HandlePeer(now, from, m, c.useOf)
+	c.limitsResolved(now, messages, resolved)
+}
+
+// useOf returns what a caller may use of a service.
+func (c *Core) useOf(caller string, service model.ServiceID) (model.Use, bool) {
+	if c.catalog == nil {
+		return model.Use{}, false
+	}
+	return c.catalog.Allows(c.catalog.Callers[caller], service)
+}
+
+// limitsResolved continues the packets that waited for the limits.
+func (c *Core) limitsResolved(now time.Time, messages []peer.Message, resolved []limits.Resolved) {
+	c.postAll(messages)
+	for _, r := range resolved {
+		h := c.release(r.ID | limitToken)
+		if h == nil {
+			continue
+		}
+		if !r.Allowed {
+			c.refuse(now, h, r.Reason)
+			continue
+		}
+		h.counted = true
+		c.continueAllowed(now, h)
+	}
+}
+
+// maxFlowsEndedPeers bounds the instances told of the end of a counted flow;
+// in larger data centres its count ends by idle expiry.
+const maxFlowsEndedPeers = 16
+
+// tellFlowEnded tells the other instances that a flow ended which one of them
+// may count against a limit.
+func (c *Core) tellFlowEnded(key flowtable.Key) {
+	if len(c.state.Members) > maxFlowsEndedPeers {
+		return
+	}
+	for _, m := range c.state.Members {
+		if m.Instance != c.cfg.Self {
+			c.post(peer.Message{To: m.Instance, Body: &pb.PeerMessage{Body: &pb.PeerMessage_FlowsEnded{FlowsEnded: &pb.FlowsEnded{
+				Flows: []*pb.FlowGroup{{Service: uint64(key.Service), Flows: []uint64{uint64(key.Flow)}}},
+			}}}})
+		}
+	}
+}
+
+func (c *Core) flowsEnded(now time.Time, e *pb.FlowsEnded) {
+	for _, group := range e.GetFlows() {
+		for _, flow := range group.GetFlows() {
+			c.flowEnded(now, flowtable.Key{Service: model.ServiceID(group.GetService()), Flow: model.FlowHash(flow)})
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/reports.go
@@ -0,0 +1,253 @@
+package entry
+
+import (
+	"fmt"
+	"net/netip"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"cuminshift/internal/dcstate"
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/model"
+)
+
+// Metrics returns the registry of histograms.
+func (c *Core) Metrics() metrics.Registry {
+	return c.metrics
+}
+
+// EndpointsToPoll returns the servers whose health endpoint this instance
+// reads: those it admits to. The others learn the result from heartbeats, so
+// a server answers one instance and not all of them.
+func (c *Core) EndpointsToPoll() []*model.BackendServer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.catalog == nil {
+		return nil
+	}
+	var out []*model.BackendServer
+	for id, s := range c.catalog.Servers {
+		if s.DataCentre == c.cfg.DataCentre && s.Health != "" && c.state.Admitter(id) == c.cfg.Self {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Status describes the fleet as this instance sees it.
+func (c *Core) Status(now time.Time) *pb.StatusResponse {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := &pb.StatusResponse{
+		Instance:      string(c.cfg.Self),
+		DataCentre:    string(c.cfg.DataCentre),
+		ConfigVersion: c.holder.Current().Version,
+		Generation:    c.state.Version.Generation,
+		Publisher:     string(c.state.Version.Publisher),
+		Instances:     c.instanceStatus(now),
+		Servers:       c.serverStatus(now),
+		Counters:      c.counts.snapshot(),
+	}
+	s.Counters["flows"] = uint64(c.flows.Len())
+	if c.catalog != nil {
+		s.DataCentres = append(s.DataCentres, c.ownSummary(now))
+	}
+	for _, other := range c.summaries {
+		s.DataCentres = append(s.DataCentres, c.heardSummary(now, other))
+	}
+	sort.Slice(s.DataCentres, func(i, j int) bool { return s.DataCentres[i].DataCentre < s.DataCentres[j].DataCentre })
+	return s
+}
+
+// summaryLost is the age from which a data centre counts as unreachable.
+const summaryLost = 3 * time.Second
+
+// heardSummary marks the summary of an unreachable data centre with no live
+// instances.
+func (c *Core) heardSummary(now time.Time, s *summary) *pb.DataCentreSummary {
+	if now.Sub(s.at) < summaryLost {
+		return s.message
+	}
+	return &pb.DataCentreSummary{DataCentre: s.message.GetDataCentre(), ConfigVersion: s.message.GetConfigVersion(), InForceVersion: s.message.GetInForceVersion(), SentMs: s.message.GetSentMs()}
+}
+
+func (c *Core) instanceStatus(now time.Time) []*pb.InstanceStatus {
+	reported := map[model.InstanceID]*pb.InstanceStatus{}
+	for _, m := range c.members.Confirmations(now) {
+		reported[m.Instance] = &pb.InstanceStatus{ConfigVersion: m.ConfigVersion, Generation: m.Confirmed.Generation, UptimeS: uint32(m.Uptime / time.Second), LastHeardMs: uint64(max(0, now.Sub(m.LastHeard).Milliseconds()))}
+	}
+	var out []*pb.InstanceStatus
+	for _, m := range c.state.Members {
+		s := reported[m.Instance]
+		if s == nil {
+			s = &pb.InstanceStatus{}
+		}
+		s.Instance, s.State = string(m.Instance), m.State
+		if m.Instance == c.cfg.Self {
+			s.ConfigVersion, s.Generation = c.holder.Current().Version, c.state.Version.Generation
+			s.UptimeS = uint32(now.Sub(c.cfg.Started) / time.Second)
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+func (c *Core) serverStatus(now time.Time) []*pb.ServerStatus {
+	if c.catalog == nil {
+		return nil
+	}
+	buckets := map[model.ServerID]uint32{}
+	for _, service := range c.state.Services {
+		for _, b := range service {
+			buckets[b.OpeningServer()]++
+		}
+	}
+	var out []*pb.ServerStatus
+	for id, server := range c.catalog.Servers {
+		if server.DataCentre != c.cfg.DataCentre {
+			continue
+		}
+		grants := c.admitter.Status(now, id)
+		out = append(out, &pb.ServerStatus{
+			Service:      c.catalog.Services[server.Service].Name,
+			Server:       server.Name,
+			Condition:    c.health.Condition(id),
+			OpenFlows:    c.reports.OpenFlows(id),
+			BusySlots:    uint32(grants.Outstanding),
+			AllowedSlots: uint32(grants.Allowed),
+			Buckets:      buckets[id],
+		})
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Service != out[j].Service {
+			return out[i].Service < out[j].Service
+		}
+		return out[i].Server < out[j].Server
+	})
+	return out
+}
+
+// Burn reports the service-level burn that this instance has counted.
+func (c *Core) Burn(now time.Time) *pb.BurnResponse {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.catalog == nil {
+		return &pb.BurnResponse{}
+	}
+	return &pb.BurnResponse{Lines: c.burn.Report(now, c.catalog, c.cfg.DataCentre)}
+}
+
+// Explain says why a caller, an address or a flow goes where it goes, and
+// lists the journal entries that name the subject.
+func (c *Core) Explain(now time.Time, subject string) *pb.ExplainResponse {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	answer := &pb.ExplainResponse{}
+	for _, e := range c.journal.Entries(subject) {
+		answer.Journal = append(answer.Journal, e.Proto())
+	}
+	if c.catalog == nil {
+		answer.Lines = []string{"this instance holds no configuration yet; it refuses openings"}
+		return answer
+	}
+	answer.Lines = c.explainLines(now, subject)
+	return answer
+}
+
+func (c *Core) explainLines(now time.Time, subject string) []string {
+	if caller, service, ok := strings.Cut(subject, " "); ok {
+		return c.explainFlow(now, caller, service)
+	}
+	if caller := c.catalog.Callers[subject]; caller != nil {
+		return c.explainCaller(caller)
+	}
+	if service, err := netip.ParseAddrPort(subject); err == nil {
+		return c.explainAddress(service)
+	}
+	if addr, err := netip.ParseAddr(subject); err == nil {
+		caller := c.catalog.CallerOf(addr)
+		if caller == nil {
+			return []string{fmt.Sprintf("no caller has a prefix that contains %s; its openings are refused with NOT_IN_PLAN", addr)}
+		}
+		return c.explainCaller(caller)
+	}
+	return []string{fmt.Sprintf("%q is no caller, address or flow; a flow is written \"caller-ip:port service-ip:port\"", subject)}
+}
+
+func (c *Core) explainCaller(caller *model.Caller) []string {
+	lines := []string{fmt.Sprintf("caller %s is on plan %s with prefixes %v", caller.Name, caller.Plan.Name, caller.Prefixes)}
+	for id, use := range caller.Plan.Uses {
+		if service := c.catalog.Services[id]; service != nil {
+			lines = append(lines, fmt.Sprintf("plan %s allows %s: %s", caller.Plan.Name, service.Name, useText(use)))
+		}
+	}
+	sort.Strings(lines[1:])
+	return lines
+}
+
+func useText(u model.Use) string {
+	return fmt.Sprintf("openings %s, requests %s, flows %s, running requests %s, highest priority %d",
+		limitText(u.OpeningsPerSecond, "/s"), limitText(u.RequestsPerSecond, "/s"), limitText(u.ConcurrentFlows, ""), limitText(u.ConcurrentRequests, ""), u.Priority)
+}
+
+func limitText(n int, unit string) string {
+	if n == 0 {
+		return "unlimited"
+	}
+	return fmt.Sprintf("%d%s", n, unit)
+}
+
+func (c *Core) explainAddress(address netip.AddrPort) []string {
+	site := c.catalog.Sites[address]
+	if site == nil {
+		return []string{fmt.Sprintf("no service has the address %s; openings to it are refused with NO_SERVER", address)}
+	}
+	state := "in service"
+	if c.catalog.DataCentres[site.DataCentre].Out {
+		state = "out of service; openings are refused with DATA_CENTRE_OUT"
+	}
+	lines := []string{fmt.Sprintf("address %s belongs to service %s in data centre %s, which is %s", address, site.Service.Name, site.DataCentre, state)}
+	if site.DataCentre != c.cfg.DataCentre {
+		return append(lines, "this instance relays its packets to an instance of that data centre")
+	}
+	return lines
+}
+
+func (c *Core) explainFlow(now time.Time, callerText, serviceText string) []string {
+	caller, err1 := netip.ParseAddrPort(callerText)
+	service, err2 := netip.ParseAddrPort(serviceText)
+	if err1 != nil || err2 != nil {
+		return []string{"a flow is written \"caller-ip:port service-ip:port\""}
+	}
+	lines := c.explainAddress(service)
+	site := c.catalog.Sites[service]
+	if site == nil || site.DataCentre != c.cfg.DataCentre {
+		return lines
+	}
+	who := c.catalog.CallerOf(caller.Addr())
+	if _, ok := c.catalog.Allows(who, site.Service.ID); !ok {
+		return append(lines, fmt.Sprintf("address %s is on no plan that allows %s; its packets are refused with NOT_IN_PLAN", caller.Addr(), site.Service.Name))
+	}
+	lines = append(lines, fmt.Sprintf("caller %s is on plan %s, which allows %s", who.Name, who.Plan.Name, site.Service.Name))
+	flow := model.FlowKey{Caller: caller, Service: service}.Hash()
+	if pin, ok := c.flows.Peek(site.Service.ID, flow); ok {
+		lines = append(lines, fmt.Sprintf("this instance has seen the flow at server %s, last %s ago", c.serverName(pin.Server), now.Sub(pin.LastUse).Round(time.Millisecond)))
+	}
+	bucket, n, ok := c.state.Bucket(site.Service.ID, flow)
+	if !ok {
+		return append(lines, "the service has no bucket map yet; openings are refused with NO_SERVER")
+	}
+	return append(lines, c.explainBucket(site.Service.ID, bucket, n))
+}
+
+func (c *Core) explainBucket(service model.ServiceID, b dcstate.Bucket, n int) string {
+	owner, backup := c.state.Owner(service, n)
+	text := fmt.Sprintf("bucket %d is %s, base %s, owner %s, backup %s", n, strings.TrimPrefix(b.Phase.String(), "BUCKET_PHASE_"), c.serverName(b.Base), owner, backup)
+	if b.Next != 0 {
+		text += ", next " + c.serverName(b.Next)
+	}
+	return text
+}
--- /dev/null
+++ b/internal/entry/tick.go
@@ -0,0 +1,293 @@
+package entry
+
+import (
+	"time"
+
+	"cuminshift/internal/admission"
+	"cuminshift/internal/dcstate"
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/membership"
+	"cuminshift/internal/model"
+	"cuminshift/internal/peer"
+	"cuminshift/internal/placement"
+	"cuminshift/internal/serverhealth"
+)
+
+const (
+	// slowInterval is the time between decisions that need no quick reaction.
+	slowInterval = 100 * time.Millisecond
+	// summaryInterval is the time between summaries to other data centres.
+	summaryInterval = 500 * time.Millisecond
+	// summaryRecipients bounds the instances of each other data centre that
+	// get a summary.
+	summaryRecipients = 4
+	// leaveLinger is how long a leaving instance goes on forwarding after it
+	// has handed over, because the instance list that the fabric reads lags.
+	leaveLinger = 1500 * time.Millisecond
+)
+
+func (c *Core) tick(now time.Time) {
+	c.expireHeld(now)
+	c.expireOpenings(now)
+	if c.due(&c.nextSlow, now, slowInterval) {
+		c.slowTick(now)
+	}
+	c.postAll(c.members.Tick(now, c.local(now)))
+	c.publish(now)
+	c.postAll(c.holder.Tick(now))
+	c.steerActions(now, c.steering.Tick(now))
+	c.postAll(c.admitter.Tick(now))
+	c.requestActions(now, c.coordinator.Tick(now))
+	if c.due(&c.nextSummary, now, summaryInterval) {
+		c.sendSummaries(now)
+	}
+	c.checkLeft(now)
+}
+
+// due reports whether *next has come and sets the next time.
+func (c *Core) due(next *time.Time, now time.Time, interval time.Duration) bool {
+	if now.Before(*next) {
+		return false
+	}
+	*next = now.Add(interval)
+	return true
+}
+
+func (c *Core) slowTick(now time.Time) {
+	for _, action := range c.health.Tick(now) {
+		if a, ok := action.(serverhealth.ReplacePath); ok {
+			c.journal.Add(now, "path", "path replaced at "+c.serverName(a.Server), "answers missing on this path only")
+			c.act(ReplacePath{Server: a.Server, Path: a.Path})
+		}
+	}
+	messages, resolved := c.limits.Tick(now)
+	c.limitsResolved(now, messages, resolved)
+	c.observeConditions(now)
+	c.updateInstances(now)
+	c.fenceChanged(now)
+}
+
+// observeConditions tells the admitter what this instance sees of the servers
+// that it admits to.
+func (c *Core) observeConditions(now time.Time) {
+	if c.catalog == nil {
+		return
+	}
+	for id, s := range c.catalog.Servers {
+		if s.DataCentre == c.cfg.DataCentre && c.state.Admitter(id) == c.cfg.Self {
+			c.postAll(c.admitter.Observe(now, id, c.health.Condition(id)))
+		}
+	}
+}
+
+// updateInstances tells the limits how many instances share them.
+func (c *Core) updateInstances(now time.Time) {
+	known := c.members.KnownInstances(now)
+	if !equalIDs(known, c.known) {
+		c.known = append(c.known[:0], known...)
+		c.limits.SetInstances(now, known)
+		c.postAll(c.admitter.SetKnownInstances(now, known))
+	}
+}
+
+func equalIDs(a, b []model.InstanceID) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// knownInstances returns the number of instances that share what a server in
+// cold start bears, and this instance's place among them.
+func (c *Core) knownInstances(now time.Time) (count, rank int) {
+	for i, id := range c.known {
+		if id == c.cfg.Self {
+			return len(c.known), i
+		}
+	}
+	return len(c.known) + 1, len(c.known)
+}
+
+// fenceChanged records when the instance loses or regains its lease.
+func (c *Core) fenceChanged(now time.Time) {
+	fenced := c.members.Fenced(now)
+	if fenced == c.fenced {
+		return
+	}
+	c.fenced = fenced
+	if fenced {
+		c.journal.Add(now, "entry", "fenced", "no acknowledged heartbeat within the lease")
+	} else {
+		c.journal.Add(now, "entry", "lease held", "caught up with the publisher")
+	}
+}
+
+func (c *Core) local(now time.Time) membership.Local {
+	l := membership.Local{
+		Ready:     c.catalog != nil,
+		Confirmed: c.steering.Confirmed(),
+	}
+	if c.catalog != nil {
+		l.ConfigVersion = c.catalog.Version
+		l.InstancesOut = c.catalog.InstancesOut
+	}
+	if c.due(&c.nextReports, now, c.cfg.Heartbeat) {
+		c.serverReports = c.health.Reports(now)
+		c.ownedBuckets = c.steering.EmptyBuckets(now)
+		c.reports.Add(now, c.cfg.Self, c.cfg.Incarnation, c.serverReports)
+		c.addEmpty(c.cfg.Self, l.Confirmed, c.ownedBuckets)
+	}
+	l.Reports, l.Owned = c.serverReports, c.ownedBuckets
+	return l
+}
+
+// heldGrants lets the admitter ask which grants the coordinator holds.
+func (c *Core) heldGrants(now time.Time) admission.Held {
+	return func(server model.ServerID) []*pb.OutstandingGrant {
+		return c.coordinator.Held(now, server)
+	}
+}
+
+// publish takes the publisher's decisions when this instance is the publisher.
+func (c *Core) publish(now time.Time) {
+	if !c.members.Publishing(now) {
+		return
+	}
+	update, events := c.publisher.Step(now, placement.Input{
+		Catalog:         c.servingCatalog(),
+		View:            c.members.View(now),
+		Confirmations:   c.members.Confirmations(now),
+		UnplannedDeaths: c.members.UnplannedDeaths(now),
+		Newest:          c.members.Newest(now),
+		Reports:         c.reports,
+		Empty:           c.empty,
+	}, c.state)
+	c.empty = nil
+	for _, e := range events {
+		c.journal.Add(now, "map", e.Name+" "+c.serverName(e.Server), e.Cause)
+	}
+	if update == nil {
+		return
+	}
+	for _, to := range c.members.Recipients(now) {
+		c.post(peer.Message{To: to, Body: &pb.PeerMessage{Body: &pb.PeerMessage_StateUpdate{StateUpdate: update}}})
+	}
+	c.applyUpdate(now, c.cfg.Self, update)
+}
+
+// servingCatalog returns the catalog that placement works on; nil before the
+// first configuration is known.
+func (c *Core) servingCatalog() *model.Catalog {
+	return c.catalog
+}
+
+func (c *Core) serverName(id model.ServerID) string {
+	if c.catalog != nil {
+		if s := c.catalog.Servers[id]; s != nil {
+			return s.Name
+		}
+	}
+	return "unknown server"
+}
+
+// applyUpdate makes a newer state the current one, or asks for the whole of
+// it when the update is a delta to another state.
+func (c *Core) applyUpdate(now time.Time, from model.InstanceID, u *pb.StateUpdate) {
+	next, ok := c.state.Apply(u)
+	if !ok {
+		newer := c.state.Version.Less(dcstate.Version{Generation: u.GetGeneration(), Publisher: model.InstanceID(u.GetPublisher())})
+		if newer {
+			c.post(peer.Message{To: from, Body: &pb.PeerMessage{Body: &pb.PeerMessage_StateRequest{StateRequest: &pb.StateRequest{
+				Generation: c.state.Version.Generation, Publisher: string(c.state.Version.Publisher),
+			}}}})
+		}
+		return
+	}
+	old := c.state
+	c.state = next
+	c.members.Applied(now, next)
+	c.holder.SetLive(next.Owners())
+	c.steerActions(now, c.steering.StateChanged(now, next, c.died(old, next)))
+	c.postAll(c.admitter.StateChanged(now, old, next, c.heldGrants(now)))
+	c.requestActions(now, c.coordinator.StateChanged(now, old, next))
+	if len(old.Members) != len(next.Members) {
+		c.journal.Add(now, "view", "view changed", viewText(next))
+	}
+}
+
+// died returns the members that were in the old state and are gone or
+// restarted in the new one without having announced that they leave.
+func (c *Core) died(old, next *dcstate.State) []model.InstanceID {
+	var out []model.InstanceID
+	for _, m := range old.Members {
+		if m.State == pb.InstanceState_INSTANCE_STATE_LEAVING {
+			continue
+		}
+		n, ok := next.Member(m.Instance)
+		if !ok || n.Incarnation != m.Incarnation {
+			out = append(out, m.Instance)
+		}
+	}
+	return out
+}
+
+func viewText(s *dcstate.State) string {
+	text := ""
+	for i, m := range s.Members {
+		if i > 0 {
+			text += " "
+		}
+		text += string(m.Instance)
+	}
+	return text
+}
+
+func (c *Core) expireHeld(now time.Time) {
+	if !c.due(&c.nextHeldScan, now, slowInterval) {
+		return
+	}
+	for token, h := range c.held {
+		if now.Sub(h.at) >= heldTimeout {
+			delete(c.held, token)
+			c.counts.add(countHeldTimeout)
+			c.uncount(now, h)
+		}
+	}
+}
+
+// leave announces a planned leave and hands over.
+func (c *Core) leave(now time.Time, cause string) {
+	if c.leaving {
+		return
+	}
+	c.leaving = true
+	c.journal.Add(now, "entry", "leaving", cause)
+	c.postAll(c.members.Leave(now))
+	c.steerActions(now, c.steering.Leave(now))
+	c.coordinator.Stop()
+}
+
+// checkLeft ends a planned stop once nothing depends on this instance.
+func (c *Core) checkLeft(now time.Time) {
+	if !c.stopping || c.stopped {
+		return
+	}
+	alone := len(c.state.Owners()) == 0
+	done := c.coordinator.Idle() && (alone || (c.members.LeaveKnown() && c.steering.Left() && c.admitter.HandoversPending() == 0))
+	if !done {
+		c.lingerFrom = time.Time{}
+		return
+	}
+	if c.lingerFrom.IsZero() {
+		c.lingerFrom = now
+	}
+	if now.Sub(c.lingerFrom) >= leaveLinger {
+		c.stopped = true
+		c.act(Stopped{})
+	}
+}
--- /dev/null
+++ b/internal/shell/edit.go
@@ -0,0 +1,88 @@
+package shell
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"cuminshift/internal/config"
+	"cuminshift/internal/findings"
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/storeclient"
+)
+
+// editTimeout bounds an edit, with the wait between the two steps of a move of
+// an address.
+const editTimeout = 20 * time.Second
+
+// GetConfig returns the newest version that this instance holds.
+func (o *operator) GetConfig(context.Context, *connect.Request[pb.GetConfigRequest]) (*connect.Response[pb.GetConfigResponse], error) {
+	held := o.sh.core.Configuration()
+	return connect.NewResponse(&pb.GetConfigResponse{
+		Root:      held.Root,
+		Callers:   held.Content.Callers,
+		Plans:     held.Content.Plans,
+		Marks:     held.Content.Marks,
+		FromStore: o.sh.platform.reachable.Load(),
+	}), nil
+}
+
+// Edit carries out an operator's edit against the store.
+func (o *operator) Edit(ctx context.Context, request *connect.Request[pb.EditRequest]) (*connect.Response[pb.EditResponse], error) {
+	ctx, cancel := context.WithTimeout(ctx, editTimeout)
+	defer cancel()
+	r := request.Msg
+	deadline, _ := ctx.Deadline()
+	editor := config.NewEditor(config.EditorConfig{
+		Deadline: deadline,
+		Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Known:    o.sh.core.Shard,
+		InForce:  o.sh.core.InForce(time.Now()),
+	}, config.Edit{
+		ID: r.GetEditId(), Operator: r.GetOperator(), Summary: r.GetSummary(), BaseVersion: r.GetBaseVersion(),
+		Callers: r.GetCallers(), Plans: r.GetPlans(), Marks: r.GetMarks(), DryRun: r.GetDryRun(),
+	})
+	done, err := storeclient.RunEdit(ctx, o.sh.platform.store, editor, func(context.Context) uint64 {
+		return o.sh.core.InForce(time.Now())
+	})
+	if err != nil {
+		o.sh.log.Info("config: edit not accepted", zap.String(logCause, err.Error()))
+		return nil, connect.NewError(editCode(err), err)
+	}
+	if !r.GetDryRun() {
+		o.sh.log.Info("config: edit accepted", zap.Uint64(logVersion, done.Version), zap.String(logOperator, r.GetOperator()))
+	}
+	return connect.NewResponse(&pb.EditResponse{Version: done.Version, Changes: done.Changes}), nil
+}
+
+// editCode maps the typed errors of an edit to codes of the operator
+// interface.
+func editCode(err error) connect.Code {
+	var (
+		conflict    *config.Conflict
+		contention  *config.Contention
+		baseUnknown *config.BaseUnknown
+		unavailable *config.StoreUnavailable
+		unknown     *config.OutcomeUnknown
+		notInForce  *config.NotInForce
+		tooLarge    *config.TooLarge
+		invalid     *findings.Error
+	)
+	switch {
+	case errors.As(err, &conflict), errors.As(err, &contention), errors.As(err, &baseUnknown):
+		return connect.CodeAborted
+	case errors.As(err, &unavailable):
+		return connect.CodeUnavailable
+	case errors.As(err, &unknown):
+		return connect.CodeUnknown
+	case errors.As(err, &notInForce):
+		return connect.CodeDeadlineExceeded
+	case errors.As(err, &invalid), errors.As(err, &tooLarge):
+		return connect.CodeInvalidArgument
+	}
+	return connect.CodeInternal
+}
--- /dev/null
+++ b/internal/shell/operator.go
@@ -0,0 +1,71 @@
+package shell
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rcrowley/go-metrics"
+	"go.uber.org/zap"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/gen/cuminshift/v1/cuminshiftv1connect"
+)
+
+const (
+	operatorTimeout = 30 * time.Second
+	// maxOperatorMessage bounds a request of the operator interface; two
+	// lists for 82,000 servers take about 10 MB.
+	maxOperatorMessage = 32 << 20
+)
+
+// operatorHandler serves the operator interface and /metrics.
+func (sh *Shell) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(cuminshiftv1connect.NewOperatorHandler(&operator{sh}, connect.WithReadMaxBytes(maxOperatorMessage)))
+	mux.HandleFunc("/metrics", sh.writeMetrics)
+	return http.TimeoutHandler(mux, operatorTimeout, "timeout")
+}
+
+type operator struct {
+	sh *Shell
+}
+
+func (o *operator) Status(context.Context, *connect.Request[pb.StatusRequest]) (*connect.Response[pb.StatusResponse], error) {
+	status := o.sh.core.Status(time.Now())
+	status.StoreReachable = o.sh.platform.reachable.Load()
+	status.Counters["control_bytes_sent"] = o.sh.control.Sent.Load()
+	status.Counters["control_bytes_received"] = o.sh.control.Received.Load()
+	return connect.NewResponse(status), nil
+}
+
+func (o *operator) Explain(_ context.Context, request *connect.Request[pb.ExplainRequest]) (*connect.Response[pb.ExplainResponse], error) {
+	return connect.NewResponse(o.sh.core.Explain(time.Now(), request.Msg.GetSubject())), nil
+}
+
+func (o *operator) Burn(context.Context, *connect.Request[pb.BurnRequest]) (*connect.Response[pb.BurnResponse], error) {
+	return connect.NewResponse(o.sh.core.Burn(time.Now())), nil
+}
+
+// writeMetrics prints counters and gauges in the text format that
+// Prometheus-style collectors read.
+func (sh *Shell) writeMetrics(w http.ResponseWriter, _ *http.Request) {
+	registry := metrics.NewRegistry()
+	status := sh.core.Status(time.Now())
+	for name, value := range status.Counters {
+		metrics.GetOrRegisterCounter(name, registry).Inc(int64(value))
+	}
+	metrics.GetOrRegisterCounter("control_bytes_sent", registry).Inc(int64(sh.control.Sent.Load()))
+	metrics.GetOrRegisterCounter("control_bytes_received", registry).Inc(int64(sh.control.Received.Load()))
+	metrics.GetOrRegisterGauge("config_version", registry).Update(int64(status.ConfigVersion))
+	metrics.GetOrRegisterGauge("state_generation", registry).Update(int64(status.Generation))
+	metrics.GetOrRegisterGauge("live_instances", registry).Update(int64(len(status.Instances)))
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	if err := writePrometheus(w, registry); err != nil {
+		sh.log.Debug("operator: metrics not written", zap.Error(err))
+	}
+	if err := writePrometheus(w, sh.core.Metrics()); err != nil {
+		sh.log.Debug("operator: metrics not written", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/shell/paths.go
@@ -0,0 +1,155 @@
+package shell
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"cuminshift/internal/entry"
+	"cuminshift/internal/model"
+)
+
+// maxReplacedSockets bounds the sockets opened for replaced paths; beyond it
+// the oldest replacement is closed and its path falls back to a shared socket.
+const maxReplacedSockets = 256
+
+type pathKey struct {
+	server model.ServerID
+	path   int
+}
+
+// pathSet holds the local sockets towards servers. Path k of every server
+// uses shared socket k until the path is replaced.
+type pathSet struct {
+	local   netip.Addr
+	log     *zap.Logger
+	receive func(path int, conn *net.UDPConn)
+	shared  []*net.UDPConn
+	workers sync.WaitGroup
+
+	// replaced is copied on write, so that sending takes no lock.
+	replaced atomic.Pointer[map[pathKey]*net.UDPConn]
+	mu       sync.Mutex
+	order    []pathKey
+	closed   bool
+}
+
+// newPathSet opens the shared sockets; receive is run for each socket in its
+// own goroutine until the socket is closed.
+func newPathSet(local netip.Addr, log *zap.Logger, receive func(path int, conn *net.UDPConn)) (*pathSet, error) {
+	p := &pathSet{local: local, log: log, receive: receive}
+	p.replaced.Store(&map[pathKey]*net.UDPConn{})
+	for k := 0; k < entry.PathsPerServer; k++ {
+		conn, err := p.open(k)
+		if err != nil {
+			p.close()
+			return nil, err
+		}
+		p.shared = append(p.shared, conn)
+	}
+	return p, nil
+}
+
+func (p *pathSet) open(path int) (*net.UDPConn, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(p.local, 0)))
+	if err != nil {
+		return nil, errors.Wrap(err, "path: open socket")
+	}
+	setBuffers(conn)
+	p.workers.Add(1)
+	go func() {
+		defer p.workers.Done()
+		p.receive(path, conn)
+	}()
+	return conn, nil
+}
+
+// send writes one datagram; an error counts as a lost datagram.
+func (p *pathSet) send(server model.ServerID, path int, to netip.AddrPort, data []byte) {
+	conn, ok := (*p.replaced.Load())[pathKey{server, path}]
+	if !ok {
+		conn = p.shared[path%len(p.shared)]
+	}
+	if _, err := conn.WriteToUDPAddrPort(data, to); err != nil {
+		p.log.Debug("path: send failed", zap.Error(err))
+	}
+}
+
+// replace gives a path of a server a socket of its own.
+func (p *pathSet) replace(server model.ServerID, path int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
+	conn, err := p.open(path)
+	if err != nil {
+		p.log.Warn("path: replacement failed", zap.Error(err))
+		return
+	}
+	key := pathKey{server, path}
+	next := make(map[pathKey]*net.UDPConn, len(*p.replaced.Load())+1)
+	for k, c := range *p.replaced.Load() {
+		next[k] = c
+	}
+	old := []*net.UDPConn{next[key]}
+	if old[0] == nil {
+		p.order = append(p.order, key)
+	}
+	next[key] = conn
+	if len(p.order) > maxReplacedSockets {
+		old = append(old, next[p.order[0]])
+		delete(next, p.order[0])
+		p.order = p.order[1:]
+	}
+	p.replaced.Store(&next)
+	for _, c := range old {
+		if c != nil {
+			c.Close()
+		}
+	}
+	p.log.Info("path: replaced silent socket", zap.Uint64(logServer, uint64(server)), zap.Int(logPath, path))
+}
+
+func (p *pathSet) close() {
+	p.mu.Lock()
+	p.closed = true
+	for _, c := range p.shared {
+		c.Close()
+	}
+	for _, c := range *p.replaced.Load() {
+		c.Close()
+	}
+	p.mu.Unlock()
+	p.workers.Wait()
+}
+
+// serveDatagrams reads datagrams into a reused buffer and hands each to handle.
+func serveDatagrams(ctx context.Context, conn *net.UDPConn, handle func(from netip.AddrPort, data []byte)) {
+	buf := make([]byte, entry.MaxDatagram)
+	for {
+		n, from, err := conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			// An ICMP error of an earlier datagram; the socket stays usable.
+			continue
+		}
+		handle(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buf[:n])
+	}
+}
+
+// socketBuffer holds a burst of some thousand datagrams while workers are
+// descheduled.
+const socketBuffer = 4 << 20
+
+func setBuffers(conn *net.UDPConn) {
+	_ = conn.SetReadBuffer(socketBuffer)
+	_ = conn.SetWriteBuffer(socketBuffer)
+}
--- /dev/null
+++ b/internal/shell/peers.go
@@ -0,0 +1,260 @@
+package shell
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/model"
+)
+
+const (
+	// peerCallTimeout bounds one net/rpc call, which has no deadline of its
+	// own; a connection that missed it is closed and dialled again.
+	peerCallTimeout = 300 * time.Millisecond
+	peerDialTimeout = 200 * time.Millisecond
+	// peerQueueLimit bounds the messages that wait for one peer; the oldest
+	// are dropped, since every protocol between instances repeats.
+	peerQueueLimit = 4096
+	// peerIdleLimit ends the sender of a peer that has had no message.
+	peerIdleLimit = 30 * time.Second
+)
+
+// Frame is the argument of the one net/rpc method between instances; the
+// payload is an encoded PeerBatch.
+type Frame struct {
+	Payload []byte
+}
+
+// Accepted is the empty answer to a Frame.
+type Accepted struct{}
+
+// Peer is the net/rpc receiver.
+type Peer struct {
+	deliver func(*pb.PeerBatch)
+}
+
+// Deliver takes one batch of control messages.
+func (p *Peer) Deliver(frame Frame, _ *Accepted) error {
+	batch := &pb.PeerBatch{}
+	if err := proto.Unmarshal(frame.Payload, batch); err != nil {
+		return errors.Wrap(err, "peer: malformed batch")
+	}
+	p.deliver(batch)
+	return nil
+}
+
+// servePeers answers net/rpc connections until ctx ends.
+func servePeers(ctx context.Context, listener net.Listener, deliver func(*pb.PeerBatch), counters *ControlCounters) error {
+	server := rpc.NewServer()
+	if err := server.Register(&Peer{deliver}); err != nil {
+		return errors.Wrap(err, "peer: register")
+	}
+	var mu sync.Mutex
+	open := map[net.Conn]struct{}{}
+	go func() {
+		<-ctx.Done()
+		listener.Close()
+		mu.Lock()
+		defer mu.Unlock()
+		for c := range open {
+			c.Close()
+		}
+	}()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return errors.Wrap(err, "peer: accept")
+		}
+		mu.Lock()
+		open[conn] = struct{}{}
+		mu.Unlock()
+		go func() {
+			server.ServeConn(&countingConn{Conn: conn, counters: counters})
+			mu.Lock()
+			delete(open, conn)
+			mu.Unlock()
+		}()
+	}
+}
+
+// ControlCounters counts the bytes of control traffic.
+type ControlCounters struct {
+	Sent     atomic.Uint64
+	Received atomic.Uint64
+}
+
+type countingConn struct {
+	net.Conn
+	counters *ControlCounters
+}
+
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.counters.Received.Add(uint64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.counters.Sent.Add(uint64(n))
+	return n, err
+}
+
+// peerSet holds one sender per peer.
+type peerSet struct {
+	ctx      context.Context
+	log      *zap.Logger
+	counters *ControlCounters
+	dial     func(ctx context.Context, address string) (net.Conn, error)
+
+	mu      sync.Mutex
+	senders map[model.InstanceID]*peerSender
+}
+
+func newPeerSet(ctx context.Context, log *zap.Logger, counters *ControlCounters, dial func(context.Context, string) (net.Conn, error)) *peerSet {
+	return &peerSet{ctx: ctx, log: log, counters: counters, dial: dial, senders: map[model.InstanceID]*peerSender{}}
+}
+
+// send queues a batch; it does not block.
+func (p *peerSet) send(to model.InstanceID, address string, batch *pb.PeerBatch) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.senders[to]
+	if s == nil {
+		s = &peerSender{set: p, id: to, wake: make(chan struct{}, 1)}
+		p.senders[to] = s
+		go s.run()
+	}
+	s.add(address, batch)
+}
+
+// peerSender sends batches to one peer. Messages that arrive during a call go
+// into the next one, so a slow peer gets fewer and larger batches.
+type peerSender struct {
+	set  *peerSet
+	id   model.InstanceID
+	wake chan struct{}
+
+	mu      sync.Mutex
+	address string
+	pending *pb.PeerBatch
+
+	client    *rpc.Client
+	connected string
+}
+
+func (s *peerSender) add(address string, batch *pb.PeerBatch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.address = address
+	if s.pending == nil {
+		s.pending = batch
+	} else {
+		s.pending.Messages = append(s.pending.Messages, batch.Messages...)
+	}
+	if extra := len(s.pending.Messages) - peerQueueLimit; extra > 0 {
+		s.pending.Messages = s.pending.Messages[extra:]
+	}
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (s *peerSender) take() (string, *pb.PeerBatch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	batch := s.pending
+	s.pending = nil
+	return s.address, batch
+}
+
+func (s *peerSender) run() {
+	idle := time.NewTimer(peerIdleLimit)
+	defer idle.Stop()
+	for {
+		select {
+		case <-s.set.ctx.Done():
+			s.disconnect()
+			return
+		case <-idle.C:
+			if s.retire() {
+				return
+			}
+		case <-s.wake:
+			if address, batch := s.take(); batch != nil {
+				s.deliver(address, batch)
+			}
+		}
+		idle.Reset(peerIdleLimit)
+	}
+}
+
+// retire removes the sender from the set unless a message has just arrived.
+func (s *peerSender) retire() bool {
+	s.set.mu.Lock()
+	defer s.set.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pending != nil {
+		return false
+	}
+	delete(s.set.senders, s.id)
+	s.disconnect()
+	return true
+}
+
+func (s *peerSender) deliver(address string, batch *pb.PeerBatch) {
+	if s.client != nil && s.connected != address {
+		s.disconnect()
+	}
+	if s.client == nil {
+		ctx, cancel := context.WithTimeout(s.set.ctx, peerDialTimeout)
+		conn, err := s.set.dial(ctx, address)
+		cancel()
+		if err != nil {
+			s.set.log.Debug("peer: dial failed", zap.String(logPeer, string(s.id)), zap.Error(err))
+			return
+		}
+		s.client = rpc.NewClient(&countingConn{Conn: conn, counters: s.set.counters})
+		s.connected = address
+	}
+	payload, err := proto.Marshal(batch)
+	if err != nil {
+		s.set.log.Error("peer: encode failed", zap.Error(err))
+		return
+	}
+	call := s.client.Go("Peer.Deliver", Frame{payload}, &Accepted{}, make(chan *rpc.Call, 1))
+	timeout := time.NewTimer(peerCallTimeout)
+	defer timeout.Stop()
+	select {
+	case <-call.Done:
+		if call.Error != nil {
+			s.set.log.Debug("peer: call failed", zap.String(logPeer, string(s.id)), zap.Error(call.Error))
+			s.disconnect()
+		}
+	case <-timeout.C:
+		s.set.log.Debug("peer: call timed out", zap.String(logPeer, string(s.id)))
+		s.disconnect()
+	case <-s.set.ctx.Done():
+	}
+}
+
+func (s *peerSender) disconnect() {
+	if s.client != nil {
+		s.client.Close()
+		s.client = nil
+	}
+}
--- /dev/null
+++ b/internal/shell/shell.go
@@ -0,0 +1,194 @@
+// Package shell gives the entry core its sockets, timers and goroutines. It
+// takes no decision: it turns datagrams, calls and ticks into events and
+// carries out the actions that come back.
+package shell
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"cuminshift/internal/entry"
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/packet"
+	"cuminshift/internal/settings"
+)
+
+// Shell runs one entry instance.
+type Shell struct {
+	settings *settings.Settings
+	log      *zap.Logger
+	core     *entry.Core
+	platform *platform
+	control  ControlCounters
+	packets  *net.UDPConn
+	paths    *pathSet
+	peers    *peerSet
+	stopped  chan struct{}
+	stopOnce sync.Once
+}
+
+// Run serves until ctx ends, then makes a planned stop.
+func Run(ctx context.Context, s *settings.Settings, log *zap.Logger) error {
+	sh := &Shell{settings: s, log: log, stopped: make(chan struct{})}
+	sh.core = entry.New(coreConfig(s, time.Now()))
+	return sh.run(ctx)
+}
+
+func coreConfig(s *settings.Settings, now time.Time) entry.Config {
+	return entry.Config{
+		Self:          s.Instance,
+		DataCentre:    s.DataCentre,
+		Incarnation:   uint64(now.UnixNano()),
+		PeerAddress:   s.PeerAddress.String(),
+		PacketAddress: s.PacketAddress,
+		Started:       now,
+		Heartbeat:     s.Heartbeat,
+		Lease:         s.Lease,
+		DeadAfter:     s.DeadAfter,
+		FlowIdle:      s.FlowIdleTimeout,
+		Seed:          uint64(now.UnixNano()),
+	}
+}
+
+func (sh *Shell) run(ctx context.Context) error {
+	// serving outlives ctx: a planned stop still moves packets.
+	serving, stop := context.WithCancel(context.Background())
+	defer stop()
+	secure, err := loadTLS(sh.settings.TLS)
+	if err != nil {
+		return err
+	}
+	sh.platform = newPlatform(sh.settings, sh.log)
+	peerListener, err := secure.listen(sh.settings.PeerAddress.String())
+	if err != nil {
+		return errors.Wrap(err, "peer: listen")
+	}
+	operatorListener, err := secure.listen(sh.settings.OperatorAddress.String())
+	if err != nil {
+		return errors.Wrap(err, "operator: listen")
+	}
+	sh.packets, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(sh.settings.PacketAddress))
+	if err != nil {
+		return errors.Wrap(err, "entry: listen")
+	}
+	setBuffers(sh.packets)
+	sh.peers = newPeerSet(serving, sh.log, &sh.control, secure.dial)
+	sh.paths, err = newPathSet(sh.settings.PacketAddress.Addr(), sh.log, sh.readServerPackets)
+	if err != nil {
+		return err
+	}
+
+	group, serving := errgroup.WithContext(serving)
+	group.Go(func() error { return servePeers(serving, peerListener, sh.peerBatch, &sh.control) })
+	for i := 0; i < sh.settings.Workers; i++ {
+		group.Go(func() error { sh.readCallerPackets(serving); return nil })
+	}
+	group.Go(func() error { sh.tick(serving); return nil })
+	group.Go(func() error { sh.pollInstanceList(serving); return nil })
+	group.Go(func() error { sh.readStore(serving); return nil })
+	group.Go(func() error { sh.pollEndpoints(serving); return nil })
+	server := &http.Server{Handler: sh.operatorHandler(), ReadHeaderTimeout: operatorTimeout, ReadTimeout: operatorTimeout}
+	group.Go(func() error {
+		if err := server.Serve(operatorListener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "operator: serve")
+		}
+		return nil
+	})
+	sh.log.Info("entry: serving", zap.String(logInstance, string(sh.settings.Instance)), zap.String(logAddress, sh.settings.PacketAddress.String()))
+
+	select {
+	case <-ctx.Done():
+		sh.log.Info("entry: leaving, planned stop")
+		sh.handle(entry.LeaveRequested{})
+		select {
+		case <-sh.stopped:
+		case <-time.After(leaveTimeout):
+			sh.log.Warn("entry: planned stop timed out")
+		case <-serving.Done():
+		}
+	case <-serving.Done():
+	}
+	stop()
+	server.Close()
+	sh.packets.Close()
+	sh.paths.close()
+	err = group.Wait()
+	sh.log.Info("entry: stopped")
+	return err
+}
+
+// leaveTimeout bounds a planned stop.
+const leaveTimeout = 30 * time.Second
+
+func (sh *Shell) readCallerPackets(ctx context.Context) {
+	var p packet.Packet
+	serveDatagrams(ctx, sh.packets, func(_ netip.AddrPort, data []byte) {
+		if f, ok := sh.core.FastFromCaller(time.Now(), &p, data); ok {
+			sh.paths.send(f.Server, f.Path, f.Address, data)
+			return
+		}
+		sh.handle(entry.CallerPacket{Data: append([]byte(nil), data...)})
+	})
+}
+
+func (sh *Shell) readServerPackets(path int, conn *net.UDPConn) {
+	var p packet.Packet
+	serveDatagrams(context.Background(), conn, func(from netip.AddrPort, data []byte) {
+		if to, ok := sh.core.FastFromServer(time.Now(), &p, from, data); ok {
+			sh.sendToCaller(to, data)
+			return
+		}
+		sh.handle(entry.ServerPacket{From: from, Path: path, Data: append([]byte(nil), data...)})
+	})
+}
+
+func (sh *Shell) sendToCaller(to netip.AddrPort, data []byte) {
+	if _, err := sh.packets.WriteToUDPAddrPort(data, to); err != nil {
+		sh.log.Debug("entry: send to caller failed", zap.Error(err))
+	}
+}
+
+func (sh *Shell) peerBatch(batch *pb.PeerBatch) {
+	sh.handle(entry.PeerBatch{Batch: batch})
+}
+
+func (sh *Shell) tick(ctx context.Context) {
+	ticker := time.NewTicker(entry.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			sh.handle(entry.Tick{})
+		}
+	}
+}
+
+// handle passes an event to the core and carries out its actions.
+func (sh *Shell) handle(ev entry.Event) {
+	for _, action := range sh.core.Handle(time.Now(), ev) {
+		switch a := action.(type) {
+		case entry.SendToServer:
+			sh.paths.send(a.Server, a.Path, a.Address, a.Data)
+		case entry.SendToCaller:
+			sh.sendToCaller(a.Address, a.Data)
+		case entry.Relay:
+			sh.sendToCaller(a.Address, a.Data)
+		case entry.SendToPeer:
+			sh.peers.send(a.To, a.Address, a.Batch)
+		case entry.ReplacePath:
+			sh.paths.replace(a.Server, a.Path)
+		case entry.Stopped:
+			sh.stopOnce.Do(func() { close(sh.stopped) })
+		}
+	}
+}
--- /dev/null
+++ b/internal/shell/tls.go
@@ -0,0 +1,105 @@
+package shell
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cuminshift/internal/settings"
+)
+
+// transport listens and dials, with mutual TLS when it is configured.
+type transport struct {
+	files *settings.TLS
+
+	mu     sync.Mutex
+	loaded time.Time
+	config *tls.Config
+}
+
+// loadTLS checks the certificate files once, so that a process refuses to
+// start on bad ones; nil settings mean plain TCP.
+func loadTLS(files *settings.TLS) (*transport, error) {
+	t := &transport{files: files}
+	if files == nil {
+		return t, nil
+	}
+	_, err := t.current()
+	return t, err
+}
+
+// current returns the configuration, reloaded when a file has changed.
+func (t *transport) current() (*tls.Config, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	changed, err := newest(t.files.CertificateFile, t.files.KeyFile, t.files.ClientCAFile)
+	if err != nil {
+		return t.config, err
+	}
+	if t.config != nil && !changed.After(t.loaded) {
+		return t.config, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(t.files.CertificateFile, t.files.KeyFile)
+	if err != nil {
+		return t.config, errors.Wrap(err, "tls: load certificate")
+	}
+	ca, err := os.ReadFile(t.files.ClientCAFile)
+	if err != nil {
+		return t.config, errors.Wrap(err, "tls: load client CA")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(ca) {
+		return t.config, errors.Newf("tls: no certificate in %s", t.files.ClientCAFile)
+	}
+	t.loaded = changed
+	t.config = &tls.Config{
+		Certificates: []tls.Certificate{certificate},
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		ClientCAs:    pool,
+		RootCAs:      pool,
+		MinVersion:   tls.VersionTLS13,
+	}
+	return t.config, nil
+}
+
+func newest(files ...string) (time.Time, error) {
+	var latest time.Time
+	for _, f := range files {
+		info, err := os.Stat(f)
+		if err != nil {
+			return latest, errors.Wrap(err, "tls: stat")
+		}
+		if info.ModTime().After(latest) {
+			latest = info.ModTime()
+		}
+	}
+	return latest, nil
+}
+
+func (t *transport) listen(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil || t.files == nil {
+		return listener, err
+	}
+	base := &tls.Config{MinVersion: tls.VersionTLS13, GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+		return t.current()
+	}}
+	return tls.NewListener(listener, base), nil
+}
+
+func (t *transport) dial(ctx context.Context, address string) (net.Conn, error) {
+	if t.files == nil {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}
+	config, err := t.current()
+	if config == nil {
+		return nil, err
+	}
+	return (&tls.Dialer{Config: config}).DialContext(ctx, "tcp", address)
+}
