--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -168,7 +168,7 @@
 }
 
 func (c *Core) instanceList(now time.Time, list []*pb.ListedInstance) {
-	c.directory.update(list, c.cfg.DataCentre)
+	c.directory.update(now, list)
 	var members []membership.Listed
 	for _, l := range list {
 		if model.DataCentre(l.GetDataCentre()) == c.cfg.DataCentre {
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -234,13 +234,26 @@
 			c.counts.add(countNoAddress)
 			continue
 		}
-		c.act(SendToPeer{To: to, Address: address, Batch: &pb.PeerBatch{From: string(c.cfg.Self), Incarnation: c.cfg.Incarnation, Messages: messages}})
+		batch := &pb.PeerBatch{From: string(c.cfg.Self), Incarnation: c.cfg.Incarnation, Messages: messages}
+		if hasHeartbeat(messages) {
+			batch.Address, batch.DataCentre = c.cfg.PeerAddress, string(c.cfg.DataCentre)
+		}
+		c.act(SendToPeer{To: to, Address: address, Batch: batch})
 	}
 	out := c.out
 	c.out = nil
 	return out
 }
 
+func hasHeartbeat(messages []*pb.PeerMessage) bool {
+	for _, m := range messages {
+		if m.GetHeartbeat() != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // Forward says where a packet of a known flow goes.
 type Forward struct {
 	Server  model.ServerID
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -3,43 +3,53 @@
 import (
 	"net/netip"
 	"sort"
+	"time"
 
 	pb "cuminshift/internal/gen/cuminshift/v1"
 	"cuminshift/internal/model"
 	"cuminshift/internal/rendezvous"
 )
 
-// listed is what the instance list says of an instance.
+// forgetAfter is how long an instance that the list no longer names stays
+// known: the list lags, and a new instance may not be in it yet.
+const forgetAfter = time.Minute
+
+// listed is what the instance list, or the instance itself, says of an
+// instance.
 type listed struct {
 	dataCentre model.DataCentre
 	peer       string
 	packets    netip.AddrPort
 	operator   string
 	leaving    bool
+	// seen is when the list last named the instance or it sent a heartbeat.
+	seen time.Time
 }
 
-// directory holds the addresses of instances. An instance that left the list
-// stays known until the next read, because the list lags.
+// directory holds the addresses of instances.
 type directory map[model.InstanceID]listed
 
-// update replaces the directory by the list, and returns the list's instances
-// of a data centre in order.
-func (d directory) update(list []*pb.ListedInstance, dc model.DataCentre) []model.InstanceID {
-	clear(d)
-	var local []model.InstanceID
+// update takes the instance list.
+func (d directory) update(now time.Time, list []*pb.ListedInstance) {
 	for _, l := range list {
 		packets, err := netip.ParseAddrPort(l.GetPacketAddress())
 		if err != nil {
 			continue
 		}
-		id := model.InstanceID(l.GetInstance())
-		d[id] = listed{model.DataCentre(l.GetDataCentre()), l.GetPeerAddress(), packets, l.GetOperatorAddress(), l.GetLeaving()}
-		if model.DataCentre(l.GetDataCentre()) == dc {
-			local = append(local, id)
+		d[model.InstanceID(l.GetInstance())] = listed{model.DataCentre(l.GetDataCentre()), l.GetPeerAddress(), packets, l.GetOperatorAddress(), l.GetLeaving(), now}
+	}
+	for id, l := range d {
+		if now.Sub(l.seen) > forgetAfter {
+			delete(d, id)
 		}
 	}
-	sort.Slice(local, func(i, j int) bool { return local[i] < local[j] })
-	return local
+}
+
+// heard takes the address that an instance gave of itself.
+func (d directory) heard(now time.Time, id model.InstanceID, dc model.DataCentre, address string) {
+	l := d[id]
+	l.dataCentre, l.peer, l.seen = dc, address, now
+	d[id] = l
 }
 
 func (d directory) peerAddress(id model.InstanceID) (string, bool) {
@@ -62,7 +72,7 @@
 func (d directory) inDataCentre(dc model.DataCentre) []model.InstanceID {
 	var ids []model.InstanceID
 	for id, l := range d {
-		if l.dataCentre == dc && !l.leaving {
+		if l.dataCentre == dc && !l.leaving && l.packets.IsValid() {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -50,6 +50,9 @@
 	if from == c.cfg.Self {
 		return
 	}
+	if batch.GetAddress() != "" {
+		c.directory.heard(now, from, model.DataCentre(batch.GetDataCentre()), batch.GetAddress())
+	}
 	for _, m := range batch.GetMessages() {
 		c.fromPeerMessage(now, from, batch.GetIncarnation(), m)
 	}
--- a/internal/shell/peers.go
+++ b/internal/shell/peers.go
@@ -163,6 +163,9 @@
 		s.pending = batch
 	} else {
 		s.pending.Messages = append(s.pending.Messages, batch.Messages...)
+		if batch.Address != "" {
+			s.pending.Address, s.pending.DataCentre = batch.Address, batch.DataCentre
+		}
 	}
 	if extra := len(s.pending.Messages) - peerQueueLimit; extra > 0 {
 		s.pending.Messages = s.pending.Messages[extra:]
