Add cuminctl and the error details of edits

Operators need one command line with stated exit codes. Errors of an edit travel as EditFailure, so the command shows both sides of a conflict.

--- /dev/null
+++ b/internal/ctl/client.go
@@ -0,0 +1,139 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"cuminshift/internal/config"
+	"cuminshift/internal/editerr"
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/gen/cuminshift/v1/cuminshiftv1connect"
+)
+
+const (
+	// readTimeout bounds a read from one entry instance.
+	readTimeout = 3 * time.Second
+	// editTimeout bounds an edit at one entry instance, which retries the store
+	// and waits for step one to be in force.
+	editTimeout = 25 * time.Second
+)
+
+// client calls the entry instances in order until one answers.
+type client struct {
+	entries []string
+	clients []cuminshiftv1connect.OperatorClient
+}
+
+func newClient(entries []string) *client {
+	c := &client{entries: entries}
+	for _, address := range entries {
+		url := address
+		if !strings.Contains(url, "://") {
+			url = "http://" + url
+		}
+		c.clients = append(c.clients, cuminshiftv1connect.NewOperatorClient(http.DefaultClient, url))
+	}
+	return c
+}
+
+type method[Req, Resp any] func(cuminshiftv1connect.OperatorClient, context.Context, *connect.Request[Req]) (*connect.Response[Resp], error)
+
+// noEntry says that no entry instance gave a final answer.
+type noEntry struct {
+	entries []string
+	errs    []error
+}
+
+func (e *noEntry) Error() string {
+	var b strings.Builder
+	b.WriteString("no entry instance answered")
+	for i, err := range e.errs {
+		fmt.Fprintf(&b, "\n  %s: %v", e.entries[i], err)
+	}
+	return b.String()
+}
+
+// call returns the first answer. An error is an answer as well, unless another
+// instance may do better.
+func call[Req, Resp any](ctx context.Context, c *client, timeout time.Duration, req *Req, m method[Req, Resp]) (*Resp, error) {
+	none := &noEntry{entries: c.entries}
+	for _, client := range c.clients {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		resp, err := m(client, ctx, connect.NewRequest(req))
+		cancel()
+		if err == nil {
+			return resp.Msg, nil
+		}
+		if !tryNext(err) {
+			return nil, err
+		}
+		none.errs = append(none.errs, err)
+	}
+	return nil, &exitError{ExitNoEntry, none}
+}
+
+// tryNext says that an instance was not reached, or did not reach the store,
+// which another instance may.
+func tryNext(err error) bool {
+	if failure := editerr.Decode(err); failure != nil {
+		return failure.GetKind() == pb.EditFailure_KIND_STORE_UNAVAILABLE || failure.GetKind() == pb.EditFailure_KIND_OUTCOME_UNKNOWN
+	}
+	code := connect.CodeOf(err)
+	return code == connect.CodeUnavailable || code == connect.CodeDeadlineExceeded
+}
+
+func (c *client) config(ctx context.Context) (*pb.GetConfigResponse, error) {
+	return call(ctx, c, readTimeout, &pb.GetConfigRequest{}, cuminshiftv1connect.OperatorClient.GetConfig)
+}
+
+func (c *client) status(ctx context.Context) (*pb.StatusResponse, error) {
+	return call(ctx, c, readTimeout, &pb.StatusRequest{}, cuminshiftv1connect.OperatorClient.Status)
+}
+
+func (c *client) explain(ctx context.Context, subject string) (*pb.ExplainResponse, error) {
+	return call(ctx, c, readTimeout, &pb.ExplainRequest{Subject: subject}, cuminshiftv1connect.OperatorClient.Explain)
+}
+
+func (c *client) burn(ctx context.Context) (*pb.BurnResponse, error) {
+	return call(ctx, c, readTimeout, &pb.BurnRequest{}, cuminshiftv1connect.OperatorClient.Burn)
+}
+
+// edit repeats the edit at the next instance when one does not answer: the
+// edit id makes that safe.
+func (c *client) edit(ctx context.Context, req *pb.EditRequest) (*pb.EditResponse, error) {
+	resp, err := call(ctx, c, editTimeout, req, cuminshiftv1connect.OperatorClient.Edit)
+	var none *noEntry
+	switch {
+	case errors.As(err, &none):
+		return nil, editError(req.GetEditId(), none.worst())
+	case err != nil:
+		return nil, editError(req.GetEditId(), err)
+	}
+	return resp, nil
+}
+
+// worst returns the error that leaves most open: an instance that was reached
+// but did not answer may have accepted the edit.
+func (e *noEntry) worst() error {
+	out := error(&exitError{ExitNoEntry, e})
+	for _, err := range e.errs {
+		failure := editerr.Decode(err)
+		var dial *net.OpError
+		switch {
+		case failure.GetKind() == pb.EditFailure_KIND_OUTCOME_UNKNOWN:
+			return err
+		case failure != nil:
+			out = err
+		case !errors.As(err, &dial) || dial.Op != "dial":
+			return editerr.Encode(&config.OutcomeUnknown{Cause: e})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/ctl/edit.go
@@ -0,0 +1,207 @@
+package ctl
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/lists"
+)
+
+// pollPeriod is the pause between looks at the progress of an edit.
+const pollPeriod = 200 * time.Millisecond
+
+func runValidate(_ context.Context, e *env) error {
+	files, err := readFiles(e.callers, e.plans, true)
+	if err != nil {
+		return err
+	}
+	if err := e.report(files.check(lists.Content{})); err != nil {
+		return err
+	}
+	if e.output == "json" {
+		printJSON(e.stdout, map[string]any{"valid": true})
+	} else {
+		fmt.Fprintf(e.stdout, "valid: %d callers, %d plans, %d services\n", len(files.callers.List.GetCallers()),
+			len(files.plans.List.GetPlans()), len(files.plans.List.GetServices()))
+	}
+	return nil
+}
+
+func runDiff(ctx context.Context, e *env) error {
+	files, current, err := e.filesAndConfig(ctx)
+	if err != nil {
+		return err
+	}
+	changes := lists.Diff(contentOf(current), files.over(contentOf(current)))
+	base, _ := files.baseVersion(e.base, current.GetRoot().GetVersion())
+	if e.output == "json" {
+		printJSON(e.stdout, map[string]any{"version": current.GetRoot().GetVersion(), "base": base, "changes": changes})
+		return nil
+	}
+	e.noteMemory(current)
+	fmt.Fprintf(e.stdout, "compared with version %d; the files are based on version %d\n", current.GetRoot().GetVersion(), base)
+	if base != current.GetRoot().GetVersion() {
+		fmt.Fprintln(e.stdout, "changes accepted since then appear here as if the files undid them; apply keeps them")
+	}
+	printChanges(e.stdout, changes)
+	return nil
+}
+
+func runApply(ctx context.Context, e *env) error {
+	files, current, err := e.filesAndConfig(ctx)
+	if err != nil {
+		return err
+	}
+	base, err := files.baseVersion(e.base, current.GetRoot().GetVersion())
+	if err != nil {
+		return err
+	}
+	req := &pb.EditRequest{BaseVersion: base, Callers: files.callers.List, Plans: files.plans.List}
+	resp, err := e.submit(ctx, req)
+	if err != nil || e.dryRun {
+		return err
+	}
+	return e.updateBase(ctx, files, resp.GetVersion())
+}
+
+// submit sends the edit and waits until it is in force.
+func (e *env) submit(ctx context.Context, req *pb.EditRequest) (*pb.EditResponse, error) {
+	if e.operator == "" {
+		return nil, exitf(ExitUsage, "--operator is required")
+	}
+	req.EditId, req.Operator, req.Summary, req.DryRun = e.editID, e.operator, e.summary, e.dryRun
+	if req.EditId == "" {
+		req.EditId = rand.Text()
+	}
+	resp, err := e.client.edit(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	if e.output != "json" {
+		printChanges(e.stdout, resp.GetChanges())
+	}
+	if e.dryRun {
+		if e.output == "json" {
+			printJSON(e.stdout, map[string]any{"dryRun": true, "version": resp.GetVersion(), "changes": resp.GetChanges()})
+		} else {
+			fmt.Fprintf(e.stdout, "dry run against version %d; nothing was changed\n", resp.GetVersion())
+		}
+		return resp, nil
+	}
+	e.progress("accepted as version %d (edit %s)\n", resp.GetVersion(), req.GetEditId())
+	unreachable, err := e.awaitInForce(ctx, resp.GetVersion())
+	if err != nil {
+		return nil, err
+	}
+	if e.output == "json" {
+		printJSON(e.stdout, map[string]any{"version": resp.GetVersion(), "editId": req.GetEditId(),
+			"changes": resp.GetChanges(), "inForce": true, "unreachable": unreachable})
+	}
+	return resp, nil
+}
+
+// progress prints a line for people.
+func (e *env) progress(format string, args ...any) {
+	if e.output != "json" {
+		fmt.Fprintf(e.stdout, format, args...)
+	}
+}
+
+// awaitInForce waits until all live instances of all reachable data centres
+// have reported the version, and returns the unreachable ones.
+func (e *env) awaitInForce(ctx context.Context, version uint64) (unreachable []string, err error) {
+	deadline, start := time.Now().Add(e.wait), time.Now()
+	shown := ""
+	for {
+		p := progress{}
+		if status, err := e.client.status(ctx); err == nil {
+			p = progressOf(status, version)
+		} else {
+			p.waiting = []string{"an entry instance to answer"}
+		}
+		if len(p.waiting) == 0 {
+			e.progress("version %d is in force after %.1f s\n", version, time.Since(start).Seconds())
+			if len(p.unreachable) > 0 {
+				e.progress("unreachable, not confirmed: %s\n", joinNames(p.unreachable))
+			}
+			return p.unreachable, nil
+		}
+		if line := joinNames(p.waiting); line != shown {
+			e.progress("waiting for %s\n", line)
+			shown = line
+		}
+		if time.Now().After(deadline) {
+			return nil, exitf(ExitNotInForce, "version %d is accepted, but after %v not in force at: %s", version, e.wait, joinNames(p.waiting))
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(pollPeriod):
+		}
+	}
+}
+
+type progress struct {
+	waiting, unreachable []string
+}
+
+// progressOf names the instances and data centres that do not have the version.
+// A data centre whose summary counts no live instances is unreachable.
+func progressOf(s *pb.StatusResponse, version uint64) progress {
+	var p progress
+	for _, i := range s.GetInstances() {
+		if i.GetState() != pb.InstanceState_INSTANCE_STATE_LEAVING && i.GetConfigVersion() < version {
+			p.waiting = append(p.waiting, i.GetInstance())
+		}
+	}
+	if len(s.GetInstances()) == 0 && s.GetConfigVersion() < version {
+		p.waiting = append(p.waiting, s.GetInstance())
+	}
+	for _, dc := range s.GetDataCentres() {
+		switch {
+		case dc.GetDataCentre() == s.GetDataCentre():
+		case dc.GetLiveInstances() == 0:
+			p.unreachable = append(p.unreachable, dc.GetDataCentre())
+		case dc.GetInForceVersion() < version:
+			p.waiting = append(p.waiting, dc.GetDataCentre())
+		}
+	}
+	return p
+}
+
+func runMark(ctx context.Context, e *env) error {
+	if e.markTo != "in" && e.markTo != "out" {
+		return exitf(ExitUsage, "mark ends with in or out, not %q", e.markTo)
+	}
+	current, err := e.client.config(ctx)
+	if err != nil {
+		return err
+	}
+	marks := &pb.Marks{}
+	if current.GetMarks() != nil {
+		marks = proto.CloneOf(current.GetMarks())
+	}
+	names := map[string]*[]string{"data-centre": &marks.DataCentresOut, "instance": &marks.InstancesOut}[e.markKind]
+	if names == nil {
+		return exitf(ExitUsage, "mark takes data-centre or instance, not %q", e.markKind)
+	}
+	was := slices.Contains(*names, e.markName)
+	*names = slices.DeleteFunc(*names, func(n string) bool { return n == e.markName })
+	if e.markTo == "out" {
+		*names = append(*names, e.markName)
+	}
+	if was == (e.markTo == "out") {
+		e.progress("%s is marked %s already\n", e.markName, e.markTo)
+	}
+	if e.summary == "" {
+		e.summary = fmt.Sprintf("mark %s %s %s", e.markKind, e.markName, e.markTo)
+	}
+	_, err = e.submit(ctx, &pb.EditRequest{BaseVersion: current.GetRoot().GetVersion(), Marks: marks})
+	return err
+}
--- /dev/null
+++ b/internal/ctl/errors.go
@@ -0,0 +1,73 @@
+package ctl
+
+import (
+	"fmt"
+	"strings"
+
+	"cuminshift/internal/editerr"
+	pb "cuminshift/internal/gen/cuminshift/v1"
+)
+
+var failureCodes = map[pb.EditFailure_Kind]int{
+	pb.EditFailure_KIND_INVALID:           ExitInvalid,
+	pb.EditFailure_KIND_CONFLICT:          ExitConflict,
+	pb.EditFailure_KIND_BASE_UNKNOWN:      ExitConflict,
+	pb.EditFailure_KIND_CONTENTION:        ExitConflict,
+	pb.EditFailure_KIND_STORE_UNAVAILABLE: ExitStoreOut,
+	pb.EditFailure_KIND_OUTCOME_UNKNOWN:   ExitOutcomeUnknown,
+	pb.EditFailure_KIND_NOT_IN_FORCE:      ExitNotInForce,
+}
+
+// editError explains a refused edit to the operator.
+func editError(id string, err error) error {
+	failure := editerr.Decode(err)
+	if failure == nil {
+		return err
+	}
+	var b strings.Builder
+	switch failure.GetKind() {
+	case pb.EditFailure_KIND_INVALID:
+		b.WriteString("the edit is not valid; nothing was changed\n")
+	case pb.EditFailure_KIND_CONFLICT:
+		writeConflict(&b, failure)
+	case pb.EditFailure_KIND_STORE_UNAVAILABLE:
+		writeStoreOut(&b, failure)
+	case pb.EditFailure_KIND_OUTCOME_UNKNOWN:
+		fmt.Fprintf(&b, "the store did not confirm the edit, which may have been accepted; repeat it with --edit-id %s\n", id)
+	default:
+		fmt.Fprintln(&b, err)
+	}
+	if failure.GetStepOne() > 0 {
+		fmt.Fprintf(&b, "step one is version %d; repeat with --edit-id %s to finish the edit\n", failure.GetStepOne(), id)
+	}
+	for _, f := range failure.GetFindings() {
+		fmt.Fprintf(&b, "  %s: %s: %s\n", f.GetFile(), f.GetPath(), f.GetMessage())
+	}
+	return exitf(failureCodes[failure.GetKind()], "%s", b.String())
+}
+
+func writeConflict(b *strings.Builder, failure *pb.EditFailure) {
+	b.WriteString("conflict with another edit; nothing was changed\nyour edit:\n")
+	for _, line := range failure.GetYours() {
+		fmt.Fprintf(b, "  %s\n", line)
+	}
+	b.WriteString("accepted meanwhile:\n")
+	for _, r := range failure.GetTheirEdits() {
+		fmt.Fprintf(b, "  version %d by %s at %s: %s\n", r.GetVersion(), r.GetOperator(), timeOf(r.GetAcceptedUnixMs()), r.GetSummary())
+	}
+	for _, line := range failure.GetTheirs() {
+		fmt.Fprintf(b, "  %s\n", line)
+	}
+	if len(failure.GetFindings()) > 0 {
+		b.WriteString("both together are not valid:\n")
+	}
+}
+
+func writeStoreOut(b *strings.Builder, failure *pb.EditFailure) {
+	b.WriteString("the store is out: ")
+	if failure.GetStepOne() == 0 {
+		b.WriteString("nothing was changed; the newest version stays in force\n")
+		return
+	}
+	b.WriteString("only step one of the edit was published\n")
+}
--- /dev/null
+++ b/internal/ctl/show.go
@@ -0,0 +1,187 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+)
+
+// maxNamesShown keeps a line readable when hundreds of instances lag.
+const maxNamesShown = 8
+
+func joinNames(names []string) string {
+	if len(names) > maxNamesShown {
+		return fmt.Sprintf("%s and %d others", strings.Join(names[:maxNamesShown], ", "), len(names)-maxNamesShown)
+	}
+	return strings.Join(names, ", ")
+}
+
+func timeOf(unixMS int64) string {
+	return time.UnixMilli(unixMS).UTC().Format("2006-01-02 15:04:05 UTC")
+}
+
+func printJSON(w io.Writer, v any) {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	// An encoding failure of our own maps and strings is not possible, and one
+	// of the writer cannot be reported on it.
+	_ = enc.Encode(v)
+}
+
+func printMessage(w io.Writer, m proto.Message) error {
+	data, err := protojson.MarshalOptions{Multiline: true, EmitUnpopulated: true}.Marshal(m)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(w, string(data))
+	return err
+}
+
+func printChanges(w io.Writer, changes []string) {
+	if len(changes) == 0 {
+		fmt.Fprintln(w, "no changes")
+	}
+	for _, c := range changes {
+		fmt.Fprintln(w, c)
+	}
+}
+
+// table prints rows in columns; the first row is the heading.
+func table(w io.Writer, rows [][]string) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		fmt.Fprintln(t, strings.Join(row, "\t"))
+	}
+	_ = t.Flush()
+}
+
+// noteMemory says that an answer comes from the instance's memory.
+func (e *env) noteMemory(r *pb.GetConfigResponse) {
+	if !r.GetFromStore() {
+		fmt.Fprintf(e.stderr, "the store is out; this is version %d as held by the entry instance\n", r.GetRoot().GetVersion())
+	}
+}
+
+func runStatus(ctx context.Context, e *env) error {
+	s, err := e.client.status(ctx)
+	if err != nil {
+		return err
+	}
+	if e.output == "json" {
+		return printMessage(e.stdout, s)
+	}
+	if !s.GetStoreReachable() {
+		fmt.Fprintf(e.stdout, "THE STORE IS OUT: edits are refused; version %d stays in force\n", s.GetConfigVersion())
+	}
+	fmt.Fprintf(e.stdout, "instance %s in %s: configuration %d, generation %d, publisher %s\n\n",
+		s.GetInstance(), s.GetDataCentre(), s.GetConfigVersion(), s.GetGeneration(), s.GetPublisher())
+	table(e.stdout, instanceRows(s))
+	fmt.Fprintln(e.stdout)
+	table(e.stdout, centreRows(s))
+	fmt.Fprintln(e.stdout)
+	table(e.stdout, serverRows(s))
+	return nil
+}
+
+func instanceRows(s *pb.StatusResponse) [][]string {
+	rows := [][]string{{"INSTANCE", "STATE", "CONFIG", "GENERATION", "UPTIME", "LAST HEARD"}}
+	for _, i := range s.GetInstances() {
+		rows = append(rows, []string{i.GetInstance(), short(i.GetState().String(), "INSTANCE_STATE_"),
+			fmt.Sprint(i.GetConfigVersion()), fmt.Sprint(i.GetGeneration()),
+			(time.Duration(i.GetUptimeS()) * time.Second).String(), fmt.Sprintf("%d ms ago", i.GetLastHeardMs())})
+	}
+	return rows
+}
+
+func centreRows(s *pb.StatusResponse) [][]string {
+	rows := [][]string{{"DATA CENTRE", "CONFIG", "IN FORCE", "LIVE", "LAGGING"}}
+	for _, dc := range s.GetDataCentres() {
+		lagging := joinNames(dc.GetLagging())
+		if dc.GetLiveInstances() == 0 {
+			lagging = "unreachable"
+		}
+		rows = append(rows, []string{dc.GetDataCentre(), fmt.Sprint(dc.GetConfigVersion()),
+			fmt.Sprint(dc.GetInForceVersion()), fmt.Sprint(dc.GetLiveInstances()), lagging})
+	}
+	return rows
+}
+
+func serverRows(s *pb.StatusResponse) [][]string {
+	rows := [][]string{{"SERVER", "CONDITION", "FLOWS", "BUSY", "ALLOWED", "BUCKETS"}}
+	for _, v := range s.GetServers() {
+		rows = append(rows, []string{v.GetService() + "/" + v.GetServer(), short(v.GetCondition().String(), "SERVER_CONDITION_"),
+			fmt.Sprint(v.GetOpenFlows()), fmt.Sprint(v.GetBusySlots()), fmt.Sprint(v.GetAllowedSlots()), fmt.Sprint(v.GetBuckets())})
+	}
+	return rows
+}
+
+func short(enum, prefix string) string { return strings.ToLower(strings.TrimPrefix(enum, prefix)) }
+
+func runExplain(ctx context.Context, e *env) error {
+	r, err := e.client.explain(ctx, e.subject)
+	if err != nil {
+		return err
+	}
+	if e.output == "json" {
+		return printMessage(e.stdout, r)
+	}
+	for _, line := range r.GetLines() {
+		fmt.Fprintln(e.stdout, line)
+	}
+	if len(r.GetJournal()) > 0 {
+		rows := [][]string{{"TIME", "PART", "EVENT", "CAUSE"}}
+		for _, j := range r.GetJournal() {
+			rows = append(rows, []string{timeOf(j.GetUnixMs()), j.GetPart(), j.GetEvent(), j.GetCause()})
+		}
+		fmt.Fprintln(e.stdout)
+		table(e.stdout, rows)
+	}
+	return nil
+}
+
+func runHistory(ctx context.Context, e *env) error {
+	r, err := e.client.config(ctx)
+	if err != nil {
+		return err
+	}
+	edits := slices.Clone(r.GetRoot().GetEdits())
+	slices.Reverse(edits)
+	if e.output == "json" {
+		return printMessage(e.stdout, &pb.Root{Version: r.GetRoot().GetVersion(), Edits: edits})
+	}
+	e.noteMemory(r)
+	rows := [][]string{{"VERSION", "ACCEPTED", "OPERATOR", "SUMMARY", "EDIT"}}
+	for _, x := range edits {
+		rows = append(rows, []string{fmt.Sprint(x.GetVersion()), timeOf(x.GetAcceptedUnixMs()), x.GetOperator(), x.GetSummary(), x.GetId()})
+	}
+	table(e.stdout, rows)
+	return nil
+}
+
+func runBurn(ctx context.Context, e *env) error {
+	r, err := e.client.burn(ctx)
+	if err != nil {
+		return err
+	}
+	if e.output == "json" {
+		return printMessage(e.stdout, r)
+	}
+	rows := [][]string{{"SERVICE", "DATA CENTRE", "OBJECTIVE", "WINDOW", "GOOD", "BAD", "BURN", "BUDGET LEFT", "EVENTS"}}
+	for _, l := range r.GetLines() {
+		rows = append(rows, []string{l.GetService(), l.GetDataCentre(), l.GetObjective(),
+			(time.Duration(l.GetWindowS()) * time.Second).String(), fmt.Sprint(l.GetGood()), fmt.Sprint(l.GetBad()),
+			fmt.Sprintf("%.2f", l.GetBurnRate()), fmt.Sprintf("%.1f%%", 100*l.GetBudgetLeft()), strings.Join(l.GetEvents(), "; ")})
+	}
+	table(e.stdout, rows)
+	return nil
+}
