--- a/internal/shell/edit.go
+++ b/internal/shell/edit.go
@@ -6,11 +6,10 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"cuminshift/internal/config"
-	"cuminshift/internal/findings"
+	"cuminshift/internal/editerr"
 	pb "cuminshift/internal/gen/cuminshift/v1"
 	"cuminshift/internal/storeclient"
 )
@@ -51,38 +50,10 @@
 	})
 	if err != nil {
 		o.sh.log.Info("config: edit not accepted", zap.String(logCause, err.Error()))
-		return nil, connect.NewError(editCode(err), err)
+		return nil, editerr.Encode(err)
 	}
 	if !r.GetDryRun() {
 		o.sh.log.Info("config: edit accepted", zap.Uint64(logVersion, done.Version), zap.String(logOperator, r.GetOperator()))
 	}
 	return connect.NewResponse(&pb.EditResponse{Version: done.Version, Changes: done.Changes}), nil
 }
-
-// editCode maps the typed errors of an edit to codes of the operator
-// interface.
-func editCode(err error) connect.Code {
-	var (
-		conflict    *config.Conflict
-		contention  *config.Contention
-		baseUnknown *config.BaseUnknown
-		unavailable *config.StoreUnavailable
-		unknown     *config.OutcomeUnknown
-		notInForce  *config.NotInForce
-		tooLarge    *config.TooLarge
-		invalid     *findings.Error
-	)
-	switch {
-	case errors.As(err, &conflict), errors.As(err, &contention), errors.As(err, &baseUnknown):
-		return connect.CodeAborted
-	case errors.As(err, &unavailable):
-		return connect.CodeUnavailable
-	case errors.As(err, &unknown):
-		return connect.CodeUnknown
-	case errors.As(err, &notInForce):
-		return connect.CodeDeadlineExceeded
-	case errors.As(err, &invalid), errors.As(err, &tooLarge):
-		return connect.CodeInvalidArgument
-	}
-	return connect.CodeInternal
-}
