--- /dev/null
+++ b/internal/membership/heartbeat.go
@@ -0,0 +1,243 @@
+package membership
+
+import (
+	"time"
+
+	"cuminshift/internal/dcstate"
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/model"
+	"cuminshift/internal/peer"
+)
+
+// forgetAfter is the time for which a silent instance that is in no view is
+// remembered. It exceeds DeadAfter many times over, so that a late heartbeat
+// of an earlier incarnation is still recognised.
+const forgetAfter = 60 * time.Second
+
+// Heartbeat handles a heartbeat. The publisher returns an acknowledgement; an
+// instance that may have to publish asks for a state it does not have.
+func (m *Membership) Heartbeat(now time.Time, from model.InstanceID, incarnation uint64, h *pb.Heartbeat) []peer.Message {
+	m.observeTime(now)
+	if from == m.cfg.Self {
+		return nil
+	}
+	p := m.admit(now, from, incarnation)
+	if p == nil {
+		return nil
+	}
+	m.update(now, p, h)
+	m.updateRole(now)
+	var out []peer.Message
+	if m.headsRanking(now) || m.publishing || m.yieldedTo != "" {
+		out = m.requestState(now, from, p.applied, true)
+	}
+	if m.acknowledges(now, from) {
+		out = append(out, peer.Message{To: from, Body: &pb.PeerMessage{Body: &pb.PeerMessage_HeartbeatAck{HeartbeatAck: &pb.HeartbeatAck{
+			SentMs:      h.GetSentMs(),
+			Generation:  m.state.Version.Generation,
+			Publisher:   string(m.state.Version.Publisher),
+			Incarnation: incarnation,
+			Yields:      m.yieldedTo == from,
+		}}}})
+	}
+	return out
+}
+
+// admit returns the entry of the sender, or nil when the heartbeat is from an
+// earlier run. A lower incarnation is taken for a new run only after the known
+// one has been silent for DeadAfter (the clock of the machine was set back).
+func (m *Membership) admit(now time.Time, from model.InstanceID, incarnation uint64) *peerInfo {
+	p := m.peers[from]
+	if p != nil && p.incarnation == incarnation {
+		return p
+	}
+	if p != nil && incarnation < p.incarnation && m.heard(now, p) {
+		return nil
+	}
+	if p == nil {
+		m.order = nil
+	}
+	p = &peerInfo{incarnation: incarnation}
+	m.peers[from] = p
+	return p
+}
+
+func (m *Membership) update(now time.Time, p *peerInfo, h *pb.Heartbeat) {
+	if p.heardSince.IsZero() || now.Sub(p.lastBeat) > m.cfg.Lease {
+		p.heardSince = now
+	}
+	p.lastBeat, p.lastHeard = now, now
+	if !p.left {
+		// Leaving is final; a delayed heartbeat does not revoke it.
+		p.state = h.GetState()
+		p.left = p.state == pb.InstanceState_INSTANCE_STATE_LEAVING
+	}
+	p.configVersion = max(p.configVersion, h.GetConfigVersion())
+	p.started = now.Add(-time.Duration(h.GetUptimeS()) * time.Second)
+	confirmed := dcstate.Version{Generation: h.GetGeneration(), Publisher: model.InstanceID(h.GetPublisher())}
+	if p.confirmed.Less(confirmed) {
+		p.confirmed = confirmed
+	}
+	applied := dcstate.Version{Generation: h.GetAppliedGeneration(), Publisher: model.InstanceID(h.GetAppliedPublisher())}
+	for _, v := range []dcstate.Version{confirmed, applied} {
+		if p.applied.Less(v) {
+			p.applied = v
+		}
+	}
+	if m.newestSeen.Less(p.applied) {
+		m.newestSeen = p.applied
+	}
+}
+
+// HeartbeatAck handles an acknowledgement, which extends the lease from the
+// time at which the acknowledged heartbeat was sent. It may return a request
+// for the state that the acknowledgement names.
+func (m *Membership) HeartbeatAck(now time.Time, from model.InstanceID, a *pb.HeartbeatAck) []peer.Message {
+	m.observeTime(now)
+	sent := m.cfg.Started.Add(time.Duration(a.GetSentMs()) * time.Millisecond)
+	if a.GetIncarnation() != m.cfg.Incarnation || sent.After(now) {
+		return nil
+	}
+	if p := m.peers[from]; p != nil {
+		p.lastHeard = now
+	}
+	v := dcstate.Version{Generation: a.GetGeneration(), Publisher: model.InstanceID(a.GetPublisher())}
+	if v.Less(m.state.Version) && from != m.state.Version.Publisher {
+		// The sender has not noticed that another instance publishes.
+		return nil
+	}
+	renewed := m.leaseOver(now)
+	if renewed && m.required.Less(v) {
+		m.required = v
+	}
+	if sent.After(m.leaseFrom) {
+		m.leaseFrom = sent
+	}
+	m.lastAck = now
+	if a.GetYields() {
+		m.offer = yieldOffer{from, v, now}
+	}
+	m.updateRole(now)
+	return m.requestState(now, from, v, m.Fenced(now))
+}
+
+// requestState asks for a state newer than the applied one. Unless it is
+// urgent it waits for two heartbeat intervals, in which the publisher's own
+// update normally arrives: a full state is large (some MB with 5,000 servers).
+func (m *Membership) requestState(now time.Time, from model.InstanceID, v dcstate.Version, urgent bool) []peer.Message {
+	if !m.state.Version.Less(v) {
+		return nil
+	}
+	if m.behindSince.IsZero() {
+		m.behindSince = now
+	}
+	if !urgent && now.Sub(m.behindSince) < 2*m.cfg.HeartbeatInterval {
+		return nil
+	}
+	if !m.lastRequest.IsZero() && now.Sub(m.lastRequest) < 2*m.cfg.HeartbeatInterval {
+		return nil
+	}
+	m.lastRequest = now
+	return []peer.Message{{To: from, Body: &pb.PeerMessage{Body: &pb.PeerMessage_StateRequest{StateRequest: &pb.StateRequest{
+		Generation: m.state.Version.Generation,
+		Publisher:  string(m.state.Version.Publisher),
+	}}}}}
+}
+
+// Tick returns the heartbeats that are due. It must be called at least once
+// per HeartbeatInterval; a gap longer than the lease is taken for a freeze.
+// A heartbeat to the instance itself carries its reports to the publisher's
+// merger on the publisher.
+func (m *Membership) Tick(now time.Time, l Local) []peer.Message {
+	m.observeTime(now)
+	m.local = l
+	m.out = l.InstancesOut
+	m.prune(now)
+	m.updateRole(now)
+	// A tenth of the interval is allowed for the jitter of the caller's timer.
+	if !m.lastBeat.IsZero() && now.Sub(m.lastBeat) < m.cfg.HeartbeatInterval-m.cfg.HeartbeatInterval/10 {
+		return nil
+	}
+	m.lastBeat = now
+	return m.heartbeats(now)
+}
+
+// Leave announces that the instance leaves.
+func (m *Membership) Leave(now time.Time) []peer.Message {
+	m.observeTime(now)
+	if m.leaving {
+		return nil
+	}
+	m.leaving = true
+	m.updateRole(now)
+	m.lastBeat = now
+	return m.heartbeats(now)
+}
+
+func (m *Membership) ownState() pb.InstanceState {
+	switch {
+	case m.leaving:
+		return pb.InstanceState_INSTANCE_STATE_LEAVING
+	case m.local.Ready:
+		return pb.InstanceState_INSTANCE_STATE_READY
+	}
+	return pb.InstanceState_INSTANCE_STATE_JOINING
+}
+
+// heartbeats builds the heartbeats of one interval. Reports go to the
+// publisher and to its first successor only, empty buckets to the publisher.
+func (m *Membership) heartbeats(now time.Time) []peer.Message {
+	targets := m.targets(now)
+	publisher, successor := m.reportReceivers(now, targets)
+	reports := m.reports.next(m.local.Reports, m.cfg.MaxReports)
+	plain := m.heartbeat(now)
+	out := make([]peer.Message, 0, len(targets)+1)
+	for _, to := range targets {
+		h := plain
+		if to == publisher || to == successor {
+			h = m.heartbeat(now)
+			h.Servers = reports
+			if to == publisher {
+				h.Owned = m.local.Owned
+			}
+		}
+		out = append(out, heartbeatTo(to, h))
+	}
+	if publisher == m.cfg.Self {
+		h := m.heartbeat(now)
+		h.Servers, h.Owned = reports, m.local.Owned
+		out = append(out, heartbeatTo(m.cfg.Self, h))
+	}
+	return out
+}
+
+func heartbeatTo(to model.InstanceID, h *pb.Heartbeat) peer.Message {
+	return peer.Message{To: to, Body: &pb.PeerMessage{Body: &pb.PeerMessage_Heartbeat{Heartbeat: h}}}
+}
+
+func (m *Membership) heartbeat(now time.Time) *pb.Heartbeat {
+	uptime := now.Sub(m.cfg.Started)
+	h := &pb.Heartbeat{
+		State:         m.ownState(),
+		SentMs:        uint64(uptime / time.Millisecond),
+		Generation:    m.local.Confirmed.Generation,
+		Publisher:     string(m.local.Confirmed.Publisher),
+		ConfigVersion: m.local.ConfigVersion,
+		UptimeS:       uint32(uptime / time.Second),
+	}
+	if m.state.Version != m.local.Confirmed {
+		h.AppliedGeneration = m.state.Version.Generation
+		h.AppliedPublisher = string(m.state.Version.Publisher)
+	}
+	return h
+}
+
+// prune forgets instances that are in no view and have been silent for long.
+func (m *Membership) prune(now time.Time) {
+	for id, p := range m.peers {
+		if now.Sub(p.lastHeard) > forgetAfter && !m.isMember(id) {
+			delete(m.peers, id)
+			m.order = nil
+		}
+	}
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -5,16 +5,32 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	"cuminshift/internal/dcstate"
 	pb "cuminshift/internal/gen/cuminshift/v1"
 	"cuminshift/internal/model"
-	"cuminshift/internal/peer"
+)
+
+// Defaults of Config.
+const (
+	DefaultHeartbeatInterval = 200 * time.Millisecond
+	DefaultLease             = 600 * time.Millisecond
+	// DefaultDeadAfter exceeds the lease by the longest datagram lifetime
+	// (300 ms), so that a packet sent on an expired lease is gone before the
+	// view without its sender is published.
+	DefaultDeadAfter       = time.Second
+	DefaultFlowIdleTimeout = 300 * time.Second
+	DefaultFullMesh        = 16
+	DefaultSuccessors      = 4
+	// DefaultMaxReports keeps the reports of an instance to about 2 KB/s: 8
+	// reports of 25 bytes, 5 times a second, to two receivers.
+	DefaultMaxReports = 8
 )
 
 // Config holds the fixed parameters of an instance's membership. Zero
-// durations and counts mean the defaults below.
+// durations and counts mean the defaults.
 type Config struct {
 	Self model.InstanceID
 	// Incarnation differs between two runs of an instance; the later run has
@@ -37,6 +53,23 @@
 	MaxReports int
 }
 
+func (c *Config) setDefaults() {
+	setDefault(&c.HeartbeatInterval, DefaultHeartbeatInterval)
+	setDefault(&c.Lease, DefaultLease)
+	setDefault(&c.DeadAfter, DefaultDeadAfter)
+	setDefault(&c.FlowIdleTimeout, DefaultFlowIdleTimeout)
+	setDefault(&c.FullMesh, DefaultFullMesh)
+	setDefault(&c.Successors, DefaultSuccessors)
+	setDefault(&c.MaxReports, DefaultMaxReports)
+}
+
+func setDefault[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
+
 // Local is what the instance says about itself in its heartbeats.
 type Local struct {
 	// Ready is set once the instance holds a configuration and serves.
@@ -45,7 +78,7 @@
 	// by their owners.
 	Confirmed     dcstate.Version
 	ConfigVersion uint64
-	// Reports holds all servers known; the heartbeat carries the changed ones
+	// Reports holds all servers known; a heartbeat carries the changed ones
 	// first, up to MaxReports.
 	Reports []*pb.ServerReport
 	// Owned lists the buckets that this instance owns and has no records of.
@@ -65,11 +98,11 @@
 	Instance    model.InstanceID
 	Incarnation uint64
 	// Confirmed is the newest state that the member has applied and for which
-	// its collected pins are acknowledged.
+	// its collected pins are acknowledged. It is zero for a member that this
+	// instance has not heard from.
 	Confirmed     dcstate.Version
 	ConfigVersion uint64
 	Uptime        time.Duration
-	LastHeard     time.Time
 }
 
 // Death is the end of an instance that had not announced that it leaves.
@@ -79,69 +112,346 @@
 	At          time.Time
 }
 
+// peerInfo is what this instance knows of another one.
+type peerInfo struct {
+	incarnation uint64
+	state       pb.InstanceState
+	// lastHeard is the time of the last heartbeat or acknowledgement, or the
+	// time at which a view first named the instance.
+	lastHeard time.Time
+	// heardSince starts the current run of heartbeats without a gap longer
+	// than the lease; it is zero before the first heartbeat.
+	heardSince    time.Time
+	lastBeat      time.Time
+	confirmed     dcstate.Version
+	applied       dcstate.Version
+	configVersion uint64
+	// started is the sender's start time, on this instance's clock.
+	started time.Time
+	// left is set by a heartbeat that announced LEAVING, which is final.
+	left bool
+}
+
 // Membership is the membership state of one instance.
 type Membership struct {
-	cfg Config
+	cfg   Config
+	peers map[model.InstanceID]*peerInfo
+	// order holds the peers and this instance in publisher ranking; it is nil
+	// when it must be sorted again.
+	order     []model.InstanceID
+	rank      map[model.InstanceID]int
+	listed    map[model.InstanceID]bool
+	haveList  bool
+	out       map[model.InstanceID]bool
+	local     Local
+	leaving   bool
+	lastBeat  time.Time
+	probeNext int
+	reports   reportQueue
+
+	// state is the newest state applied; member is this instance's entry.
+	state   *dcstate.State
+	members map[model.InstanceID]dcstate.Member
+	deaths  []Death
+
+	// last is the latest time seen, listenSince the start of the current run
+	// without a gap longer than the lease.
+	last        time.Time
+	listenSince time.Time
+	// hearingSince is the time since which all members send their heartbeats
+	// to this instance; zero while they need not.
+	hearingSince time.Time
+
+	// leaseFrom is the sending time of the last acknowledged heartbeat.
+	leaseFrom time.Time
+	lastAck   time.Time
+	// required is the state to catch up with before leaving fencing.
+	required    dcstate.Version
+	behindSince time.Time
+	lastRequest time.Time
+	// newestSeen is the newest state ever reported by another instance.
+	newestSeen dcstate.Version
+
+	publishing bool
+	// graceFrom is the time from which the silence of members counts. After an
+	// early takeover it holds for all members, else only for those that rank
+	// below this instance.
+	graceFrom     time.Time
+	earlyTakeover bool
+	// yieldedTo is the instance to which this publisher yields.
+	yieldedTo model.InstanceID
+	yieldedAt time.Time
+	// offer is a former publisher's word that it yields to this instance.
+	offer yieldOffer
 }
 
-// New returns the membership of an instance that has just started.
-func New(cfg Config) *Membership { return &Membership{cfg: cfg} }
+// yieldOffer says that a publisher publishes nothing after a version.
+type yieldOffer struct {
+	from    model.InstanceID
+	version dcstate.Version
+	at      time.Time
+}
 
-// Heartbeat handles a heartbeat. The publisher returns an acknowledgement.
-func (m *Membership) Heartbeat(now time.Time, from model.InstanceID, incarnation uint64, h *pb.Heartbeat) []peer.Message {
-	return nil
+// New returns the membership of an instance that has just started.
+func New(cfg Config) *Membership {
+	cfg.setDefaults()
+	return &Membership{
+		cfg:         cfg,
+		peers:       make(map[model.InstanceID]*peerInfo),
+		listed:      make(map[model.InstanceID]bool),
+		members:     make(map[model.InstanceID]dcstate.Member),
+		state:       dcstate.New(dcstate.Version{}, nil, nil),
+		last:        cfg.Started,
+		listenSince: cfg.Started,
+		reports:     newReportQueue(),
+	}
 }
 
-// HeartbeatAck handles an acknowledgement, which extends the lease. It may
-// return a request for the state that the acknowledgement names.
-func (m *Membership) HeartbeatAck(now time.Time, from model.InstanceID, a *pb.HeartbeatAck) []peer.Message {
-	return nil
+// observeTime notes the passing of time. What this instance knew of others is
+// worthless after a gap longer than the lease: another publisher may have
+// taken over meanwhile.
+func (m *Membership) observeTime(now time.Time) {
+	if now.Sub(m.last) > m.cfg.Lease {
+		m.listenSince = now
+		m.publishing = false
+		m.yieldedTo = ""
+		m.offer = yieldOffer{}
+		if !m.hearingSince.IsZero() {
+			m.hearingSince = now
+		}
+	}
+	if now.After(m.last) {
+		m.last = now
+	}
 }
 
 // Applied records that the instance has applied a state, its own or another
 // publisher's.
-func (m *Membership) Applied(now time.Time, s *dcstate.State) {}
+func (m *Membership) Applied(now time.Time, s *dcstate.State) {
+	m.observeTime(now)
+	old := m.state
+	m.state = s
+	if !m.state.Version.Less(m.newestHeard(now)) {
+		m.behindSince = time.Time{}
+	}
+	if s.Version.Publisher != m.cfg.Self {
+		m.yieldedTo = ""
+	} else {
+		m.offer = yieldOffer{}
+	}
+	if !slices.Equal(old.Members, s.Members) {
+		m.applyMembers(now, old.Members, s.Members)
+	}
+	m.updateRole(now)
+}
 
-// SetInstanceList replaces the platform's list of the instances of this data
-// centre. The list seeds addresses and removes no live instance.
-func (m *Membership) SetInstanceList(now time.Time, list []Listed) {}
+func (m *Membership) applyMembers(now time.Time, old, members []dcstate.Member) {
+	clear(m.members)
+	for _, member := range members {
+		m.members[member.Instance] = member
+		m.learnMember(now, member)
+	}
+	for _, was := range old {
+		is, ok := m.members[was.Instance]
+		gone := !ok || is.Incarnation != was.Incarnation
+		if gone && was.State != pb.InstanceState_INSTANCE_STATE_LEAVING {
+			m.deaths = append(m.deaths, Death{was.Instance, was.Incarnation, now})
+		}
+	}
+}
 
-// Tick returns the heartbeats that are due. It must be called at least once
-// per HeartbeatInterval; a gap longer than the lease is taken for a freeze.
-func (m *Membership) Tick(now time.Time, l Local) []peer.Message { return nil }
+// learnMember creates the entry of a member that this instance has not heard
+// from, whose silence counts from now, and takes over the state of one that
+// does not send its heartbeats to this instance.
+func (m *Membership) learnMember(now time.Time, member dcstate.Member) {
+	if member.Instance == m.cfg.Self {
+		return
+	}
+	p := m.peers[member.Instance]
+	if p != nil && p.incarnation == member.Incarnation {
+		if !p.left && now.Sub(p.lastBeat) > m.cfg.DeadAfter {
+			p.state = member.State
+		}
+		return
+	}
+	if p != nil && m.heard(now, p) && p.incarnation > member.Incarnation {
+		return
+	}
+	m.peers[member.Instance] = &peerInfo{
+		incarnation: member.Incarnation,
+		state:       member.State,
+		lastHeard:   now,
+		started:     now,
+	}
+	m.order = nil
+}
 
-// Leave announces that the instance leaves.
-func (m *Membership) Leave(now time.Time) []peer.Message { return nil }
+// SetInstanceList replaces the platform's list of the instances of this data
+// centre. The list seeds addresses and removes no live instance.
+func (m *Membership) SetInstanceList(now time.Time, list []Listed) {
+	m.observeTime(now)
+	m.haveList = true
+	clear(m.listed)
+	for _, l := range list {
+		if l.Instance != m.cfg.Self && !l.Leaving {
+			m.listed[l.Instance] = true
+		}
+	}
+	m.order = nil
+}
 
 // LeaveKnown reports whether the applied view shows this instance as leaving,
-// so that no other instance chooses it any more.
-func (m *Membership) LeaveKnown() bool { return false }
+// so that no instance that applied it chooses this one any more.
+func (m *Membership) LeaveKnown() bool {
+	self, ok := m.members[m.cfg.Self]
+	return m.leaving && (!ok || self.State == pb.InstanceState_INSTANCE_STATE_LEAVING)
+}
 
 // Fenced reports whether the instance must not decide on unknown flows,
-// openings, ownership or admission.
-func (m *Membership) Fenced(now time.Time) bool { return true }
+// openings, ownership or admission: its lease is over, it has not caught up
+// since the lease was renewed, or the view does not name this incarnation.
+func (m *Membership) Fenced(now time.Time) bool {
+	return m.leaseOver(now) || m.state.Version.Less(m.required) || !m.inView()
+}
 
-// Publishing reports whether this instance is to publish the state now.
-func (m *Membership) Publishing(now time.Time) bool { return false }
+func (m *Membership) leaseOver(now time.Time) bool {
+	return m.leaseFrom.IsZero() || now.Sub(m.leaseFrom) > m.cfg.Lease
+}
+
+func (m *Membership) inView() bool {
+	self, ok := m.members[m.cfg.Self]
+	return ok && self.Incarnation == m.cfg.Incarnation
+}
 
 // View returns the members to publish, sorted by instance. It is meaningful
-// on the publisher.
-func (m *Membership) View(now time.Time) []dcstate.Member { return nil }
+// on the publisher. Instances that are joining are left out; those that
+// operators marked out are shown as leaving, so that they own nothing.
+func (m *Membership) View(now time.Time) []dcstate.Member {
+	view := []dcstate.Member{{Instance: m.cfg.Self, Incarnation: m.cfg.Incarnation, State: m.published(m.cfg.Self, m.ownState())}}
+	for id, p := range m.peers {
+		if p.state != pb.InstanceState_INSTANCE_STATE_READY && p.state != pb.InstanceState_INSTANCE_STATE_LEAVING {
+			continue
+		}
+		if m.aliveForView(now, id, p) {
+			view = append(view, dcstate.Member{Instance: id, Incarnation: p.incarnation, State: m.published(id, p.state)})
+		}
+	}
+	slices.SortFunc(view, func(a, b dcstate.Member) int { return compare(a.Instance, b.Instance) })
+	return view
+}
+
+func (m *Membership) published(id model.InstanceID, state pb.InstanceState) pb.InstanceState {
+	if m.out[id] {
+		return pb.InstanceState_INSTANCE_STATE_LEAVING
+	}
+	return state
+}
+
+// aliveForView reports whether the instance belongs in the view. A member of
+// the applied view gets the grace period of a new publisher, to which it may
+// not have sent heartbeats before; an instance that ranks above this one is
+// known to be silent, or this instance would not publish.
+func (m *Membership) aliveForView(now time.Time, id model.InstanceID, p *peerInfo) bool {
+	heard := p.lastHeard
+	member, ok := m.members[id]
+	if ok && member.Incarnation == p.incarnation && heard.Before(m.graceFrom) && (m.earlyTakeover || !m.ranksAbove(id)) {
+		heard = m.graceFrom
+	}
+	if !ok && p.heardSince.IsZero() {
+		return false
+	}
+	return now.Sub(heard) <= m.cfg.DeadAfter
+}
 
 // Confirmations returns what the members of View reported, in the same order.
-func (m *Membership) Confirmations(now time.Time) []Confirmation { return nil }
+func (m *Membership) Confirmations(now time.Time) []Confirmation {
+	view := m.View(now)
+	out := make([]Confirmation, 0, len(view))
+	for _, member := range view {
+		c := Confirmation{Instance: member.Instance, Incarnation: member.Incarnation}
+		if member.Instance == m.cfg.Self {
+			c.Confirmed, c.ConfigVersion = m.local.Confirmed, m.local.ConfigVersion
+			c.Uptime = now.Sub(m.cfg.Started)
+		} else {
+			p := m.peers[member.Instance]
+			c.Confirmed, c.ConfigVersion, c.Uptime = p.confirmed, p.configVersion, now.Sub(p.started)
+		}
+		out = append(out, c)
+	}
+	return out
+}
 
 // UnplannedDeaths returns the unplanned deaths of the last FlowIdleTimeout,
-// oldest first.
-func (m *Membership) UnplannedDeaths(now time.Time) []Death { return nil }
+// oldest first. They follow from the differences between the views applied,
+// so that each instance knows them when it becomes publisher.
+func (m *Membership) UnplannedDeaths(now time.Time) []Death {
+	old := 0
+	for old < len(m.deaths) && now.Sub(m.deaths[old].At) > m.cfg.FlowIdleTimeout {
+		old++
+	}
+	m.deaths = slices.Delete(m.deaths, 0, old)
+	return slices.Clone(m.deaths)
+}
 
-// KnownInstances returns the instances of the view, of the instance list and
-// those heard from within DeadAfter, sorted.
-func (m *Membership) KnownInstances(now time.Time) []model.InstanceID { return nil }
+// KnownInstances returns this instance, those of the view and of the instance
+// list, and those heard from within DeadAfter, sorted.
+func (m *Membership) KnownInstances(now time.Time) []model.InstanceID {
+	out := []model.InstanceID{m.cfg.Self}
+	for id := range m.listed {
+		out = append(out, id)
+	}
+	for id, p := range m.peers {
+		if !m.listed[id] && (m.isMember(id) || m.heard(now, p)) {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
 
 // Recipients returns the other instances to which the publisher sends state
-// updates: the view and those that are joining.
-func (m *Membership) Recipients(now time.Time) []model.InstanceID { return nil }
+// updates, sorted: the view and those that are joining.
+func (m *Membership) Recipients(now time.Time) []model.InstanceID {
+	var out []model.InstanceID
+	for id, p := range m.peers {
+		if m.isMember(id) || m.heard(now, p) {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Newest returns the newest state that this instance has applied or that a
+// live instance has reported.
+func (m *Membership) Newest(now time.Time) dcstate.Version {
+	if v := m.newestHeard(now); m.state.Version.Less(v) {
+		return v
+	}
+	return m.state.Version
+}
 
-// Newest returns the newest state that a live instance has reported.
-func (m *Membership) Newest(now time.Time) dcstate.Version { return dcstate.Version{} }
+// newestHeard returns the newest state that a live instance reported, or a
+// version not above the applied one when there is none newer. It scans the
+// instances only when a newer state was ever reported.
+func (m *Membership) newestHeard(now time.Time) dcstate.Version {
+	if !m.state.Version.Less(m.newestSeen) {
+		return m.newestSeen
+	}
+	var newest dcstate.Version
+	for _, p := range m.peers {
+		if newest.Less(p.applied) && m.heard(now, p) {
+			newest = p.applied
+		}
+	}
+	return newest
+}
+
+func (m *Membership) isMember(id model.InstanceID) bool {
+	_, ok := m.members[id]
+	return ok
+}
+
+func (m *Membership) heard(now time.Time, p *peerInfo) bool {
+	return now.Sub(p.lastHeard) <= m.cfg.DeadAfter
+}
--- /dev/null
+++ b/internal/membership/reports.go
@@ -0,0 +1,48 @@
+package membership
+
+import (
+	"slices"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+)
+
+// reportQueue chooses the server reports of the next heartbeat: servers whose
+// condition changed first, then all others in turn.
+type reportQueue struct {
+	sent   map[uint64]pb.ServerCondition
+	cursor int
+}
+
+func newReportQueue() reportQueue {
+	return reportQueue{sent: make(map[uint64]pb.ServerCondition)}
+}
+
+// next returns at most limit reports.
+func (q *reportQueue) next(all []*pb.ServerReport, limit int) []*pb.ServerReport {
+	if len(all) <= limit {
+		return all
+	}
+	if len(q.sent) > 2*len(all) {
+		// Servers that left the configuration are forgotten.
+		clear(q.sent)
+	}
+	out := make([]*pb.ServerReport, 0, limit)
+	for _, r := range all {
+		// The first report of a healthy server is not urgent.
+		before, known := q.sent[r.GetServer()]
+		urgent := r.GetCondition() != before && (known || r.GetCondition() != pb.ServerCondition_SERVER_CONDITION_HEALTHY)
+		if urgent && len(out) < limit {
+			out = append(out, r)
+			q.sent[r.GetServer()] = r.GetCondition()
+		}
+	}
+	for n := 0; n < len(all) && len(out) < limit; n++ {
+		q.cursor = (q.cursor + 1) % len(all)
+		r := all[q.cursor]
+		if !slices.Contains(out, r) {
+			out = append(out, r)
+			q.sent[r.GetServer()] = r.GetCondition()
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/membership/role.go
@@ -0,0 +1,373 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cuminshift/internal/dcstate"
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/model"
+	"cuminshift/internal/rendezvous"
+)
+
+// The publisher changes in two ways. A successor that has heard all instances
+// appoints itself once the publisher has been silent for DeadAfter. A live
+// publisher yields to a member that ranks above it: it stops publishing, says
+// so in its acknowledgements, and the other takes over from that very state.
+// Leases granted by the former publisher end before the new one may declare
+// an instance out that it has not heard from.
+
+const (
+	// catchUpFactor times DeadAfter is the time after which a publisher goes
+	// on without a state that a live instance reports but does not hand over.
+	catchUpFactor = 2
+	// offerFactor times DeadAfter is the time for which a yield is offered,
+	// resumeFactor times DeadAfter the time after which the former publisher
+	// resumes when the other did not take over. The difference lets the last
+	// offer expire.
+	offerFactor  = 3
+	resumeFactor = 5
+	// blindFactor times DeadAfter is the time for which a new instance waits
+	// for the instance list before it concludes that it is alone.
+	blindFactor = 10
+)
+
+func compare(a, b model.InstanceID) int { return cmp.Compare(a, b) }
+
+// Publishing reports whether this instance is to publish the state now.
+func (m *Membership) Publishing(now time.Time) bool {
+	return m.publishing && now.Sub(m.last) <= m.cfg.Lease
+}
+
+// ranking returns the known instances, highest rank first.
+func (m *Membership) ranking() []model.InstanceID {
+	if m.order != nil {
+		return m.order
+	}
+	ids := []model.InstanceID{m.cfg.Self}
+	for id := range m.peers {
+		ids = append(ids, id)
+	}
+	for id := range m.listed {
+		if m.peers[id] == nil {
+			ids = append(ids, id)
+		}
+	}
+	m.order = rendezvous.Ranked(rendezvous.NewKey("publisher", 0), ids, len(ids))
+	m.rank = make(map[model.InstanceID]int, len(ids))
+	for i, id := range m.order {
+		m.rank[id] = i
+	}
+	return m.order
+}
+
+func (m *Membership) ranksAbove(id model.InstanceID) bool {
+	m.ranking()
+	return m.rank[id] < m.rank[m.cfg.Self]
+}
+
+// candidate reports whether an instance in this state may publish while
+// another candidate lives.
+func (m *Membership) candidate(id model.InstanceID, state pb.InstanceState) bool {
+	return state == pb.InstanceState_INSTANCE_STATE_READY && !m.out[id]
+}
+
+// rival returns the highest-ranked live instance that would publish in place
+// of this one, or "". An instance that leaves or is marked out publishes only
+// when no candidate lives; among several of those the rank decides.
+func (m *Membership) rival(now time.Time) model.InstanceID {
+	selfIsCandidate := m.candidate(m.cfg.Self, m.ownState())
+	above, fallback := true, model.InstanceID("")
+	for _, id := range m.ranking() {
+		if id == m.cfg.Self {
+			if selfIsCandidate {
+				return ""
+			}
+			above = false
+			continue
+		}
+		p := m.peers[id]
+		if p == nil || !m.heard(now, p) || p.state == pb.InstanceState_INSTANCE_STATE_JOINING {
+			continue
+		}
+		if m.candidate(id, p.state) {
+			return id
+		}
+		if above && fallback == "" {
+			fallback = id
+		}
+	}
+	return fallback
+}
+
+func (m *Membership) headsRanking(now time.Time) bool {
+	return m.ownState() != pb.InstanceState_INSTANCE_STATE_JOINING && m.rival(now) == ""
+}
+
+// updateRole decides whether this instance publishes and extends its lease
+// when it does.
+func (m *Membership) updateRole(now time.Time) {
+	m.updateHearing(now)
+	incumbent := m.publishing && m.state.Version.Publisher == m.cfg.Self
+	switch {
+	case m.yieldedTo != "":
+		m.endYield(now)
+		m.publishing = false
+	case incumbent && !m.behind(now):
+		m.considerYield(now)
+		m.publishing = m.yieldedTo == "" && m.ownState() != pb.InstanceState_INSTANCE_STATE_JOINING
+	case m.mayAppoint(now):
+		if !m.publishing {
+			m.startPublishing(now)
+		}
+	default:
+		m.publishing = false
+	}
+	if m.publishing {
+		m.leaseFrom, m.lastAck = now, now
+	}
+}
+
+// startPublishing takes over. After an early takeover, while leases of the
+// former publisher may run, the silence of members counts from now.
+func (m *Membership) startPublishing(now time.Time) {
+	m.publishing = true
+	if m.hearingSince.IsZero() {
+		m.hearingSince = now
+	}
+	m.graceFrom, m.earlyTakeover = m.hearingSince, false
+	if former := m.state.Version.Publisher; former != m.cfg.Self {
+		if p := m.peers[former]; p != nil && m.heard(now, p) {
+			m.graceFrom, m.earlyTakeover = now, true
+		}
+	}
+}
+
+// mayAppoint reports whether this instance, not yet publisher, may become it.
+func (m *Membership) mayAppoint(now time.Time) bool {
+	return m.headsRanking(now) &&
+		now.Sub(m.listenSince) >= m.cfg.DeadAfter &&
+		m.formerGone(now) &&
+		now.Sub(m.silenceSince()) >= m.appointDelay(now) &&
+		m.viewPermits(now) &&
+		!m.behind(now)
+}
+
+// formerGone reports whether the publisher of the applied state has yielded,
+// is silent, or runs in another incarnation.
+func (m *Membership) formerGone(now time.Time) bool {
+	former := m.state.Version.Publisher
+	p := m.peers[former]
+	if former == "" || former == m.cfg.Self || p == nil || !m.heard(now, p) {
+		return true
+	}
+	if member, ok := m.members[former]; ok && member.Incarnation != p.incarnation {
+		return true
+	}
+	return m.offer.from == former && now.Sub(m.offer.at) <= m.cfg.DeadAfter && !m.state.Version.Less(m.offer.version)
+}
+
+// viewPermits reports whether the applied view names this instance. An
+// instance outside the view publishes only when no other member lives:
+// otherwise the publisher adds it first.
+func (m *Membership) viewPermits(now time.Time) bool {
+	if m.inView() {
+		return true
+	}
+	for id, member := range m.members {
+		p := m.peers[id]
+		if p != nil && p.incarnation == member.Incarnation && m.heard(now, p) {
+			return false
+		}
+	}
+	return true
+}
+
+// behind reports whether a live instance has a newer state. It gives up
+// waiting for that state after a while.
+func (m *Membership) behind(now time.Time) bool {
+	if !m.state.Version.Less(m.newestHeard(now)) {
+		m.behindSince = time.Time{}
+		return false
+	}
+	if m.behindSince.IsZero() {
+		m.behindSince = now
+	}
+	return now.Sub(m.behindSince) < catchUpFactor*m.cfg.DeadAfter
+}
+
+// silenceSince returns the time since which no publisher was heard.
+func (m *Membership) silenceSince() time.Time {
+	if m.lastAck.After(m.listenSince) {
+		return m.lastAck
+	}
+	return m.listenSince
+}
+
+// appointDelay is the silence after which this instance may appoint itself.
+// The publisher and its successors hear all instances and need no extra delay;
+// others wait until the widened heartbeats of all instances include them.
+func (m *Membership) appointDelay(now time.Time) time.Duration {
+	switch {
+	case now.Sub(m.offer.at) <= m.cfg.DeadAfter || m.hearsAll():
+		return 0
+	case !m.haveList && len(m.members) == 0:
+		return blindFactor * m.cfg.DeadAfter
+	}
+	rank := m.rankAmongMembers()
+	delay := m.cfg.DeadAfter
+	for window := m.cfg.Successors + 1; window <= rank; window *= 2 {
+		delay += m.cfg.DeadAfter
+	}
+	return delay
+}
+
+// rankAmongMembers counts the candidates of the view, or of all known
+// instances while there is no view, that rank above this instance.
+func (m *Membership) rankAmongMembers() int {
+	rank := 0
+	for _, id := range m.ranking() {
+		if id == m.cfg.Self {
+			break
+		}
+		member, ok := m.members[id]
+		if len(m.members) == 0 || (ok && m.candidate(id, member.State)) {
+			rank++
+		}
+	}
+	return rank
+}
+
+func (m *Membership) hearsAll() bool {
+	return m.inView() && (len(m.members) <= m.cfg.FullMesh || m.rankAmongMembers() <= m.cfg.Successors)
+}
+
+func (m *Membership) updateHearing(now time.Time) {
+	switch {
+	case m.publishing:
+	case !m.hearsAll():
+		m.hearingSince = time.Time{}
+	case m.hearingSince.IsZero():
+		m.hearingSince = now
+	}
+}
+
+// considerYield yields to a rival that can take over at once: it is in the
+// published view, follows this publisher, and has listened long enough.
+func (m *Membership) considerYield(now time.Time) {
+	id := m.rival(now)
+	if id == "" {
+		return
+	}
+	p := m.peers[id]
+	member, ok := m.members[id]
+	listened := m.cfg.DeadAfter + m.cfg.HeartbeatInterval
+	if !ok || member.Incarnation != p.incarnation || p.heardSince.IsZero() || now.Sub(p.heardSince) < listened {
+		return
+	}
+	if p.applied.Publisher == m.cfg.Self {
+		m.yieldedTo, m.yieldedAt = id, now
+	}
+}
+
+// endYield lets this instance resume when the other is gone or did not take
+// over.
+func (m *Membership) endYield(now time.Time) {
+	p := m.peers[m.yieldedTo]
+	if p == nil || !m.heard(now, p) || !m.candidate(m.yieldedTo, p.state) ||
+		now.Sub(m.yieldedAt) > resumeFactor*m.cfg.DeadAfter {
+		m.yieldedTo = ""
+	}
+}
+
+// acknowledges reports whether a heartbeat of the instance is acknowledged.
+// After a yield, leases are extended only so long that they end before the
+// new publisher, which cannot take over earlier than the yield, may declare
+// an instance out.
+func (m *Membership) acknowledges(now time.Time, to model.InstanceID) bool {
+	switch {
+	case m.Publishing(now):
+		return true
+	case m.yieldedTo == "":
+		return false
+	case m.yieldedTo == to:
+		return now.Sub(m.yieldedAt) <= offerFactor*m.cfg.DeadAfter
+	}
+	return now.Sub(m.yieldedAt) <= m.cfg.DeadAfter-m.cfg.Lease
+}
+
+// targets returns the instances to which heartbeats go: all of a small data
+// centre, else the publisher and the next in its ranking. The window doubles
+// with each DeadAfter without acknowledgement, so that a lower rank hears all
+// instances when the publisher and its successors are gone together.
+func (m *Membership) targets(now time.Time) []model.InstanceID {
+	silence := now.Sub(m.silenceSince())
+	useList := !m.inView() || silence > m.cfg.DeadAfter
+	var all, ranked []model.InstanceID
+	publisher := m.state.Version.Publisher
+	for _, id := range m.ranking() {
+		p := m.peers[id]
+		if id == m.cfg.Self || (!m.isMember(id) && (p == nil || !m.heard(now, p)) && !(useList && m.listed[id])) {
+			continue
+		}
+		all = append(all, id)
+		if id == publisher || p == nil || m.mayPublishLater(id, p) {
+			ranked = append(ranked, id)
+		}
+	}
+	out := all
+	if len(all)+1 > m.cfg.FullMesh {
+		window := m.cfg.Successors + 1
+		for t := m.cfg.DeadAfter; t < silence && window < len(ranked); t += m.cfg.DeadAfter {
+			window *= 2
+		}
+		out = ranked[:min(window, len(ranked))]
+		if m.isMember(publisher) && publisher != m.cfg.Self && !slices.Contains(out, publisher) {
+			out = append(slices.Clone(out), publisher)
+		}
+	}
+	return append(slices.Clone(out), m.probes(now)...)
+}
+
+func (m *Membership) mayPublishLater(id model.InstanceID, p *peerInfo) bool {
+	return p.state != pb.InstanceState_INSTANCE_STATE_LEAVING && !m.out[id]
+}
+
+// probes returns a few listed instances that the publisher does not hear, in
+// turn: after a partition neither side would otherwise learn of the other.
+func (m *Membership) probes(now time.Time) []model.InstanceID {
+	if !m.publishing {
+		return nil
+	}
+	var silent []model.InstanceID
+	for _, id := range m.ranking() {
+		p := m.peers[id]
+		if m.listed[id] && !m.isMember(id) && (p == nil || !m.heard(now, p)) {
+			silent = append(silent, id)
+		}
+	}
+	var out []model.InstanceID
+	for i := 0; i < min(m.cfg.Successors+1, len(silent)); i++ {
+		out = append(out, silent[m.probeNext%len(silent)])
+		m.probeNext++
+	}
+	return out
+}
+
+// reportReceivers returns the publisher and the instance next in rank.
+func (m *Membership) reportReceivers(now time.Time, targets []model.InstanceID) (publisher, successor model.InstanceID) {
+	publisher = m.state.Version.Publisher
+	if m.Publishing(now) {
+		publisher = m.cfg.Self
+	}
+	for _, id := range targets {
+		if id != publisher {
+			return publisher, id
+		}
+	}
+	return publisher, ""
+}
+
+// Following returns the newest state applied, for status reports.
+func (m *Membership) Following() dcstate.Version { return m.state.Version }
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -4,6 +4,9 @@
 package rendezvous
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"cuminshift/internal/model"
@@ -35,22 +38,17 @@
 	return first, second
 }
 
-// Ranked returns the n highest-ranked instances for the key.
+// Ranked returns the n highest-ranked instances for the key, highest first.
 func Ranked(key Key, ids []model.InstanceID, n int) []model.InstanceID {
-	rest := append([]model.InstanceID(nil), ids...)
-	var out []model.InstanceID
-	for len(out) < n && len(rest) > 0 {
-		best, bestW := 0, uint64(0)
-		for i, id := range rest {
-			w := mix(uint64(key) ^ Seed(id))
-			if i == 0 || w > bestW || (w == bestW && id < rest[best]) {
-				best, bestW = i, w
-			}
-		}
-		out = append(out, rest[best])
-		rest = append(rest[:best], rest[best+1:]...)
+	out := append([]model.InstanceID(nil), ids...)
+	weights := make(map[model.InstanceID]uint64, len(ids))
+	for _, id := range ids {
+		weights[id] = mix(uint64(key) ^ Seed(id))
 	}
-	return out
+	slices.SortFunc(out, func(a, b model.InstanceID) int {
+		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a, b))
+	})
+	return out[:min(n, len(out))]
 }
 
 // Seed returns the hash that represents an instance in Top2.
