--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"sort"
 	"time"
 
 	pb "cuminshift/internal/gen/cuminshift/v1"
@@ -64,6 +65,7 @@
 	return last
 }
 
+// expired returns the waiters past their deadlines, in the order of the queue.
 func (q *queue) expired(now time.Time) []*waiter {
 	var out []*waiter
 	for _, w := range q.heap {
@@ -71,6 +73,7 @@
 			out = append(out, w)
 		}
 	}
+	sort.Slice(out, func(i, j int) bool { return out[i].before(out[j]) })
 	return out
 }
 
--- /dev/null
+++ b/internal/limits/limits_test.go
@@ -0,0 +1,340 @@
+package limits
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/model"
+	"cuminshift/internal/peer"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+// fleet is a set of instances whose messages are delivered at once.
+type fleet struct {
+	members map[model.InstanceID]*Limits
+	use     model.Use
+}
+
+func names(n int) []model.InstanceID {
+	var out []model.InstanceID
+	for i := 0; i < n; i++ {
+		out = append(out, model.InstanceID(fmt.Sprintf("entry-%d", i)))
+	}
+	return out
+}
+
+// newFleet returns n instances that are past their first HoldBack.
+func newFleet(n int, use model.Use) (*fleet, []model.InstanceID) {
+	f := &fleet{map[model.InstanceID]*Limits{}, use}
+	ids := names(n)
+	for _, id := range ids {
+		f.add(epoch.Add(-time.Hour), id, ids)
+	}
+	return f, ids
+}
+
+func (f *fleet) add(now time.Time, id model.InstanceID, ids []model.InstanceID) *Limits {
+	l := New(Config{Self: id}, 0)
+	l.SetInstances(now, ids)
+	f.members[id] = l
+	return l
+}
+
+func (f *fleet) lookup(string, model.ServiceID) (model.Use, bool) { return f.use, true }
+
+// deliver carries messages until none is left and returns what was resolved.
+func (f *fleet) deliver(now time.Time, from model.InstanceID, messages []peer.Message) []Resolved {
+	var out []Resolved
+	for _, m := range messages {
+		to := f.members[m.To]
+		if to == nil {
+			continue
+		}
+		replies, resolved := to.HandlePeer(now, from, m.Body, f.lookup)
+		out = append(append(out, resolved...), f.deliver(now, m.To, replies)...)
+	}
+	return out
+}
+
+// start reports whether a request is allowed at the instance.
+func (f *fleet) start(now time.Time, id model.InstanceID) bool {
+	d := f.members[id].StartRequest(now, "field", 1, f.use)
+	if d.Verdict != Asked {
+		return d.Verdict == Allowed
+	}
+	resolved := f.deliver(now, id, []peer.Message{d.Message})
+	return len(resolved) == 1 && resolved[0].ID == d.ID && resolved[0].Allowed
+}
+
+func (f *fleet) end(now time.Time, id model.InstanceID) {
+	f.deliver(now, id, f.members[id].EndRequest(now, "field", 1))
+}
+
+// Guards against a sum over the instances that exceeds a concurrency limit,
+// and against instances without a share that can use nothing.
+func TestConcurrencySum(t *testing.T) {
+	for _, c := range []struct{ instances, limit int }{{4, 8}, {4, 10}, {4, 3}, {12, 5}, {1, 2}, {5, 1}} {
+		f, ids := newFleet(c.instances, model.Use{ConcurrentRequests: c.limit})
+		started := map[model.InstanceID]int{}
+		total := 0
+		for round := 0; round < c.limit+1; round++ {
+			for _, id := range ids {
+				if f.start(at(0), id) {
+					started[id]++
+					total++
+				}
+			}
+		}
+		if total != c.limit {
+			t.Errorf("%d instances, limit %d: %d requests at once", c.instances, c.limit, total)
+		}
+		for id, n := range started {
+			for ; n > 0; n-- {
+				f.end(at(10), id)
+			}
+		}
+		// Only one instance has callers now: it uses its own share, or, when it
+		// has none, what one of the holders has.
+		if !f.start(at(20), ids[0]) {
+			t.Errorf("%d instances, limit %d: refused although nothing is in use", c.instances, c.limit)
+		}
+	}
+}
+
+// Guards against a rate above the limit, summed over the instances.
+func TestRateSum(t *testing.T) {
+	for _, c := range []struct{ instances, limit int }{{4, 100}, {4, 2}, {12, 5}, {3, 10}} {
+		f, ids := newFleet(c.instances, model.Use{RequestsPerSecond: c.limit})
+		const seconds = 20
+		allowed := 0
+		for ms := 0; ms < seconds*1000; ms += 5 {
+			for _, id := range ids {
+				if f.start(at(ms), id) {
+					allowed++
+				}
+			}
+		}
+		// The burst of each instance passes once.
+		most := c.limit*seconds + max(c.instances, c.limit/10)
+		if allowed > most || allowed < c.limit*(seconds-1) {
+			t.Errorf("%d instances, limit %d/s: %d requests in %d s", c.instances, c.limit, allowed, seconds)
+		}
+	}
+}
+
+// Guards against shares that exceed the limit in sum while the instances have
+// different lists, or different versions of the plan.
+func TestSharesNeverExceedLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := names(8)
+		f := &fleet{members: map[model.InstanceID]*Limits{}}
+		limits := []int{rapid.IntRange(1, 20).Draw(t, "limit")}
+		seen := map[model.InstanceID]int{}
+		live := all[:rapid.IntRange(1, 8).Draw(t, "live")]
+		for _, id := range live {
+			f.add(epoch.Add(-time.Hour), id, live)
+		}
+		now := epoch
+		for step := 0; step < 30; step++ {
+			// One change at a time, learned by each instance within HoldBack.
+			n := rapid.IntRange(1, 8).Draw(t, "n")
+			if rapid.Bool().Draw(t, "edit") {
+				limits = append(limits, rapid.IntRange(1, 20).Draw(t, "limit"))
+			} else {
+				live = all[:n]
+			}
+			delays := map[model.InstanceID]int{}
+			for _, id := range live {
+				delays[id] = rapid.IntRange(0, 2900).Draw(t, "delay")
+			}
+			for ms := 0; ms < 3000; ms += 100 {
+				sum, count := 0.0, 0
+				for _, id := range all {
+					if len(live) > 0 && !contains(live, id) {
+						delete(f.members, id)
+						continue
+					}
+					if delays[id] <= ms {
+						if f.members[id] == nil {
+							f.add(now, id, live)
+						}
+						f.members[id].SetInstances(now, live)
+						seen[id] = len(limits) - 1
+					}
+					if l := f.members[id]; l != nil {
+						limit := limits[seen[id]]
+						e := l.entry(now, key{"field", 1, requests}, limit, limit)
+						sum += e.rateShare
+						count += e.countShare
+					}
+				}
+				most := 0
+				for _, v := range limits[max(0, len(limits)-2):] {
+					most = max(most, v)
+				}
+				if sum > float64(most)+1e-9 || count > most {
+					t.Fatalf("shares sum to %v/s and %d, limit %d", sum, count, most)
+				}
+				now = now.Add(100 * time.Millisecond)
+			}
+		}
+	})
+}
+
+// Guards against a plan edit that applies only to new callers.
+func TestPlanEdit(t *testing.T) {
+	l := New(Config{Self: "a"}, 0)
+	l.SetInstances(epoch.Add(-time.Hour), []model.InstanceID{"a"})
+	open := func(limit int) Verdict {
+		return l.Open(at(0), "field", 1, model.Use{ConcurrentFlows: limit}).Verdict
+	}
+	for i, c := range []struct {
+		limit int
+		want  Verdict
+	}{{2, Allowed}, {2, Allowed}, {2, Refused}, {3, Allowed}, {1, Refused}, {0, Allowed}} {
+		if got := open(c.limit); got != c.want {
+			t.Errorf("opening %d with limit %d: verdict %d, want %d", i, c.limit, got, c.want)
+		}
+	}
+	// Flows above a lowered limit stay; openings wait until they have ended.
+	for i := 0; i < 3; i++ {
+		l.CloseFlow(at(1), "field", 1)
+	}
+	if open(1) != Refused {
+		t.Error("opening allowed above the lowered limit")
+	}
+	l.CloseFlow(at(2), "field", 1)
+	if open(1) != Allowed {
+		t.Error("opening refused below the lowered limit")
+	}
+}
+
+// Guards against counting a refused opening, and against an established flow
+// that is refused because its packets reached another instance.
+func TestAdoptedFlowsCountAndAreNeverRefused(t *testing.T) {
+	l := New(Config{Self: "a"}, 0)
+	l.SetInstances(epoch.Add(-time.Hour), []model.InstanceID{"a"})
+	use := model.Use{ConcurrentFlows: 1}
+	l.AdoptFlow(at(0), "field", 1, use)
+	l.AdoptFlow(at(0), "field", 1, use)
+	for want := Refused; ; want = Allowed {
+		if d := l.Open(at(0), "field", 1, use); d.Verdict != want {
+			t.Fatalf("verdict %d, want %d", d.Verdict, want)
+		}
+		if want == Allowed {
+			break
+		}
+		l.CloseFlow(at(1), "field", 1)
+		l.CloseFlow(at(1), "field", 1)
+	}
+}
+
+// Guards against units that stay lent when a reply or a release is lost, or
+// when the borrower is gone.
+func TestLentUnitsReturn(t *testing.T) {
+	f, ids := newFleet(3, model.Use{ConcurrentRequests: 1})
+	k := key{"field", 1, requests}
+	holder := holders(ids, k, 1)[0]
+	var borrower model.InstanceID
+	for _, id := range ids {
+		if id != holder {
+			borrower = id
+		}
+	}
+	b, h := f.members[borrower], f.members[holder]
+	inUse := func() int { return h.entry(at(0), k, 0, 1).inUse }
+
+	d := b.StartRequest(at(0), "field", 1, f.use)
+	h.HandlePeer(at(0), borrower, d.Message.Body, f.lookup) // The reply is lost.
+	if inUse() != 1 {
+		t.Fatal("the unit was not lent")
+	}
+	_, resolved := b.Tick(at(300)) // So is the first release.
+	if len(resolved) != 1 || resolved[0].Allowed {
+		t.Fatalf("resolved %v, want one refusal", resolved)
+	}
+	messages, _ := b.Tick(at(1400))
+	f.deliver(at(1400), borrower, messages)
+	if inUse() != 0 {
+		t.Error("the unit is still lent after a repeated release")
+	}
+	if messages, _ := b.Tick(at(9000)); len(messages) != 0 {
+		t.Errorf("confirmed release repeated: %v", messages)
+	}
+
+	if !f.start(at(9000), borrower) || inUse() != 1 {
+		t.Fatal("the unit cannot be lent again")
+	}
+	h.SetInstances(at(9100), []model.InstanceID{holder})
+	if inUse() != 0 {
+		t.Error("the unit is still lent to an instance that is gone")
+	}
+}
+
+// Guards against a granted unit that nobody uses when the reply comes after
+// the borrower gave up and its release overtook the request.
+func TestLateReplyIsReleased(t *testing.T) {
+	f, ids := newFleet(2, model.Use{ConcurrentRequests: 1})
+	holder := holders(ids, key{"field", 1, requests}, 1)[0]
+	borrower := ids[0]
+	if borrower == holder {
+		borrower = ids[1]
+	}
+	b := f.members[borrower]
+	d := b.StartRequest(at(0), "field", 1, f.use)
+	releases, _ := b.Tick(at(300))
+	f.deliver(at(301), borrower, releases)
+	if f.start(at(302), holder); f.members[holder].entries[key{"field", 1, requests}].inUse != 1 {
+		t.Fatal("the holder cannot use its unit")
+	}
+	f.end(at(303), holder)
+	f.deliver(at(304), borrower, []peer.Message{d.Message})
+	if !f.start(at(305), holder) {
+		t.Error("the late unit was not given back")
+	}
+}
+
+// Guards against memory that grows with every caller ever seen.
+func TestIdleCallersAreDropped(t *testing.T) {
+	l := New(Config{Self: "a"}, 0)
+	l.SetInstances(epoch.Add(-time.Hour), []model.InstanceID{"a"})
+	for i := 0; i < 500; i++ {
+		l.Open(at(0), fmt.Sprint(i), 1, model.Use{OpeningsPerSecond: 10})
+		if i > 0 {
+			l.CloseFlow(at(0), fmt.Sprint(i), 1)
+		}
+	}
+	l.Tick(at(61_000))
+	if l.Len() != 1 {
+		t.Errorf("%d entries after a minute, want the one with an open flow", l.Len())
+	}
+}
+
+// Guards against a request that waits for ever for a dead instance.
+func TestReplyOfUnknownKindIsIgnored(t *testing.T) {
+	l := New(Config{Self: "a"}, 0)
+	if m, r := l.HandlePeer(at(0), "b", &pb.PeerMessage{}, nil); m != nil || r != nil {
+		t.Errorf("got %v and %v for an empty message", m, r)
+	}
+	if d := l.StartRequest(at(0), "field", 1, model.Use{RequestsPerSecond: 1}); d.Verdict != Refused {
+		t.Errorf("verdict %d without an instance list, want refusal", d.Verdict)
+	}
+}
+
+func BenchmarkOpenClose(b *testing.B) {
+	l := New(Config{Self: "entry-0"}, 0)
+	l.SetInstances(epoch.Add(-time.Hour), names(4))
+	use := model.Use{OpeningsPerSecond: 1 << 30, ConcurrentFlows: 1000}
+	b.ReportAllocs()
+	for i := 0; i < b.N; i++ {
+		l.Open(epoch, "field", 1, use)
+		l.CloseFlow(epoch, "field", 1)
+	}
+}
--- a/internal/requests/attempt.go
+++ b/internal/requests/attempt.go
@@ -175,13 +175,10 @@
 	r.attempts = append(r.attempts, a)
 	r.phase = running
 	c.schedule(r)
-	return []Action{
-		SendToServer{
-			Key: r.Key, Server: a.server, Attempt: a.number, Deadline: a.deadline, Idempotent: r.Idempotent,
-			Priority: r.Priority, CallerAttempt: r.CallerAttempt, Payload: r.Payload,
-		},
-		Observe{r.Key, a.server, serverhealth.Observation{Kind: serverhealth.Sent}},
-	}
+	return []Action{SendToServer{
+		Key: r.Key, Server: a.server, Attempt: a.number, Deadline: a.deadline, Idempotent: r.Idempotent,
+		Priority: r.Priority, CallerAttempt: r.CallerAttempt, Payload: r.Payload,
+	}}
 }
 
 // grantRefused tries another server, if the request may have one; the
@@ -246,7 +243,8 @@
 // server must have stopped.
 func (c *Coordinator) timedOut(now time.Time, r *request, a *attempt) []Action {
 	a.over = true
-	actions := []Action{Observe{r.Key, a.server, serverhealth.Observation{Kind: serverhealth.TimedOut}}}
+	o := serverhealth.Observation{Kind: serverhealth.TimedOut, Latency: now.Sub(a.sentAt)}
+	actions := []Action{Observe{r.Key, a.server, o}}
 	actions = append(actions, c.cancelAttempt(r, a)...)
 	c.linger(now, a)
 	if !r.Idempotent || !now.Before(r.Deadline) {
--- /dev/null
+++ b/internal/requests/requests_test.go
@@ -0,0 +1,396 @@
+package requests
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cuminshift/internal/dcstate"
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/model"
+	"cuminshift/internal/serverhealth"
+)
+
+const (
+	granted     = pb.GrantResult_GRANT_RESULT_GRANTED
+	refused     = pb.GrantResult_GRANT_RESULT_REFUSED
+	duplicate   = pb.GrantResult_GRANT_RESULT_DUPLICATE
+	notAdmitter = pb.GrantResult_GRANT_RESULT_NOT_ADMITTER
+	didNotRun   = pb.Outcome_OUTCOME_DID_NOT_RUN
+	unknown     = pb.Outcome_OUTCOME_UNKNOWN
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+// harness drives a coordinator and sorts its actions.
+type harness struct {
+	*Coordinator
+	t        *testing.T
+	asks     []AskGrant
+	sent     []SendToServer
+	cancels  []SendCancel
+	replies  []ReplyToCaller
+	releases []ReleaseGrant
+}
+
+func newHarness(t *testing.T, cfg Config) *harness {
+	cfg.Self = "a"
+	cfg.Rand = rand.New(rand.NewPCG(1, 2))
+	return &harness{Coordinator: New(cfg), t: t}
+}
+
+func (h *harness) do(actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case AskGrant:
+			h.asks = append(h.asks, a)
+		case SendToServer:
+			h.sent = append(h.sent, a)
+		case SendCancel:
+			h.cancels = append(h.cancels, a)
+		case ReplyToCaller:
+			h.replies = append(h.replies, a)
+		case ReleaseGrant:
+			h.releases = append(h.releases, a)
+		}
+	}
+}
+
+func key(id uint64) Key { return Key{Service: 1, Flow: 2, ID: id} }
+
+func (h *harness) start(ms int, r Request) {
+	if r.Server == 0 {
+		r.Server = 10
+	}
+	if r.CallerAttempt == 0 {
+		r.CallerAttempt = 1
+	}
+	h.do(h.Start(at(ms), r))
+}
+
+func (h *harness) reply(ms int, result pb.GrantResult) {
+	ask := h.asks[len(h.asks)-1].Request
+	h.do(h.GrantReply(at(ms), &pb.GrantReply{Grant: ask.GetGrant(), Result: result, Reason: pb.Reason_REASON_OVERLOAD}))
+}
+
+// answer delivers a part of the answer to the n-th attempt.
+func (h *harness) answer(ms, n int, part, parts uint32) {
+	s := h.sent[n]
+	payload := []byte(fmt.Sprintf("%d/%d", s.Attempt, part))
+	h.do(h.ServerPacket(at(ms), ServerPacket{
+		Key: s.Key, Server: s.Server, Kind: pb.Kind_KIND_ANSWER, Attempt: s.Attempt, Part: part, Parts: parts, Payload: payload,
+	}))
+}
+
+func (h *harness) refuse(ms, n int, reason pb.Reason, outcome pb.Outcome) {
+	s := h.sent[n]
+	h.do(h.ServerPacket(at(ms), ServerPacket{
+		Key: s.Key, Server: s.Server, Kind: pb.Kind_KIND_REFUSAL, Attempt: s.Attempt, Reason: reason, Outcome: outcome,
+	}))
+}
+
+// tick runs the coordinator up to a time, at each time that it asks for.
+func (h *harness) tick(ms int) {
+	for {
+		next, ok := h.Next()
+		if !ok || next.After(at(ms)) {
+			h.do(h.Tick(at(ms)))
+			return
+		}
+		h.do(h.Tick(next))
+	}
+}
+
+func (h *harness) wantRefusal(reason pb.Reason, outcome pb.Outcome) {
+	h.t.Helper()
+	if len(h.replies) != 1 || h.replies[0].Kind != pb.Kind_KIND_REFUSAL {
+		h.t.Fatalf("replies %+v, want one refusal", h.replies)
+	}
+	if r := h.replies[0]; r.Reason != reason || r.Outcome != outcome {
+		h.t.Errorf("refused as %v, %v; want %v, %v", r.Reason, r.Outcome, reason, outcome)
+	}
+}
+
+// Guards against answers that are partial, out of order, repeated, or mixed
+// from two attempts.
+func TestAnswerAssembly(t *testing.T) {
+	h := newHarness(t, Config{})
+	h.start(0, Request{Key: key(1), Idempotent: true, Deadline: at(8000)})
+	h.reply(1, granted)
+	h.answer(10, 0, 2, 3)
+	h.tick(4100) // The first attempt times out after half of the deadline.
+	h.reply(4100, granted)
+	if len(h.sent) != 2 {
+		t.Fatalf("%d attempts, want 2", len(h.sent))
+	}
+	h.answer(4200, 1, 0, 3)
+	h.answer(4201, 1, 0, 3)
+	h.answer(4202, 1, 1, 2) // Another number of parts.
+	h.answer(4203, 0, 1, 3) // A late part of the first attempt.
+	h.answer(4204, 1, 2, 3)
+	if len(h.replies) != 0 {
+		t.Fatalf("incomplete answer passed on: %+v", h.replies)
+	}
+	h.answer(4205, 1, 1, 3)
+	h.answer(4206, 1, 1, 3)
+	h.answer(4207, 0, 0, 3)
+	if len(h.replies) != 3 {
+		t.Fatalf("%d parts passed on, want 3", len(h.replies))
+	}
+	for i, r := range h.replies {
+		if want := fmt.Sprintf("%d/%d", h.sent[1].Attempt, i); string(r.Payload) != want || int(r.Part) != i || r.Parts != 3 {
+			t.Errorf("part %d is %d of %d with %q, want %q", i, r.Part, r.Parts, r.Payload, want)
+		}
+	}
+	h.tick(20_000)
+	if !h.Idle() || h.bytes != 0 || len(h.releases) != 2 {
+		t.Errorf("idle %v, %d bytes held, %d releases; want all given back", h.Idle(), h.bytes, len(h.releases))
+	}
+}
+
+// Guards against a false DID_NOT_RUN and against a second run.
+func TestOutcomes(t *testing.T) {
+	shed, draining := pb.Reason_REASON_SHED, pb.Reason_REASON_DRAINING
+	for _, c := range []struct {
+		what    string
+		request Request
+		steps   func(h *harness)
+		reason  pb.Reason
+		outcome pb.Outcome
+		sent    int
+	}{
+		{"no grant", Request{}, func(h *harness) { h.reply(1, refused) }, pb.Reason_REASON_OVERLOAD, didNotRun, 0},
+		{"no grant, repeated copy", Request{CallerAttempt: 2}, func(h *harness) { h.reply(1, refused) }, pb.Reason_REASON_OVERLOAD, unknown, 0},
+		{"copy elsewhere", Request{}, func(h *harness) { h.reply(1, duplicate) }, pb.Reason_REASON_DUPLICATE, unknown, 0},
+		{"no reply of the admitter", Request{}, func(h *harness) { h.tick(9000) }, pb.Reason_REASON_DEADLINE, didNotRun, 0},
+		{"server says unknown", Request{}, func(h *harness) {
+			h.reply(1, granted)
+			h.refuse(2, 0, shed, unknown)
+		}, shed, unknown, 1},
+		{"silence", Request{}, func(h *harness) {
+			h.reply(1, granted)
+			h.tick(9000)
+		}, pb.Reason_REASON_DEADLINE, unknown, 1},
+		{"shed twice", Request{}, func(h *harness) {
+			h.reply(1, granted)
+			h.refuse(2, 0, shed, didNotRun)
+			h.tick(100)
+			h.reply(101, granted)
+			h.refuse(102, 1, draining, didNotRun)
+		}, draining, didNotRun, 2},
+		{"shed, then silence", Request{}, func(h *harness) {
+			h.reply(1, granted)
+			h.refuse(2, 0, shed, didNotRun)
+			h.tick(100)
+			h.reply(101, granted)
+			h.tick(9000)
+		}, pb.Reason_REASON_DEADLINE, unknown, 2},
+		{"idempotent: timeout, then shed", Request{Idempotent: true}, func(h *harness) {
+			h.reply(1, granted)
+			h.tick(4100)
+			h.reply(4101, granted)
+			h.refuse(4102, 1, shed, didNotRun)
+		}, shed, unknown, 2},
+		{"cancelled before the grant", Request{}, func(h *harness) { h.do(h.Cancel(at(5), key(1))) }, pb.Reason_REASON_CANCELLED, didNotRun, 0},
+		{"cancelled, server says not run", Request{}, func(h *harness) {
+			h.reply(1, granted)
+			h.do(h.Cancel(at(5), key(1)))
+			h.refuse(6, 0, pb.Reason_REASON_CANCELLED, didNotRun)
+		}, pb.Reason_REASON_CANCELLED, didNotRun, 1},
+		{"cancelled, server silent", Request{}, func(h *harness) {
+			h.reply(1, granted)
+			h.do(h.Cancel(at(5), key(1)))
+			h.tick(500)
+		}, pb.Reason_REASON_CANCELLED, unknown, 1},
+		{"grant after the window", Request{}, func(h *harness) { h.reply(8001, granted) }, pb.Reason_REASON_DEADLINE, didNotRun, 0},
+	} {
+		t.Run(c.what, func(t *testing.T) {
+			h := newHarness(t, Config{})
+			// One token is there at the start: a single retry.
+			c.request.Key, c.request.Deadline = key(1), at(8000)
+			h.start(0, c.request)
+			c.steps(h)
+			h.wantRefusal(c.reason, c.outcome)
+			if len(h.sent) != c.sent {
+				t.Errorf("%d attempts sent, want %d", len(h.sent), c.sent)
+			}
+			for i, s := range h.sent {
+				if s.Deadline.After(at(8000)) {
+					t.Errorf("attempt %d runs to %v, beyond the caller's deadline", i, s.Deadline)
+				}
+			}
+			h.tick(30_000)
+			if !h.Idle() {
+				t.Error("grants are held after the end")
+			}
+		})
+	}
+}
+
+// Guards against releasing a grant while its attempt may still run.
+func TestGrantIsKeptWhileTheServerMayRun(t *testing.T) {
+	h := newHarness(t, Config{})
+	h.start(0, Request{Key: key(1), Deadline: at(1000)})
+	h.reply(1, granted)
+	h.do(h.Cancel(at(10), key(1)))
+	h.tick(1299)
+	if len(h.cancels) != 1 || len(h.releases) != 0 || len(h.Held(at(1299), 10)) != 1 {
+		t.Errorf("%d cancels, %d releases, held %v; want the grant held", len(h.cancels), len(h.releases), h.Held(at(1299), 10))
+	}
+	h.tick(1300)
+	if len(h.releases) != 1 {
+		t.Errorf("%d releases after the margin, want 1", len(h.releases))
+	}
+
+	h = newHarness(t, Config{})
+	h.start(0, Request{Key: key(1), Deadline: at(1000)})
+	h.reply(1, granted)
+	h.tick(1000)
+	h.refuse(1010, 0, pb.Reason_REASON_DEADLINE, unknown)
+	if len(h.releases) != 1 {
+		t.Errorf("%d releases after the server's late refusal, want 1", len(h.releases))
+	}
+}
+
+// Guards against copies that run again or get no answer.
+func TestCopies(t *testing.T) {
+	h := newHarness(t, Config{})
+	h.start(0, Request{Key: key(1), Deadline: at(5000)})
+	h.start(1, Request{Key: key(1), Deadline: at(5000), CallerAttempt: 2})
+	h.reply(2, granted)
+	h.start(3, Request{Key: key(1), Deadline: at(5000), CallerAttempt: 3})
+	h.answer(4, 0, 0, 1)
+	if len(h.asks) != 1 || len(h.sent) != 1 || len(h.replies) != 1 {
+		t.Errorf("%d asks, %d attempts, %d replies; want one of each", len(h.asks), len(h.sent), len(h.replies))
+	}
+	h.start(1000, Request{Key: key(1), Deadline: at(5000), CallerAttempt: 4})
+	if len(h.asks) != 1 || len(h.replies) != 2 || h.replies[1].Kind != pb.Kind_KIND_ANSWER {
+		t.Errorf("replies %+v to a copy after the answer, want the same answer", h.replies)
+	}
+	h.start(6000, Request{Key: key(1), Deadline: at(9000), CallerAttempt: 5})
+	if len(h.asks) != 2 {
+		t.Error("copy after the memory's time was not decided by the admitter")
+	}
+}
+
+// Guards against retries above 10% of the requests.
+func TestRetryBudget(t *testing.T) {
+	h := newHarness(t, Config{})
+	const n = 1000
+	for i := 0; i < n; i++ {
+		ms := i * 100
+		h.start(ms, Request{Key: key(uint64(i)), Idempotent: true, Deadline: at(ms + 5000)})
+		for sent := -1; sent != len(h.sent); {
+			sent = len(h.sent)
+			if h.Running(key(uint64(i))) {
+				h.reply(ms, granted)
+				h.refuse(ms+1, len(h.sent)-1, pb.Reason_REASON_SHED, didNotRun)
+				h.tick(ms + 90)
+			}
+		}
+	}
+	if retries := len(h.sent) - n; retries > n/10+1 || retries < n/20 {
+		t.Errorf("%d retries of %d requests, want about 10%%", retries, n)
+	}
+}
+
+// Guards against a request that is lost when the admitter changes or refuses
+// to be one, and against using a former admitter's late grant.
+func TestAdmitterChanges(t *testing.T) {
+	member := func(id model.InstanceID) dcstate.Member { return dcstate.Member{Instance: id, Incarnation: 1} }
+	old := dcstate.New(dcstate.Version{Generation: 1}, []dcstate.Member{member("a")}, nil)
+	new := dcstate.New(dcstate.Version{Generation: 2}, []dcstate.Member{member("b")}, nil)
+	h := newHarness(t, Config{})
+	h.start(0, Request{Key: key(1), Deadline: at(5000)})
+	h.reply(1, notAdmitter)
+	h.tick(60)
+	if len(h.asks) != 2 || h.asks[0].Request.GetGrant() != h.asks[1].Request.GetGrant() {
+		t.Fatalf("asks %v, want the same ask repeated", h.asks)
+	}
+	h.do(h.StateChanged(at(70), old, new))
+	if len(h.asks) != 3 || h.asks[2].Request.GetGrant() == h.asks[0].Request.GetGrant() || !h.asks[2].Request.GetReasked() {
+		t.Fatalf("asks %v, want a new one", h.asks)
+	}
+	h.do(h.GrantReply(at(80), &pb.GrantReply{Grant: h.asks[0].Request.GetGrant(), Result: granted}))
+	if len(h.sent) != 0 || len(h.releases) != 1 {
+		t.Errorf("%d sent, %d releases after a late grant; want it released", len(h.sent), len(h.releases))
+	}
+	h.reply(90, granted)
+	if len(h.sent) != 1 {
+		t.Error("the new admitter's grant was not used")
+	}
+}
+
+// Guards against a planned stop that cuts requests or takes new ones.
+func TestPlannedStop(t *testing.T) {
+	h := newHarness(t, Config{})
+	h.start(0, Request{Key: key(1), Deadline: at(5000)})
+	h.Stop()
+	h.start(1, Request{Key: key(2), Deadline: at(5000)})
+	h.wantRefusal(pb.Reason_REASON_INSTANCE_NOT_READY, didNotRun)
+	h.reply(2, granted)
+	h.answer(3, 0, 0, 1)
+	if len(h.replies) != 2 || h.replies[1].Kind != pb.Kind_KIND_ANSWER || !h.Idle() {
+		t.Errorf("replies %+v, idle %v; want the first request answered", h.replies, h.Idle())
+	}
+}
+
+// Guards against unbounded memory: requests, payloads and timers.
+func TestBounds(t *testing.T) {
+	h := newHarness(t, Config{MaxInFlight: 100, MaxBytes: 1000})
+	for i := 0; i < 200; i++ {
+		h.start(0, Request{Key: key(uint64(i)), Deadline: at(5000), Payload: make([]byte, 20)})
+	}
+	if h.InFlight() != 50 || len(h.replies) != 150 {
+		t.Errorf("%d in flight, %d refused; want 50 and 150", h.InFlight(), len(h.replies))
+	}
+	h.tick(10_000)
+	for i := 0; i < 5000; i++ {
+		h.start(10_000, Request{Key: key(uint64(i)), Idempotent: true, Deadline: at(60_000)})
+		h.reply(10_000, granted)
+		h.answer(10_001, len(h.sent)-1, 0, 1)
+	}
+	if len(h.timers) > 100 {
+		t.Errorf("%d timers for no request in flight", len(h.timers))
+	}
+}
+
+// Guards against a retry at the server that just failed when another is
+// offered, and against moving a non-idempotent request.
+func TestRetryElsewhere(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		h := newHarness(t, Config{Choose: func(time.Time, Key, model.ServerID) model.ServerID { return 11 }})
+		h.start(0, Request{Key: key(1), Idempotent: idempotent, Deadline: at(5000)})
+		h.reply(1, granted)
+		h.refuse(2, 0, pb.Reason_REASON_SHED, didNotRun)
+		h.tick(100)
+		h.reply(101, granted)
+		want := model.ServerID(10)
+		if idempotent {
+			want = 11
+		}
+		if len(h.sent) != 2 || h.sent[1].Server != want {
+			t.Errorf("idempotent %v: attempts %+v, want the second at %d", idempotent, h.sent, want)
+		}
+	}
+}
+
+// Guards against evidence that is not passed to serverhealth.
+func TestObservations(t *testing.T) {
+	h := newHarness(t, Config{})
+	h.start(0, Request{Key: key(1), Deadline: at(5000)})
+	h.reply(1, granted)
+	s := h.sent[0]
+	actions := h.ServerPacket(at(31), ServerPacket{Key: s.Key, Server: 10, Kind: pb.Kind_KIND_ANSWER, Attempt: s.Attempt, Cold: true})
+	release, _ := actions[0].(ReleaseGrant)
+	observe, _ := actions[1].(Observe)
+	if release.Release.GetCondition() != serverhealth.Cold || release.Release.GetLatencyMs() != 30 {
+		t.Errorf("release %v, want cold after 30 ms", release.Release)
+	}
+	if want := (serverhealth.Observation{Kind: serverhealth.Answered, Cold: true, Latency: 30 * time.Millisecond}); observe.Observation != want {
+		t.Errorf("observation %+v, want %+v", observe.Observation, want)
+	}
+}
--- a/internal/serverhealth/server.go
+++ b/internal/serverhealth/server.go
@@ -17,6 +17,9 @@
 	// tried again.
 	maxProbeAfter = 30 * time.Second
 	minProbeAfter = 2 * time.Second
+	// maxDrainMemory ends a drain of which there is no sign any more, so that
+	// a server whose endpoint is broken returns to use.
+	maxDrainMemory = time.Minute
 )
 
 type server struct {
@@ -30,21 +33,54 @@
 	lastAnswer time.Time
 	// clean counts answers in a row without a sign of trouble.
 	clean                         int
-	lastCold, lastShed, lastDrain time.Time
 	cold, shedding, draining      bool
-	unanswered, misses            int
-	firstUnanswered               time.Time
-	silent                        bool
-	silentAt                      time.Time
-	probeAfter                    time.Duration
-	fastLatency, usualLatency     float64
-	samples                       int
-	endpoint                      pb.BackendStatusResponse_State
-	endpointAt                    time.Time
-	coldSince                     time.Time
-	openings                      openings
-	urgent                        int
-	reportedAt                    time.Time
+	lastCold, lastShed, lastDrain time.Time
+
+	silence silence
+	// rejected counts rejected datagrams since the last answer.
+	rejected   int
+	silent     bool
+	silentAt   time.Time
+	probeAfter time.Duration
+
+	fastLatency, usualLatency float64
+	samples                   int
+
+	endpoint   pb.BackendStatusResponse_State
+	endpointAt time.Time
+
+	openings openings
+	// urgent is the number of heartbeats that report a change of condition.
+	urgent     int
+	reportedAt time.Time
+}
+
+// silence counts what was not answered since the last answer.
+type silence struct {
+	sent, misses int
+	// since is when the first of them was sent.
+	since time.Time
+}
+
+func (s *silence) unanswered(now time.Time) {
+	s.begin(now)
+	s.sent++
+}
+
+func (s *silence) missed(sentAt time.Time) {
+	s.begin(sentAt)
+	s.misses++
+}
+
+func (s *silence) begin(at time.Time) {
+	if s.sent+s.misses == 0 || at.Before(s.since) {
+		s.since = at
+	}
+}
+
+// lasting reports whether enough is unanswered for long enough.
+func (s *silence) lasting(now time.Time, misses int, after time.Duration) bool {
+	return max(s.sent, s.misses) >= misses && now.Sub(s.since) >= after
 }
 
 func (s *server) path(id int) *path {
@@ -56,17 +92,10 @@
 	return p
 }
 
-func (s *server) sent(now time.Time) {
-	if s.unanswered == 0 {
-		s.firstUnanswered = now
-	}
-	s.unanswered++
-}
-
 func (s *server) heard(now time.Time, pathID int) {
-	s.path(pathID).heard(now)
+	s.path(pathID).silence = silence{}
 	s.lastAnswer = now
-	s.unanswered, s.misses = 0, 0
+	s.silence, s.rejected = silence{}, 0
 	if s.silent {
 		// A server that was silent may have restarted.
 		s.silent, s.cold, s.lastCold, s.clean = false, true, now, 0
@@ -165,10 +194,15 @@
 }
 
 // judgeDraining ends a drain that the server itself announced once the
-// endpoint, asked after the last such refusal, calls the server ready.
+// endpoint, asked after the last such refusal, calls the server ready, or
+// after a long time without another such refusal.
 func (s *server) judgeDraining(now time.Time, cfg *Config, endpoint pb.BackendStatusResponse_State) {
+	if !s.draining {
+		return
+	}
+	quiet := now.Sub(s.lastDrain)
 	back := endpoint == pb.BackendStatusResponse_STATE_READY || endpoint == pb.BackendStatusResponse_STATE_COLD
-	if s.draining && back && now.Sub(s.lastDrain) > cfg.EndpointMaxAge && s.endpointAt.After(s.lastDrain) {
+	if (back && quiet > cfg.EndpointMaxAge && s.endpointAt.After(s.lastDrain)) || quiet > maxDrainMemory {
 		s.draining = false
 		s.markCold(now)
 	}
@@ -178,17 +212,18 @@
 // trial as a cold one, after a time that doubles, unless its endpoint calls it
 // down: without traffic there is no other evidence that it is back.
 func (s *server) judgeSilence(now time.Time, cfg *Config, distrusted bool) {
-	quiet := s.misses >= cfg.SilentMisses || s.unanswered >= cfg.SilentMisses
-	waited := s.unanswered > 0 && now.Sub(s.firstUnanswered) >= s.silentAfter(cfg)
-	if !s.silent && quiet && waited && now.Sub(s.lastAnswer) >= s.silentAfter(cfg) {
-		s.silent, s.silentAt = true, now
-		s.probeAfter = min(max(2*s.probeAfter, minProbeAfter), maxProbeAfter)
+	if !s.silent {
+		after := s.silentAfter(cfg)
+		missing := s.silence.lasting(now, cfg.SilentMisses, after) && now.Sub(s.lastAnswer) >= after
+		if missing || s.rejected >= cfg.SilentMisses {
+			s.silent, s.silentAt = true, now
+			s.probeAfter = min(max(2*s.probeAfter, minProbeAfter), maxProbeAfter)
+		}
 		return
 	}
 	down := s.endpoint == pb.BackendStatusResponse_STATE_DOWN && s.endpointFresh(now, cfg) && !distrusted
-	if s.silent && !down && now.Sub(s.silentAt) >= s.probeAfter {
-		s.silent = false
-		s.unanswered, s.misses = 0, 0
+	if !down && now.Sub(s.silentAt) >= s.probeAfter {
+		s.silent, s.silence, s.rejected = false, silence{}, 0
 		s.markCold(now)
 	}
 }
@@ -198,23 +233,10 @@
 	return &pb.ServerReport{Server: uint64(id), Condition: s.condition, OpenFlows: s.openFlows, Answers: s.answers, Refusals: s.refusals}
 }
 
+// path is one local socket to a server.
 type path struct {
-	unanswered, misses int
-	firstUnanswered    time.Time
-	lastAnswer         time.Time
-	replacedAt         time.Time
-}
-
-func (p *path) sent(now time.Time) {
-	if p.unanswered == 0 {
-		p.firstUnanswered = now
-	}
-	p.unanswered++
-}
-
-func (p *path) heard(now time.Time) {
-	p.unanswered, p.misses = 0, 0
-	p.lastAnswer = now
+	silence
+	replacedAt time.Time
 }
 
 // silentPaths returns the paths without answers whose server answered
@@ -223,17 +245,14 @@
 func (s *server) silentPaths(now time.Time, cfg *Config) []int {
 	var out []int
 	for id, p := range s.paths {
-		if p.unanswered == 0 || max(p.misses, p.unanswered) < cfg.SilentMisses {
-			continue
-		}
-		if now.Sub(p.firstUnanswered) < s.silentAfter(cfg) || now.Sub(p.replacedAt) < cfg.ReplaceInterval {
+		if !p.lasting(now, cfg.SilentMisses, s.silentAfter(cfg)) || now.Sub(p.replacedAt) < cfg.ReplaceInterval {
 			continue
 		}
-		endpointAnswers := s.endpointFresh(now, cfg) && s.endpointAt.After(p.firstUnanswered) &&
+		endpointAnswers := s.endpointFresh(now, cfg) && s.endpointAt.After(p.since) &&
 			s.endpoint != pb.BackendStatusResponse_STATE_DOWN
-		if s.lastAnswer.After(p.firstUnanswered) || endpointAnswers {
+		if s.lastAnswer.After(p.since) || endpointAnswers {
 			out = append(out, id)
-			p.unanswered, p.misses, p.replacedAt = 0, 0, now
+			p.silence, p.replacedAt = silence{}, now
 		}
 	}
 	sort.Ints(out)
--- a/internal/serverhealth/serverhealth.go
+++ b/internal/serverhealth/serverhealth.go
@@ -30,14 +30,17 @@
 
 // Kinds of observations.
 const (
-	// Sent is a packet that the server must answer: an opening or a request.
+	// Sent is an opening, which a server answers promptly. Requests are not
+	// observed when sent, because their answers may rightly take long.
 	Sent Kind = iota + 1
 	// Answered is an OPEN_ACK or the last part of an answer.
 	Answered
 	// Refused is a REFUSAL by the server.
 	Refused
-	// TimedOut is a sent packet that was not answered in time.
+	// TimedOut is an opening or a request that was not answered in time.
 	TimedOut
+	// SendRefused is a datagram that the server's host rejected.
+	SendRefused
 	// FlowOpened and FlowEnded change the number of open flows.
 	FlowOpened
 	FlowEnded
@@ -50,8 +53,9 @@
 	Reason pb.Reason
 	// Cold is the cold flag of OPEN_ACK, ANSWER or REFUSAL.
 	Cold bool
-	// Latency from sending to the answer; zero when not measured. Openings
-	// and requests differ in cost, so the caller passes it for one of them.
+	// Latency is the time from sending to the answer or to the timeout; zero
+	// when not measured. Openings and requests differ in cost, so for answers
+	// the caller passes it for one of the two.
 	Latency time.Duration
 }
 
@@ -115,6 +119,7 @@
 	cfg        Config
 	servers    map[model.ServerID]*server
 	order      []model.ServerID
+	services   map[model.ServiceID][]*server
 	distrusted map[model.ServiceID]bool
 }
 
@@ -142,10 +147,12 @@
 		h.order = append(h.order, id)
 	}
 	sort.Slice(h.order, func(i, j int) bool { return h.order[i] < h.order[j] })
-	h.judgeEndpoints(now)
-	for _, s := range h.servers {
-		h.refresh(now, s)
+	h.services = map[model.ServiceID][]*server{}
+	for _, id := range h.order {
+		s := h.servers[id]
+		h.services[s.info.Service] = append(h.services[s.info.Service], s)
 	}
+	h.refreshAll(now)
 }
 
 // Observe adds an observation made on a path (local socket) to a server.
@@ -161,12 +168,15 @@
 	case FlowEnded:
 		s.openFlows--
 	case Sent:
-		s.path(pathID).sent(now)
-		s.sent(now)
+		s.path(pathID).unanswered(now)
+		s.silence.unanswered(now)
 		return
 	case TimedOut:
-		s.path(pathID).misses++
-		s.misses++
+		s.path(pathID).missed(now.Add(-o.Latency))
+		s.silence.missed(now.Add(-o.Latency))
+		s.clean = 0
+	case SendRefused:
+		s.rejected++
 		s.clean = 0
 	case Answered:
 		s.answers++
@@ -191,7 +201,11 @@
 	if status == nil {
 		s.endpoint = pb.BackendStatusResponse_STATE_DOWN
 	}
-	h.judgeService(now, s.info.Service)
+	if h.judgeEndpoints(now, s.info.Service) {
+		for _, other := range h.services[s.info.Service] {
+			h.refresh(now, other)
+		}
+	}
 	h.refresh(now, s)
 }
 
@@ -211,11 +225,10 @@
 
 // Tick detects silence. It is called every 100 ms or so.
 func (h *Health) Tick(now time.Time) []Action {
-	h.judgeEndpoints(now)
+	h.refreshAll(now)
 	var actions []Action
 	for _, id := range h.order {
 		s := h.servers[id]
-		h.refresh(now, s)
 		for _, p := range s.silentPaths(now, &h.cfg) {
 			actions = append(actions, ReplacePath{id, p})
 		}
@@ -223,15 +236,21 @@
 	return actions
 }
 
+// urgentFactor times MaxReports bounds the changed conditions of a heartbeat.
+const urgentFactor = 4
+
 // Reports returns the summaries for the next heartbeat. A changed condition
 // is reported at once and repeated twice, because a heartbeat can be lost;
 // of the other servers, MaxReports are reported in turn.
+//
+// The changes of one heartbeat are bounded too, because after a start all
+// conditions change at once.
 func (h *Health) Reports(now time.Time) []*pb.ServerReport {
 	var out []*pb.ServerReport
 	var routine []*server
 	for _, id := range h.order {
 		s := h.servers[id]
-		if s.urgent > 0 {
+		if s.urgent > 0 && len(out) < urgentFactor*h.cfg.MaxReports {
 			s.urgent--
 			out = append(out, s.report(id, now))
 		} else if s.condition != Unknown || s.openFlows != 0 {
@@ -245,36 +264,32 @@
 	return out
 }
 
-func (h *Health) judgeEndpoints(now time.Time) {
-	type tally struct{ dead, all int }
-	tallies := map[model.ServiceID]tally{}
-	for _, s := range h.servers {
-		t := tallies[s.info.Service]
-		t.all++
-		if s.deadByEndpointAlone(now, &h.cfg) {
-			t.dead++
-		}
-		tallies[s.info.Service] = t
-	}
+func (h *Health) refreshAll(now time.Time) {
 	clear(h.distrusted)
-	for service, t := range tallies {
-		if 2*t.dead > t.all {
-			h.distrusted[service] = true
-		}
+	for service := range h.services {
+		h.judgeEndpoints(now, service)
+	}
+	for _, s := range h.servers {
+		h.refresh(now, s)
 	}
 }
 
-func (h *Health) judgeService(now time.Time, service model.ServiceID) {
-	was := h.distrusted[service]
-	h.judgeEndpoints(now)
-	if was == h.distrusted[service] {
-		return
-	}
-	for _, s := range h.servers {
-		if s.info.Service == service {
-			h.refresh(now, s)
+// judgeEndpoints reports whether the service's endpoints became or ceased to
+// be distrusted.
+func (h *Health) judgeEndpoints(now time.Time, service model.ServiceID) bool {
+	dead := 0
+	for _, s := range h.services[service] {
+		if s.deadByEndpointAlone(now, &h.cfg) {
+			dead++
 		}
 	}
+	was := h.distrusted[service]
+	if 2*dead > len(h.services[service]) {
+		h.distrusted[service] = true
+	} else {
+		delete(h.distrusted, service)
+	}
+	return was != h.distrusted[service]
 }
 
 func (h *Health) refresh(now time.Time, s *server) {
@@ -283,9 +298,10 @@
 		return
 	}
 	if c == Cold {
-		s.coldSince = now
 		s.openings = openings{}
 	}
+	if s.condition != Unknown || c != Healthy {
+		s.urgent = 3
+	}
 	s.condition = c
-	s.urgent = 3
 }
--- /dev/null
+++ b/internal/serverhealth/serverhealth_test.go
@@ -0,0 +1,236 @@
+package serverhealth
+
+import (
+	"testing"
+	"time"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/model"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+func newHealth(n int) *Health {
+	h := New(Config{})
+	servers := map[model.ServerID]*model.BackendServer{}
+	for i := 1; i <= n; i++ {
+		id := model.ServerID(i)
+		servers[id] = &model.BackendServer{ID: id, Service: 7, Slots: 3, ColdSlots: 1, ColdOpeningsPerSecond: 10}
+	}
+	h.SetServers(epoch, servers)
+	return h
+}
+
+func answer(h *Health, ms int, id model.ServerID, o Observation) {
+	o.Kind = Answered
+	h.Observe(at(ms), id, 0, o)
+}
+
+func wantCondition(t *testing.T, h *Health, id model.ServerID, want Condition) {
+	t.Helper()
+	if got := h.Condition(id); got != want {
+		t.Errorf("server %d: condition %v, want %v", id, got, want)
+	}
+}
+
+// Guards against a condition that ends with the first good answer, and
+// against one that never ends.
+func TestColdAndSheddingHysteresis(t *testing.T) {
+	for _, c := range []struct {
+		sign Observation
+		want Condition
+	}{
+		{Observation{Kind: Answered, Cold: true}, Cold},
+		{Observation{Kind: Refused, Cold: true, Reason: pb.Reason_REASON_SHED}, Cold},
+		{Observation{Kind: Refused, Reason: pb.Reason_REASON_SHED}, Shedding},
+	} {
+		h := newHealth(1)
+		answer(h, 0, 1, Observation{})
+		wantCondition(t, h, 1, Healthy)
+		h.Observe(at(10), 1, 0, c.sign)
+		wantCondition(t, h, 1, c.want)
+		for i := 0; i < 10; i++ {
+			answer(h, 100+i, 1, Observation{})
+		}
+		wantCondition(t, h, 1, c.want)
+		answer(h, 1100, 1, Observation{})
+		if c.sign.Reason == pb.Reason_REASON_SHED && c.sign.Cold {
+			answer(h, 1101, 1, Observation{})
+		}
+		wantCondition(t, h, 1, Healthy)
+	}
+}
+
+// Guards against missing a server that goes cold without flag or refusal.
+func TestRisingLatencyCountsAsCold(t *testing.T) {
+	h := newHealth(1)
+	for i := 0; i < 20; i++ {
+		answer(h, i, 1, Observation{Latency: 10 * time.Millisecond})
+	}
+	wantCondition(t, h, 1, Healthy)
+	for i := 0; i < 4; i++ {
+		answer(h, 100+i, 1, Observation{Latency: 200 * time.Millisecond})
+	}
+	wantCondition(t, h, 1, Cold)
+}
+
+// Guards against believing a lying endpoint over own answers, in both
+// directions.
+func TestOwnObservationsOutrankEndpoint(t *testing.T) {
+	h := newHealth(4)
+	answer(h, 0, 1, Observation{})
+	h.Endpoint(at(10), 1, nil)
+	wantCondition(t, h, 1, Healthy)
+	h.Tick(at(2000))
+	wantCondition(t, h, 1, Silent)
+	answer(h, 2001, 1, Observation{})
+	wantCondition(t, h, 1, Healthy)
+
+	h.Endpoint(at(2100), 2, &pb.BackendStatusResponse{State: pb.BackendStatusResponse_STATE_READY})
+	for i := 0; i < 3; i++ {
+		h.Observe(at(2100), 2, 0, Observation{Kind: Sent})
+	}
+	h.Tick(at(2700))
+	wantCondition(t, h, 2, Silent)
+}
+
+// Guards against taking a whole service out because its endpoints fail.
+func TestEndpointDistrust(t *testing.T) {
+	h := newHealth(4)
+	for id := model.ServerID(1); id <= 4; id++ {
+		answer(h, 0, id, Observation{})
+	}
+	h.Endpoint(at(5000), 1, nil)
+	h.Endpoint(at(5000), 2, nil)
+	h.Tick(at(5001))
+	wantCondition(t, h, 1, Silent)
+	h.Endpoint(at(5100), 3, &pb.BackendStatusResponse{State: pb.BackendStatusResponse_STATE_DRAINING})
+	for id := model.ServerID(1); id <= 4; id++ {
+		wantCondition(t, h, id, Healthy)
+	}
+	if !h.EndpointsDistrusted(7) {
+		t.Error("endpoints of service 7 are trusted with 3 of 4 servers dead by endpoint alone")
+	}
+}
+
+// Guards against new work for a server that refuses as draining while its
+// endpoint still says ready.
+func TestDrainingOutlivesStaleEndpoint(t *testing.T) {
+	h := newHealth(1)
+	answer(h, 0, 1, Observation{})
+	h.Observe(at(100), 1, 0, Observation{Kind: Refused, Reason: pb.Reason_REASON_DRAINING})
+	h.Endpoint(at(200), 1, &pb.BackendStatusResponse{State: pb.BackendStatusResponse_STATE_READY})
+	wantCondition(t, h, 1, Draining)
+	if h.OpeningAllowed(at(300), 1, 4, 0) {
+		t.Error("opening allowed at a draining server")
+	}
+	h.Endpoint(at(6000), 1, &pb.BackendStatusResponse{State: pb.BackendStatusResponse_STATE_READY})
+	wantCondition(t, h, 1, Cold)
+}
+
+// Guards against a silent server that is never tried again, and against one
+// that returns at full load.
+func TestSilentServerReturnsCold(t *testing.T) {
+	h := newHealth(1)
+	answer(h, 0, 1, Observation{})
+	for i := 0; i < 3; i++ {
+		h.Observe(at(100), 1, 0, Observation{Kind: SendRefused})
+	}
+	wantCondition(t, h, 1, Silent)
+	h.Tick(at(2000))
+	wantCondition(t, h, 1, Silent)
+	h.Tick(at(2100))
+	wantCondition(t, h, 1, Cold)
+}
+
+// Guards against replacing paths of a dead server, and against keeping a
+// silent path of a live one.
+func TestSilentPaths(t *testing.T) {
+	h := newHealth(1)
+	for i := 0; i < 3; i++ {
+		h.Observe(at(0), 1, 1, Observation{Kind: Sent})
+		h.Observe(at(0), 1, 2, Observation{Kind: Sent})
+	}
+	if a := h.Tick(at(600)); len(a) != 0 {
+		t.Errorf("paths of a dead server replaced: %v", a)
+	}
+	h.Observe(at(700), 1, 2, Observation{Kind: Answered})
+	if a := h.Tick(at(710)); len(a) != 1 || a[0] != (ReplacePath{1, 1}) {
+		t.Errorf("got %v, want replacement of path 1", a)
+	}
+	for i := 0; i < 3; i++ {
+		h.Observe(at(720), 1, 1, Observation{Kind: TimedOut, Latency: 600 * time.Millisecond})
+	}
+	if a := h.Tick(at(1000)); len(a) != 0 {
+		t.Errorf("path replaced twice within the interval: %v", a)
+	}
+	if a := h.Tick(at(1800)); len(a) != 1 {
+		t.Errorf("got %v, want a second replacement", a)
+	}
+}
+
+// Guards against more openings per second at a cold server, summed over the
+// instances that hear of it together, than it bears.
+func TestColdOpeningsSum(t *testing.T) {
+	for _, instances := range []int{1, 3, 4, 12, 750} {
+		var hs []*Health
+		for i := 0; i < instances; i++ {
+			h := newHealth(1)
+			answer(h, 0, 1, Observation{Cold: true})
+			hs = append(hs, h)
+		}
+		perSecond := make([]int, 120)
+		total := 0
+		for ms := 0; ms < 120_000; ms += 10 {
+			for rank, h := range hs {
+				if h.OpeningAllowed(at(ms), 1, instances, rank) {
+					perSecond[ms/1000]++
+					total++
+				}
+			}
+		}
+		for s, n := range perSecond {
+			if n > 10 {
+				t.Fatalf("%d instances: %d openings in second %d, the server bears 10", instances, n, s)
+			}
+		}
+		if total < 1000 {
+			t.Errorf("%d instances: %d openings in 120 s, want most of 1200", instances, total)
+		}
+	}
+}
+
+// Guards against a heartbeat that grows with the number of servers, and
+// against a change of condition that is reported late.
+func TestReportsAreBoundedAndUrgentFirst(t *testing.T) {
+	h := newHealth(100)
+	for id := model.ServerID(1); id <= 100; id++ {
+		answer(h, 0, id, Observation{})
+		h.Observe(at(0), id, 0, Observation{Kind: FlowOpened})
+	}
+	for i := 0; i < 3; i++ {
+		h.Reports(at(i))
+	}
+	answer(h, 10, 50, Observation{Cold: true})
+	seen := map[uint64]bool{}
+	for i := 0; i < 13; i++ {
+		reports := h.Reports(at(20 + i))
+		if i == 0 && (reports[0].GetServer() != 50 || reports[0].GetCondition() != Cold) {
+			t.Errorf("first report is %v, want the changed server 50", reports[0])
+		}
+		if len(reports) > 9 {
+			t.Errorf("%d reports in one heartbeat", len(reports))
+		}
+		for _, r := range reports {
+			seen[r.GetServer()] = true
+			if r.GetOpenFlows() != 1 || r.GetAnswers() == 0 {
+				t.Fatalf("wrong counters: %v", r)
+			}
+		}
+	}
+	if len(seen) != 100 {
+		t.Errorf("%d of 100 servers reported in 13 heartbeats", len(seen))
+	}
+}
