--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -58,6 +58,9 @@
 	// unreportedUntil: grants of a dead admitter may still use them.
 	unreported      int
 	unreportedUntil time.Time
+	// blindUntil is set when the former admitter did not leave the view but
+	// restarted: less than DeadAfter may have passed since its last grant.
+	blindUntil time.Time
 
 	arrivals uint64
 }
@@ -97,8 +100,7 @@
 		return pb.GrantResult_GRANT_RESULT_DUPLICATE, pb.Reason_REASON_DUPLICATE
 	case known:
 		return pb.GrantResult_GRANT_RESULT_GRANTED, 0
-	case r.GetRetry() || (r.GetCallerAttempt() > 1 && s.memory.lossy(now)):
-		// The request may have run, and the memory of it was lost.
+	case r.GetRetry() || (s.memory.lossy(now) && s.mayBeCopy(w)):
 		return pb.GrantResult_GRANT_RESULT_DUPLICATE, pb.Reason_REASON_DUPLICATE
 	case s.memory.full(now):
 		return pb.GrantResult_GRANT_RESULT_REFUSED, pb.Reason_REASON_OVERLOAD
@@ -106,6 +108,15 @@
 	return pb.GrantResult_GRANT_RESULT_GRANTED, 0
 }
 
+// mayBeCopy reports whether the request may be a copy of one that a former
+// admitter granted and this one does not know. A network duplicate of a first
+// transmission meets this admitter only if its coordinator asked the former
+// one before, or if the former one was replaced faster than a datagram
+// travels.
+func (s *server) mayBeCopy(w *waiter) bool {
+	return w.request.GetCallerAttempt() > 1 || w.request.GetReasked() || w.arrivedAt.Before(s.blindUntil)
+}
+
 // grant gives a slot to the waiter. It expires when the coordinator must have
 // ended the attempt, plus the time for which its packet may be under way.
 func (s *server) grant(now time.Time, w *waiter, cfg *Config) {
