Test the findings of the lists and their places

Form errors hid errors of content in the same file; both are now reported in one go, and a file that is not YAML only skips checks of names it defines.

--- a/internal/ctl/files.go
+++ b/internal/ctl/files.go
@@ -81,14 +81,13 @@
 	return c
 }
 
-// check returns all findings; parts that the files lack come from current.
+// check returns the findings of form and content; parts that the files lack
+// come from current.
 func (f *files) check(current lists.Content) findings.Findings {
-	if len(f.found) > 0 {
-		return f.found
-	}
 	c := f.over(current)
-	return lists.Validate(lists.Callers{List: c.Callers, Source: f.callers.Source},
+	found := lists.Validate(lists.Callers{List: c.Callers, Source: f.callers.Source},
 		lists.Plans{List: c.Plans, Source: f.plans.Source}, nil)
+	return append(found, f.found...)
 }
 
 // report prints findings and returns the failure, if any.
@@ -111,9 +110,6 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	if len(f.found) > 0 {
-		return nil, nil, e.report(f.found)
-	}
 	current, err := e.client.config(ctx)
 	if err != nil {
 		return nil, nil, err
--- a/internal/findings/yaml.go
+++ b/internal/findings/yaml.go
@@ -16,19 +16,25 @@
 // Source is the text form of a message; it locates fields. A nil Source
 // locates nothing.
 type Source struct {
-	File string
-	root *yaml.Node
+	File   string
+	root   *yaml.Node
+	broken bool
 }
 
+// Broken says that the text is not one YAML document, so nothing was decoded.
+func (s *Source) Broken() bool { return s != nil && s.broken }
+
 // ParseYAML decodes one YAML document into the message. Unknown and repeated
 // fields are findings. The Source is never nil.
 func ParseYAML(file string, data []byte, into proto.Message) (*Source, Findings) {
 	src := &Source{File: file}
 	if found := checkLineBreaks(file, data); len(found) > 0 {
+		src.broken = true
 		return src, found
 	}
 	doc, found := parseNodes(file, data)
 	if doc == nil || len(found) > 0 {
+		src.broken = len(found) > 0
 		return src, found
 	}
 	src.root = doc
--- a/internal/lists/check.go
+++ b/internal/lists/check.go
@@ -245,7 +245,7 @@
 			c.inCallers(fmt.Sprintf("duplicate caller %q", e.GetName()), path(at, "name")...)
 		}
 		names[e.GetName()] = true
-		if !c.planNames[e.GetPlan()] {
+		if !c.planNames[e.GetPlan()] && !c.plans.Source.Broken() {
 			c.inCallers(fmt.Sprintf("caller %q is on the unknown plan %q", e.GetName(), e.GetPlan()), path(at, "plan")...)
 		}
 		switch n := len(e.GetPrefixes()); {
--- a/internal/lists/diff.go
+++ b/internal/lists/diff.go
@@ -33,30 +33,52 @@
 		}
 		return kind + " " + c.Key.Name + ": marked out"
 	case c.From == nil:
-		return "+ " + c.Key.String() + ": " + describe(c.To)
+		return strings.TrimSuffix("+ "+c.Key.String()+": "+describe(c.To), ": ")
 	case c.To == nil:
 		return "- " + c.Key.String()
 	}
-	return "~ " + c.Key.String() + ": " + strings.Join(fieldChanges(bare(c.From), bare(c.To)), ", ")
+	return "~ " + c.Key.String() + ": " + strings.Join(itemChanges(c.From, c.To), ", ")
 }
 
-// bare drops the names that the key shows already.
-func bare(m proto.Message) protoreflect.Message {
-	s, ok := m.(*pb.ServiceEntry)
-	if !ok {
-		return m.ProtoReflect()
+// itemChanges compares two values of one key. Names are left out, because the
+// key shows them.
+func itemChanges(a, b proto.Message) []string {
+	var out []string
+	from, to := parts(a), parts(b)
+	for i := range to {
+		out = append(out, fieldChanges(from[i].ProtoReflect(), to[i].ProtoReflect())...)
 	}
-	if len(s.GetSites()) != 1 {
-		if s.GetObjective() == nil {
-			return (&pb.Objective{}).ProtoReflect()
+	return out
+}
+
+func describe(m proto.Message) string {
+	var out []string
+	for _, p := range parts(m) {
+		r := p.ProtoReflect()
+		empty := r.New()
+		if name := r.Descriptor().Fields().ByName("name"); name != nil {
+			empty.Set(name, r.Get(name))
 		}
-		return s.GetObjective().ProtoReflect()
+		out = append(out, fieldChanges(empty, r)...)
 	}
-	return s.GetSites()[0].ProtoReflect()
+	return strings.Join(out, ", ")
 }
 
-func describe(m proto.Message) string {
-	return strings.Join(fieldChanges(bare(m).New(), bare(m)), ", ")
+// parts returns the messages that hold the fields of an item.
+func parts(m proto.Message) []proto.Message {
+	s, ok := m.(*pb.ServiceEntry)
+	if !ok {
+		return []proto.Message{m}
+	}
+	if len(s.GetSites()) == 0 {
+		return []proto.Message{s.GetObjective()}
+	}
+	site := s.GetSites()[0]
+	place := &pb.ServiceSite{DataCentre: site.GetDataCentre(), Address: site.GetAddress()}
+	if len(site.GetServers()) == 0 {
+		return []proto.Message{place}
+	}
+	return []proto.Message{place, site.GetServers()[0]}
 }
 
 // fieldChanges lists the fields that differ as "name old -> new".
--- /dev/null
+++ b/internal/lists/lists_test.go
@@ -0,0 +1,155 @@
+package lists
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"cuminshift/internal/findings"
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/model"
+)
+
+// Guards against faults that pass, that hide others, or that are reported at
+// the wrong place.
+func TestFindings(t *testing.T) {
+	datadriven.RunTest(t, "testdata/findings", func(t *testing.T, td *datadriven.TestData) string {
+		parts := append(strings.SplitN(td.Input, "\n---\n", 3), "", "")
+		callers, found := ParseCallers("callers.yaml", []byte(parts[0]))
+		plans, more := ParsePlans("plans.yaml", []byte(parts[1]))
+		marks := &pb.Marks{}
+		_, marksFound := findings.ParseYAML("marks.yaml", []byte(parts[2]), marks)
+		found = slices.Concat(found, more, marksFound)
+
+		c := newChecker(callers, plans, marks)
+		c.hashServer = func(service, server string) model.ServerID {
+			name := service + "/" + server
+			switch arg, _ := td.Arg("zero"); {
+			case slices.Contains(arg.Vals, name):
+				return 0
+			}
+			if arg, ok := td.Arg("collide"); ok && slices.Contains(arg.Vals, name) {
+				return 42
+			}
+			return model.NewServerID(service, server)
+		}
+		c.checkAll()
+		c.checkMarkedDataCentres()
+		found = append(found, c.found...)
+		found.Sort()
+		return found.String()
+	})
+}
+
+func sample() Content {
+	return Content{
+		Callers: &pb.CallerList{Callers: []*pb.CallerEntry{{Name: "north", Plan: "gold", Prefixes: []string{"10.0.0.0/8"}}}},
+		Plans: &pb.PlanList{
+			Plans: []*pb.PlanEntry{{Name: "gold", Uses: []*pb.PlanUse{{Service: "campo", RequestsPerSecond: 100, Priority: 2}}}},
+			Services: []*pb.ServiceEntry{{Name: "campo", Objective: &pb.Objective{LatePpm: 5, LateMs: 20}, Sites: []*pb.ServiceSite{
+				{DataCentre: "norte", Address: "127.0.1.1:9000", Servers: []*pb.ServerEntry{{Name: "s1", Address: "127.0.2.1:9000",
+					Slots: 3, Connections: 2000, ColdSlots: 1, ColdOpeningsPerSecond: 10}}},
+				{DataCentre: "sur", Address: "127.0.1.2:9000"}}}},
+		},
+		Marks: &pb.Marks{DataCentresOut: []string{"sur"}, InstancesOut: []string{"e1"}},
+	}
+}
+
+// Guards against entries that get lost between the lists and the catalog.
+func TestBuildCatalog(t *testing.T) {
+	c := sample()
+	cat, found := BuildCatalog(7, c.Callers, c.Plans, c.Marks)
+	if len(found) > 0 {
+		t.Fatal(found)
+	}
+	campo := model.NewServiceID("campo")
+	use, ok := cat.Allows(cat.CallerOf(netip.MustParseAddr("10.1.1.1")), campo)
+	if !ok || use.RequestsPerSecond != 100 || use.Priority != 2 {
+		t.Errorf("use %+v, %v", use, ok)
+	}
+	server := cat.Servers[model.NewServerID("campo", "s1")]
+	site := cat.Sites[netip.MustParseAddrPort("127.0.1.1:9000")]
+	if server == nil || site == nil || site.Servers[0] != server || server.Slots != 3 || server.DataCentre != "norte" {
+		t.Errorf("server %+v, site %+v", server, site)
+	}
+	if !cat.DataCentres["sur"].Out || cat.DataCentres["norte"].Out || !cat.InstancesOut["e1"] {
+		t.Errorf("marks %v %v", cat.DataCentres, cat.InstancesOut)
+	}
+	c.Plans.Services[0].Sites[1].Address = "127.0.1.1:9000"
+	if cat, found := BuildCatalog(8, c.Callers, c.Plans, c.Marks); cat != nil || len(found) != 1 {
+		t.Errorf("invalid content gives %v, %v", cat, found)
+	}
+}
+
+// Guards against a rebase or a shard that drops or changes an entry.
+func TestJoinIsTheInverseOfFlatten(t *testing.T) {
+	c := sample()
+	if changes := Diff(c, Join(Flatten(c))); len(changes) > 0 {
+		t.Errorf("changed: %q", changes)
+	}
+}
+
+// Guards against edits that are shown incompletely.
+func TestDiff(t *testing.T) {
+	from, to := sample(), sample()
+	to.Callers.Callers[0].Plan = "silver"
+	to.Callers.Callers = append(to.Callers.Callers, &pb.CallerEntry{Name: "south", Plan: "gold", Prefixes: []string{"11.0.0.0/8"}})
+	to.Plans.Plans[0].Uses = append(to.Plans.Plans[0].Uses, &pb.PlanUse{Service: "ordenes", ConcurrentFlows: 4})
+	to.Plans.Plans[0].Uses[0].RequestsPerSecond = 0
+	to.Plans.Services[0].Objective.LateMs = 30
+	to.Plans.Services[0].Sites[0].Servers[0].Drain = true
+	to.Plans.Services[0].Sites = to.Plans.Services[0].Sites[:1]
+	to.Marks.DataCentresOut = []string{"norte"}
+	want := []string{
+		"~ service campo: late_ms 20 -> 30",
+		"- site campo@sur",
+		"~ server campo/s1: drain true",
+		"~ plan gold: uses campo: requests_per_second 100 -> 0, uses +ordenes concurrent_flows 4",
+		"~ caller north: plan gold -> silver",
+		"+ caller south: plan gold, prefixes +11.0.0.0/8",
+		"data centre norte: marked out",
+		"data centre sur: marked in",
+	}
+	if got := Diff(from, to); !slices.Equal(got, want) {
+		t.Errorf("got\n%s", strings.Join(got, "\n"))
+	}
+}
+
+// Guards against a quadratic check: operators wait for validate and for each
+// edit at the two-year scale.
+func BenchmarkBuildCatalog(b *testing.B) {
+	c := Scale(82_000, 100_000)
+	b.ResetTimer()
+	for b.Loop() {
+		if _, found := BuildCatalog(1, c.Callers, c.Plans, c.Marks); len(found) > 0 {
+			b.Fatal(found[0])
+		}
+	}
+}
+
+// Scale returns valid content with the given numbers of servers and callers,
+// 41 servers a service in 16 data centres.
+func Scale(servers, callers int) Content {
+	c := Content{}.withDefaults()
+	c.Plans.Plans = []*pb.PlanEntry{{Name: "gold"}}
+	for i := range servers {
+		if i%41 == 0 {
+			n := i / 41
+			c.Plans.Services = append(c.Plans.Services, &pb.ServiceEntry{Name: fmt.Sprintf("service-%05d", n), Sites: []*pb.ServiceSite{{
+				DataCentre: fmt.Sprintf("dc-%02d", n%16), Address: fmt.Sprintf("172.16.%d.%d:9000", n/256, n%256)}}})
+		}
+		site := c.Plans.Services[i/41].Sites[0]
+		site.Servers = append(site.Servers, &pb.ServerEntry{Name: fmt.Sprintf("server-%02d", i%41),
+			Address: fmt.Sprintf("10.%d.%d.%d:9000", i>>16, i>>8&255, i&255), Health: fmt.Sprintf("10.%d.%d.%d:9001", i>>16, i>>8&255, i&255),
+			Slots: 3, Connections: 2000, ColdSlots: 1, ColdOpeningsPerSecond: 10})
+	}
+	for i := range callers {
+		c.Callers.Callers = append(c.Callers.Callers, &pb.CallerEntry{Name: fmt.Sprintf("caller-%06d", i), Plan: "gold",
+			Prefixes: []string{fmt.Sprintf("100.%d.%d.%d/32", i>>16, i>>8&255, i&255)}})
+	}
+	return c
+}
