--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -77,7 +77,7 @@
 func (c *Core) instanceStatus(now time.Time) []*pb.InstanceStatus {
 	reported := map[model.InstanceID]*pb.InstanceStatus{}
 	for _, m := range c.members.Confirmations(now) {
-		reported[m.Instance] = &pb.InstanceStatus{ConfigVersion: m.ConfigVersion, Generation: m.Confirmed.Generation, UptimeS: uint32(m.Uptime / time.Second), LastHeardMs: uint64(max(0, now.Sub(m.LastHeard).Milliseconds()))}
+		reported[m.Instance] = &pb.InstanceStatus{ConfigVersion: m.ConfigVersion, Generation: m.Confirmed.Generation, UptimeS: uint32(m.Uptime / time.Second)}
 	}
 	var out []*pb.InstanceStatus
 	for _, m := range c.state.Members {
