--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -58,7 +58,7 @@
 }
 
 apply() {
-  timeout 15 "$bin/cuminctl" apply --entry "$operator" --operator demo "$dir/callers.yaml" "$dir/plans.yaml" >>"$dir/apply.log" 2>&1
+  timeout 15 "$bin/cuminctl" apply --entry "$operator" --operator demo --callers "$dir/callers.yaml" --plans "$dir/plans.yaml" >>"$dir/apply.log" 2>&1
 }
 
 # field NAME FILE prints the first numeric value of a JSON field. Totals come
