Run the real publisher in the membership cluster tests

Cause: the tests published a bare view, in step, and missed two faults: a new publisher that was appointed between two ticks withdrew before it published, and a restarted publisher blocked its successor. Change: an appointed instance stays publisher until its first publication; an instance outside the view is no rival to a member of it.

--- a/internal/membership/role.go
+++ b/internal/membership/role.go
@@ -75,9 +75,11 @@
 
 // rival returns the highest-ranked live instance that would publish in place
 // of this one, or "". An instance that leaves or is marked out publishes only
-// when no candidate lives; among several of those the rank decides.
+// when no candidate lives; among several of those the rank decides. To a
+// member of the view, an instance outside it is no rival: it cannot publish
+// before a member has added it.
 func (m *Membership) rival(now time.Time) model.InstanceID {
-	selfIsCandidate := m.candidate(m.cfg.Self, m.ownState())
+	selfIsCandidate, inView := m.candidate(m.cfg.Self, m.ownState()), m.inView()
 	above, fallback := true, model.InstanceID("")
 	for _, id := range m.ranking() {
 		if id == m.cfg.Self {
@@ -91,6 +93,9 @@
 		if p == nil || !m.heard(now, p) || p.state == pb.InstanceState_INSTANCE_STATE_JOINING {
 			continue
 		}
+		if member, ok := m.members[id]; inView && (!ok || member.Incarnation != p.incarnation) {
+			continue
+		}
 		if m.candidate(id, p.state) {
 			return id
 		}
@@ -144,12 +149,13 @@
 	}
 }
 
-// mayAppoint reports whether this instance, not yet publisher, may become it.
+// mayAppoint reports whether this instance may become publisher, or go on as
+// one before its first publication.
 func (m *Membership) mayAppoint(now time.Time) bool {
 	return m.headsRanking(now) &&
 		now.Sub(m.listenSince) >= m.cfg.DeadAfter &&
 		m.formerGone(now) &&
-		now.Sub(m.silenceSince()) >= m.appointDelay(now) &&
+		(m.publishing || now.Sub(m.silenceSince()) >= m.appointDelay(now)) &&
 		m.viewPermits(now) &&
 		!m.behind(now)
 }
