--- /dev/null
+++ b/internal/faultmatrix/cmd/matrix/main.go
@@ -0,0 +1,80 @@
+// Command matrix runs every fault at every step, and generated pairs of
+// faults, against the entry core, and prints the cells that violate an
+// invariant.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"runtime"
+	"strings"
+	"sync"
+
+	"cuminshift/internal/faultmatrix"
+)
+
+func main() {
+	seed := flag.Uint64("seed", 1, "seed of the random choices and of the pairs")
+	pairs := flag.Int("pairs", 100, "number of generated pairs of faults")
+	only := flag.String("cell", "", "run only cells whose name contains this text")
+	trace := flag.Int("trace", 40, "trace lines printed before a cell's first violation")
+	flag.Parse()
+	var cells []faultmatrix.Cell
+	for _, c := range faultmatrix.Cells(*seed, *pairs) {
+		if strings.Contains(c.String(), *only) {
+			cells = append(cells, c)
+		}
+	}
+	failed, missed, broken, flows := 0, 0, 0, 0
+	for _, r := range runAll(cells, *seed) {
+		if !r.Reached {
+			missed++
+		}
+		broken += r.Broken
+		flows += r.Flows
+		if len(r.Violations) > 0 {
+			failed++
+			report(r, *trace)
+		}
+	}
+	fmt.Printf("matrix seed=%d cells=%d passed=%d failed=%d step_not_reached=%d broken_unplanned=%d flows=%d\n",
+		*seed, len(cells), len(cells)-failed, failed, missed, broken, flows)
+	if failed > 0 {
+		os.Exit(1)
+	}
+}
+
+// runAll runs the cells in parallel and returns the results in order.
+func runAll(cells []faultmatrix.Cell, seed uint64) []faultmatrix.Result {
+	results := make([]faultmatrix.Result, len(cells))
+	next := make(chan int)
+	var wg sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		wg.Go(func() {
+			for i := range next {
+				results[i] = faultmatrix.Run(cells[i], seed, faultmatrix.NewProduct)
+			}
+		})
+	}
+	for i := range cells {
+		next <- i
+	}
+	close(next)
+	wg.Wait()
+	return results
+}
+
+func report(r faultmatrix.Result, lines int) {
+	fmt.Printf("cell %v seed=%d: %d violations, first %v\n", r.Cell, r.Seed, len(r.Violations), r.Violations[0])
+	last := len(r.Trace)
+	for i, l := range r.Trace {
+		if strings.Contains(l, "VIOLATION") {
+			last = i + 1
+			break
+		}
+	}
+	for _, l := range r.Trace[max(0, last-lines):last] {
+		fmt.Println("    " + l)
+	}
+}
--- /dev/null
+++ b/internal/faultmatrix/flows.go
@@ -0,0 +1,258 @@
+package faultmatrix
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/model"
+	"cuminshift/internal/standin/wire"
+)
+
+const (
+	callerStep      = 50 * time.Millisecond
+	dataEvery       = 300 * time.Millisecond
+	requestEvery    = 500 * time.Millisecond
+	retransmitAfter = 200 * time.Millisecond
+	requestDeadline = 2 * time.Second
+)
+
+// fakeFlow is a caller with one flow.
+type fakeFlow struct {
+	s       *sim
+	key     wire.Flow
+	dc      model.DataCentre
+	service string
+	// site is the data centre of the service address.
+	site   model.DataCentre
+	closes time.Time
+
+	server *fakeServer
+	// broken is set when the flow ended although nobody closed it.
+	broken, closed bool
+	acked          time.Time
+	lastEcho       time.Time
+	sequence       uint64
+	pending        []*pending
+	nextData       time.Time
+	nextRequest    time.Time
+	nextOpen       time.Time
+	issued         map[uint64]*pending
+}
+
+// pending is a message that waits for its answer.
+type pending struct {
+	p                       *pb.Packet
+	first, repeat, deadline time.Time
+	parts                   map[uint32]map[uint32]bool
+	outcome                 string
+}
+
+// addFlow adds a caller whose flow opens after a delay and closes after life;
+// a life of 0 keeps it open.
+func (s *sim) addFlow(delay, life time.Duration, dc, site model.DataCentre, service string) {
+	n := len(s.flowIDs)
+	network := byte(1)
+	if n%5 == 4 {
+		network = 2
+	}
+	caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, network, byte(n >> 8), byte(n)}), uint16(20000+n))
+	f := &fakeFlow{s: s, key: wire.Flow{Caller: caller, Service: siteAddr(service, site)}, dc: dc, service: service, site: site, issued: map[uint64]*pending{}}
+	s.flows[f.key] = f
+	s.flowIDs = append(s.flowIDs, f.key)
+	s.after(delay, func() {
+		if life > 0 {
+			f.closes = s.now.Add(life)
+		}
+		s.every(callerStep, f.step)
+	})
+}
+
+func (f *fakeFlow) packet(kind pb.Kind, payload string) *pb.Packet {
+	p := &pb.Packet{Kind: kind, Payload: []byte(payload)}
+	wire.SetCaller(p, f.key.Caller)
+	wire.SetService(p, f.key.Service)
+	return p
+}
+
+func (f *fakeFlow) find(kind pb.Kind) *pending {
+	for _, m := range f.pending {
+		if m.p.GetKind() == kind {
+			return m
+		}
+	}
+	return nil
+}
+
+func (f *fakeFlow) remove(m *pending) {
+	for i, o := range f.pending {
+		if o == m {
+			f.pending = append(f.pending[:i], f.pending[i+1:]...)
+			return
+		}
+	}
+}
+
+func (f *fakeFlow) transmit(p *pb.Packet, limit time.Duration) *pending {
+	m := &pending{p: p, first: f.s.now, repeat: f.s.now.Add(retransmitAfter), deadline: f.s.now.Add(limit), parts: map[uint32]map[uint32]bool{}}
+	f.pending = append(f.pending, m)
+	f.s.fabric(f.dc, p)
+	return m
+}
+
+func (f *fakeFlow) step() bool {
+	now := f.s.now
+	switch {
+	case f.broken || f.closed:
+		return false
+	case !f.closes.IsZero() && now.After(f.closes) && f.find(pb.Kind_KIND_REQUEST) == nil:
+		f.closed = true
+		f.s.fabric(f.dc, f.packet(pb.Kind_KIND_CLOSE, ""))
+		return false
+	case f.server == nil:
+		if f.find(pb.Kind_KIND_OPEN) == nil && !now.Before(f.nextOpen) {
+			f.transmit(f.packet(pb.Kind_KIND_OPEN, ""), time.Hour)
+		}
+	default:
+		f.stepEstablished(now)
+	}
+	for _, m := range append([]*pending(nil), f.pending...) {
+		f.stepPending(now, m)
+	}
+	return true
+}
+
+func (f *fakeFlow) stepEstablished(now time.Time) {
+	if f.find(pb.Kind_KIND_DATA) == nil && !now.Before(f.nextData) {
+		f.sequence++
+		f.nextData = now.Add(dataEvery)
+		f.transmit(f.packet(pb.Kind_KIND_DATA, fmt.Sprint(f.sequence)), time.Hour)
+	}
+	if f.find(pb.Kind_KIND_REQUEST) == nil && !now.Before(f.nextRequest) && (f.closes.IsZero() || now.Before(f.closes)) {
+		f.nextRequest = now.Add(requestEvery)
+		id := f.s.rng.Uint64() | 1
+		p := f.packet(pb.Kind_KIND_REQUEST, fmt.Sprintf("r%x", id))
+		p.RequestId, p.CallerAttempt, p.Idempotent, p.DeadlineMs = id, 1, f.s.rng.IntN(10) >= 4, uint32(requestDeadline.Milliseconds())
+		f.issued[id] = f.transmit(p, requestDeadline)
+	}
+}
+
+func (f *fakeFlow) stepPending(now time.Time, m *pending) {
+	if !now.Before(m.deadline) {
+		m.outcome = "no answer"
+		f.remove(m)
+		return
+	}
+	if now.Before(m.repeat) {
+		return
+	}
+	m.repeat = now.Add(retransmitAfter)
+	if m.p.GetKind() == pb.Kind_KIND_REQUEST {
+		m.p.CallerAttempt++
+		m.p.DeadlineMs = uint32(max(1, m.deadline.Sub(now).Milliseconds()))
+	}
+	f.s.fabric(f.dc, m.p)
+}
+
+func (f *fakeFlow) receive(n *node, p *pb.Packet) {
+	now := f.s.now
+	if f.closed || f.broken {
+		return
+	}
+	if p.GetKind() == pb.Kind_KIND_REFUSAL {
+		f.refused(now, p)
+		return
+	}
+	r, err := wire.ParseReply(p.GetPayload())
+	if err != nil || r.Service != f.service {
+		f.s.obs.report("I2", "flow %v of %s got a %v from service %q", f.key, f.service, p.GetKind(), r.Service)
+		return
+	}
+	if f.server != nil && f.server.name != r.Server {
+		f.breakFlow("answer of %s from %s", f.server.name, r.Server)
+		return
+	}
+	switch p.GetKind() {
+	case pb.Kind_KIND_OPEN_ACK:
+		f.accepted(now, r.Server)
+	case pb.Kind_KIND_DATA:
+		if m := f.find(pb.Kind_KIND_DATA); m != nil && r.Body == string(m.p.GetPayload()) {
+			f.lastEcho = now
+			f.remove(m)
+		}
+	case pb.Kind_KIND_ANSWER:
+		f.answered(p, r)
+	}
+}
+
+func (f *fakeFlow) accepted(now time.Time, name string) {
+	if f.server != nil {
+		return
+	}
+	for _, srv := range f.s.servers {
+		if srv.name == name {
+			f.server = srv
+		}
+	}
+	f.acked, f.lastEcho, f.nextData, f.nextRequest = now, now, now, now
+	if m := f.find(pb.Kind_KIND_OPEN); m != nil {
+		f.remove(m)
+	}
+}
+
+// answered checks that every part belongs to a request of this flow and that
+// the parts of an attempt arrive without gaps before the next attempt's.
+func (f *fakeFlow) answered(p *pb.Packet, r wire.Reply) {
+	m := f.issued[p.GetRequestId()]
+	if m == nil {
+		f.s.obs.report("I5", "flow %v got an answer to request %x of another flow", f.key, p.GetRequestId())
+		return
+	}
+	if r.Body != string(m.p.GetPayload()) || r.Part != int(p.GetPart()) || p.GetPart() >= p.GetParts() {
+		f.s.obs.report("I5", "request %x got part %d with the content of another answer", p.GetRequestId(), p.GetPart())
+		return
+	}
+	if m.parts[p.GetAttempt()] == nil {
+		m.parts[p.GetAttempt()] = map[uint32]bool{}
+	}
+	m.parts[p.GetAttempt()][p.GetPart()] = true
+	if uint32(len(m.parts[p.GetAttempt()])) == p.GetParts() && m.outcome == "" {
+		m.outcome = "answered"
+		f.remove(m)
+	}
+}
+
+func (f *fakeFlow) refused(now time.Time, p *pb.Packet) {
+	if id := p.GetRequestId(); id != 0 {
+		m := f.issued[id]
+		if m == nil {
+			f.s.obs.report("I5", "flow %v got a refusal of request %x of another flow", f.key, id)
+			return
+		}
+		if m.outcome == "" {
+			m.outcome = p.GetReason().String()
+			f.remove(m)
+		}
+		if p.GetOutcome() == pb.Outcome_OUTCOME_DID_NOT_RUN {
+			f.s.obs.promised(f.key, id, p.GetReason())
+		}
+	}
+	switch {
+	case f.server != nil && p.GetReason() == pb.Reason_REASON_UNKNOWN_FLOW:
+		f.breakFlow("refused by a server that does not know the flow of %s", f.server.name)
+	case f.server == nil && p.GetRequestId() == 0:
+		if m := f.find(pb.Kind_KIND_OPEN); m != nil {
+			f.remove(m)
+			f.nextOpen = now.Add(retransmitAfter)
+		}
+	}
+}
+
+func (f *fakeFlow) breakFlow(format string, args ...any) {
+	if f.broken {
+		return
+	}
+	f.broken = true
+	f.s.obs.brokenFlow(f, fmt.Sprintf(format, args...))
+}
--- /dev/null
+++ b/internal/faultmatrix/world.go
@@ -0,0 +1,278 @@
+package faultmatrix
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/model"
+	"cuminshift/internal/standin/wire"
+)
+
+// Sizes of the simulated data centres. Faults hit data centre a; the others
+// show whether they stay unharmed.
+var (
+	centres   = []model.DataCentre{"a", "b", "c"}
+	instances = map[model.DataCentre]int{"a": 4, "b": 2, "c": 2}
+	serverNum = map[string]map[model.DataCentre]int{
+		"campo":   {"a": 3, "b": 2, "c": 1},
+		"ordenes": {"a": 2, "b": 1, "c": 1},
+	}
+	services = []string{"campo", "ordenes"}
+)
+
+const (
+	// warmUp is the time before the fault; it is above twice
+	// flowIdleTimeout, so that rebases are allowed.
+	warmUp = 10 * time.Second
+	// flowIdleTimeout is short, so that a run reaches rebases.
+	flowIdleTimeout = 4 * time.Second
+	faultTime       = 3 * time.Second
+	runTime         = 28 * time.Second
+)
+
+func siteAddr(service string, dc model.DataCentre) netip.AddrPort {
+	port := uint16(80)
+	if service == "ordenes" {
+		port = 81
+	}
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 200, 0, dc[0]}), port)
+}
+
+func serverAddr(service string, dc model.DataCentre, n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, service[0], dc[0], byte(n)}), 9000)
+}
+
+func serverName(service string, dc model.DataCentre, n int) string {
+	return fmt.Sprintf("%s-%s%d", service, dc, n)
+}
+
+func (f *fakeFlow) prefix() string {
+	if f.key.Caller.Addr().As4()[1] == 2 {
+		return "other"
+	}
+	return "villa"
+}
+
+func initialCallers() *pb.CallerList {
+	return &pb.CallerList{Callers: []*pb.CallerEntry{
+		{Name: "villa", Plan: "parana", Prefixes: []string{"10.1.0.0/16"}},
+		{Name: "other", Plan: "other", Prefixes: []string{"10.2.0.0/16"}},
+	}}
+}
+
+func initialPlans() *pb.PlanList {
+	p := &pb.PlanList{}
+	for _, name := range []string{"parana", "other"} {
+		p.Plans = append(p.Plans, &pb.PlanEntry{Name: name, Uses: []*pb.PlanUse{{Service: "campo", Priority: 1}, {Service: "ordenes"}}})
+	}
+	for _, service := range services {
+		s := &pb.ServiceEntry{Name: service}
+		for _, dc := range centres {
+			site := &pb.ServiceSite{DataCentre: string(dc), Address: siteAddr(service, dc).String()}
+			for n := 1; n <= serverNum[service][dc]; n++ {
+				site.Servers = append(site.Servers, serverEntry(service, dc, n))
+			}
+			s.Sites = append(s.Sites, site)
+		}
+		p.Services = append(p.Services, s)
+	}
+	return p
+}
+
+func serverEntry(service string, dc model.DataCentre, n int) *pb.ServerEntry {
+	a := serverAddr(service, dc, n)
+	return &pb.ServerEntry{Name: serverName(service, dc, n), Address: a.String(), Health: a.String(), Slots: serverSlots, Connections: 2000,
+		ColdSlots: coldSlots, ColdOpeningsPerSecond: coldOpenings}
+}
+
+func (s *sim) addServer(service string, dc model.DataCentre, n int) *fakeServer {
+	f := &fakeServer{s: s, name: serverName(service, dc, n), service: service, dc: dc, addr: serverAddr(service, dc, n), alive: true,
+		flows: map[wire.Flow]bool{}, runs: map[reqKey]int{}, idempotent: map[reqKey]bool{}}
+	s.servers[f.addr] = f
+	return f
+}
+
+// build starts the instances, servers and callers and loads the first lists.
+func (s *sim) build() {
+	for _, service := range services {
+		for _, dc := range centres {
+			for n := 1; n <= serverNum[service][dc]; n++ {
+				s.addServer(service, dc, n)
+			}
+		}
+	}
+	for _, dc := range centres {
+		for n := 1; n <= instances[dc]; n++ {
+			s.startNode(model.InstanceID(fmt.Sprintf("%s%d", dc, n)), dc)
+			s.nodes[model.InstanceID(fmt.Sprintf("%s%d", dc, n))].listed = true
+		}
+	}
+	s.after(500*time.Millisecond, func() {
+		s.op.submit(&edit{id: "first-lists", apply: func(*pb.PlanList, *pb.Marks) {}, check: func(p *pb.PlanList, _ *pb.Marks) bool { return p != nil }})
+	})
+	for i := range 24 {
+		s.addFlow(2*time.Second+time.Duration(i)*100*time.Millisecond, 0, s.callerCentre(i), s.siteCentre(i), services[i%2])
+	}
+	// Short flows keep openings and closings going during the whole run.
+	for i := range int((runTime - 3*time.Second) / (200 * time.Millisecond)) {
+		s.addFlow(3*time.Second+time.Duration(i)*200*time.Millisecond, s.jitter(time.Second, 4*time.Second), s.callerCentre(i), s.siteCentre(i), services[(i/2)%2])
+	}
+}
+
+// callerCentre puts two thirds of the callers in data centre a.
+func (s *sim) callerCentre(i int) model.DataCentre {
+	if i%3 != 2 {
+		return "a"
+	}
+	return centres[1+i/3%2]
+}
+
+// siteCentre makes every eighth flow use an address of the next data centre,
+// so that its packets are relayed.
+func (s *sim) siteCentre(i int) model.DataCentre {
+	dc := s.callerCentre(i)
+	if i%8 == 7 {
+		return centres[(int(dc[0]-'a')+1)%len(centres)]
+	}
+	return dc
+}
+
+// pick returns a random live instance of a data centre.
+func (s *sim) pick(dc model.DataCentre) *node {
+	var live []*node
+	for _, id := range s.order {
+		if n := s.nodes[id]; n.alive && !n.leaving && n.spec.DataCentre == dc {
+			live = append(live, n)
+		}
+	}
+	if len(live) == 0 {
+		return nil
+	}
+	return live[s.rng.IntN(len(live))]
+}
+
+func (s *sim) publisher(dc model.DataCentre) *node {
+	for _, id := range s.order {
+		if n := s.nodes[id]; n.alive && !n.frozen && n.spec.DataCentre == dc && n.core.Publishing(s.now) {
+			return n
+		}
+	}
+	return s.pick(dc)
+}
+
+// randomFocus fills what a step left open.
+func (s *sim) randomFocus(f focus) focus {
+	if n := s.nodes[f.node]; n == nil || !n.alive {
+		if n := s.pick("a"); n != nil {
+			f.node = n.spec.ID
+		}
+	}
+	if srv := s.servers[f.server]; srv == nil || srv.dc != "a" {
+		f.server = serverAddr("campo", "a", 1+s.rng.IntN(3))
+	}
+	return f
+}
+
+// Edits of the lists.
+
+func site(p *pb.PlanList, service, dc string) *pb.ServiceSite {
+	for _, s := range p.GetServices() {
+		for _, site := range s.GetSites() {
+			if s.GetName() == service && site.GetDataCentre() == dc {
+				return site
+			}
+		}
+	}
+	return &pb.ServiceSite{}
+}
+
+func findServer(p *pb.PlanList, name string) *pb.ServerEntry {
+	for _, s := range p.GetServices() {
+		for _, site := range s.GetSites() {
+			for _, srv := range site.GetServers() {
+				if srv.GetName() == name {
+					return srv
+				}
+			}
+		}
+	}
+	return &pb.ServerEntry{}
+}
+
+func (s *sim) drainEdit(srv *fakeServer) *edit {
+	return &edit{id: "drain-" + srv.name,
+		apply: func(p *pb.PlanList, _ *pb.Marks) { findServer(p, srv.name).Drain = true },
+		check: func(p *pb.PlanList, _ *pb.Marks) bool { return findServer(p, srv.name).GetDrain() },
+		then:  func() { s.obs.draining[srv.name] = s.now }}
+}
+
+// addServerEdit adds a cold server.
+func (s *sim) addServerEdit(service string, n int) *edit {
+	srv := s.addServer(service, "a", n)
+	srv.goCold(false)
+	return &edit{id: "add-" + srv.name,
+		apply: func(p *pb.PlanList, _ *pb.Marks) {
+			if findServer(p, srv.name).GetName() == "" {
+				at := site(p, service, "a")
+				at.Servers = append(at.Servers, serverEntry(service, "a", n))
+			}
+		},
+		check: func(p *pb.PlanList, _ *pb.Marks) bool { return findServer(p, srv.name).GetName() != "" }}
+}
+
+// planEdit takes ordenes from the plan of the caller "other".
+func (s *sim) planEdit() *edit {
+	uses := func(p *pb.PlanList) *pb.PlanEntry {
+		for _, e := range p.GetPlans() {
+			if e.GetName() == "other" {
+				return e
+			}
+		}
+		return &pb.PlanEntry{}
+	}
+	return &edit{id: "bar-other",
+		apply: func(p *pb.PlanList, _ *pb.Marks) { uses(p).Uses = []*pb.PlanUse{{Service: "campo", Priority: 1}} },
+		check: func(p *pb.PlanList, _ *pb.Marks) bool { return len(uses(p).GetUses()) == 1 },
+		then:  func() { s.obs.barred["other ordenes"] = s.now }}
+}
+
+// moveEdit moves campo-a3 to ordenes.
+func (s *sim) moveEdit() *edit {
+	name := serverName("campo", "a", 3)
+	s.obs.moved[name] = true
+	return &edit{id: "move-" + name,
+		apply: func(p *pb.PlanList, _ *pb.Marks) {
+			from, to := site(p, "campo", "a"), site(p, "ordenes", "a")
+			for i, srv := range from.GetServers() {
+				if srv.GetName() == name {
+					from.Servers = append(from.Servers[:i], from.Servers[i+1:]...)
+					to.Servers = append(to.Servers, srv)
+					return
+				}
+			}
+		},
+		check: func(p *pb.PlanList, _ *pb.Marks) bool {
+			for _, srv := range site(p, "ordenes", "a").GetServers() {
+				if srv.GetName() == name {
+					return true
+				}
+			}
+			return false
+		}}
+}
+
+// outEdit marks data centre a out of service, or back in service.
+func (s *sim) outEdit(out bool) *edit {
+	if out {
+		s.obs.wasOut["a"] = true
+		return &edit{id: "out-a",
+			apply: func(_ *pb.PlanList, m *pb.Marks) { m.DataCentresOut = []string{"a"} },
+			check: func(_ *pb.PlanList, m *pb.Marks) bool { return len(m.GetDataCentresOut()) == 1 },
+			then:  func() { s.obs.out["a"] = s.now }}
+	}
+	return &edit{id: "back-a",
+		apply: func(_ *pb.PlanList, m *pb.Marks) { m.DataCentresOut = nil },
+		check: func(_ *pb.PlanList, m *pb.Marks) bool { return len(m.GetDataCentresOut()) == 0 }}
+}
