--- a/internal/faultmatrix/observer_test.go
+++ b/internal/faultmatrix/observer_test.go
@@ -219,3 +219,12 @@
 		}
 	}
 }
+
+// Guards against a run that cannot be repeated from its seed.
+func TestSameSeedSameTrace(t *testing.T) {
+	cell := Cell{"map-change", []string{"instance-killed", "answers-late-and-crossed"}}
+	first, second := Run(cell, 7, newIdeal()), Run(cell, 7, newIdeal())
+	if !slices.Equal(first.Trace, second.Trace) || first.Answered != second.Answered {
+		t.Errorf("%d and %d trace lines, %d and %d answers differ", len(first.Trace), len(second.Trace), first.Answered, second.Answered)
+	}
+}
