Keep retries of a request at its flow's server

Cause: the coordinator chose another server for the next attempt, which does not know the flow and refuses it with UNKNOWN_FLOW.

--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -222,28 +222,3 @@
 		c.postAll(c.limits.EndRequest(now, running.name, key.Service))
 	}
 }
-
-// otherServer names another server for the next attempt of a request: one
-// that this instance admits to, so that the attempt needs no further message,
-// and that is in good condition.
-func (c *Core) otherServer(now time.Time, key requests.Key, failed model.ServerID) model.ServerID {
-	service := c.catalog.Services[key.Service]
-	if service == nil {
-		return 0
-	}
-	site := service.SiteOf(c.cfg.DataCentre)
-	if site == nil {
-		return 0
-	}
-	best, bestFree := model.ServerID(0), 0
-	for _, s := range site.Servers {
-		if s.ID == failed || s.Drain || c.health.Condition(s.ID) != serverhealth.Healthy {
-			continue
-		}
-		status := c.admitter.Status(now, s.ID)
-		if free := status.Allowed - status.Outstanding - status.Queued; status.Admitter && free > bestFree {
-			best, bestFree = s.ID, free
-		}
-	}
-	return best
-}
