Tell the admitter the condition of every server

Cause: an admitter that took over after an unplanned death knew conditions of its own servers only, so it treated a warm server as cold and counted one unreported slot as busy for MaxGrant + Margin + DeadAfter, 11 s, with one slot allowed: nothing was granted.

--- a/internal/entry/tick.go
+++ b/internal/entry/tick.go
@@ -67,14 +67,15 @@
 	c.fenceChanged(now)
 }
 
-// observeConditions tells the admitter what this instance sees of the servers
-// that it admits to.
+// observeConditions tells the admitter what this instance sees of the
+// servers: of those that it admits to, and of the others because it may take
+// them over, and a server known to be warm then needs no new ramp.
 func (c *Core) observeConditions(now time.Time) {
 	if c.catalog == nil {
 		return
 	}
 	for id, s := range c.catalog.Servers {
-		if s.DataCentre == c.cfg.DataCentre && c.state.Admitter(id) == c.cfg.Self {
+		if s.DataCentre == c.cfg.DataCentre {
 			c.postAll(c.admitter.Observe(now, id, c.health.Condition(id)))
 		}
 	}
