--- a/internal/config/editor.go
+++ b/internal/config/editor.go
@@ -207,7 +207,7 @@
 	case e.pending:
 		return &OutcomeUnknown{EditID: e.edit.ID, Cause: e.lastErr}
 	case e.await > 0:
-		return &NotInForce{Version: e.await, Published: e.await == e.stepOne}
+		return &NotInForce{Version: e.await, Published: e.stepOne}
 	case errors.As(e.lastErr, &base):
 		return base
 	case e.lastErr == nil && e.mismatches > 0:
@@ -431,7 +431,9 @@
 	blocked, awaited := blockedAddresses(m.current, next, e.root.GetReleased(), e.cfg.InForce)
 	if len(blocked) > 0 {
 		next = stepOne(m.current, m.items, blocked)
-		if len(lists.Changes(m.current, next)) == 0 {
+		// After step one there is nothing to gain from publishing a part of the
+		// rest, and the repeated edit could not tell the parts apart.
+		if awaited > 0 && (e.stepOne > 0 || len(lists.Changes(m.current, next)) == 0) {
 			return e.awaitVersion(now, awaited)
 		}
 		if _, found := buildCatalog(0, lists.Join(next)); len(found) > 0 {
--- a/internal/config/errors.go
+++ b/internal/config/errors.go
@@ -11,6 +11,8 @@
 // Conflict says that another accepted edit touched the same entries, or that
 // the two edits together are not valid. The edit was not applied.
 type Conflict struct {
+	// Published is the version of step one when the edit stopped after it, else 0.
+	Published uint64
 	// Yours and Theirs describe both edits of the entries in question.
 	Yours, Theirs []string
 	// TheirEdits are the edits accepted since the base version.
@@ -21,7 +23,12 @@
 
 func (e *Conflict) Error() string {
 	var b strings.Builder
-	b.WriteString("conflict with an accepted edit; nothing was changed\nyour edit:\n")
+	b.WriteString("conflict with an accepted edit; ")
+	if e.Published > 0 {
+		fmt.Fprintf(&b, "only step one was published, as version %d\nyour edit:\n", e.Published)
+	} else {
+		b.WriteString("nothing was changed\nyour edit:\n")
+	}
 	writeIndented(&b, e.Yours)
 	b.WriteString("accepted meanwhile:\n")
 	for _, r := range e.TheirEdits {
@@ -90,18 +97,17 @@
 	return fmt.Sprintf("other edits came first %d times; nothing was changed", e.Attempts)
 }
 
-// NotInForce says that an earlier version did not come into force before the
-// deadline, so an address could not be given to its new owner.
+// NotInForce says that a version did not come into force before the deadline,
+// so an address that it released could not be given to its new owner.
 type NotInForce struct {
-	// Version is the version waited for. With Published it is step one of this
-	// edit, else an earlier edit that released an address.
-	Version   uint64
-	Published bool
+	Version uint64
+	// Published is the version of step one when the edit stopped after it, else 0.
+	Published uint64
 }
 
 func (e *NotInForce) Error() string {
-	if e.Published {
-		return fmt.Sprintf("step one was published as version %d, which is not in force everywhere yet; repeat the edit to finish it", e.Version)
+	if e.Published > 0 {
+		return fmt.Sprintf("only step one was published, as version %d: version %d is not in force everywhere yet; repeat the edit to finish it", e.Published, e.Version)
 	}
 	return fmt.Sprintf("version %d released an address that this edit uses and is not in force everywhere yet; nothing was changed", e.Version)
 }
--- a/internal/config/merge.go
+++ b/internal/config/merge.go
@@ -135,7 +135,7 @@
 		}
 		return lists.Describe(out)
 	}
-	conflict := &Conflict{Yours: pick(yours), Theirs: pick(lists.Changes(base, current))}
+	conflict := &Conflict{Published: e.stepOne, Yours: pick(yours), Theirs: pick(lists.Changes(base, current))}
 	for _, r := range e.root.GetEdits() {
 		if r.GetVersion() > e.edit.BaseVersion && r.GetId() != stepOneID(e.edit.ID) {
 			conflict.TheirEdits = append(conflict.TheirEdits, &pb.EditRecord{Id: r.GetId(), Operator: r.GetOperator(),
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -4,9 +4,11 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"testing"
+
 	"time"
 
+	"pgregory.net/rapid"
+
 	pb "cuminshift/internal/gen/cuminshift/v1"
 	"cuminshift/internal/lists"
 )
@@ -118,7 +120,7 @@
 var epoch = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 
 // run drives one editor to its end on a clock that moves 1 ms per step.
-func run(t testing.TB, s *fakeStore, cfg EditorConfig, edit Edit, inForce func(wanted uint64) uint64) (Done, error) {
+func run(t rapid.TB, s *fakeStore, cfg EditorConfig, edit Edit, inForce func(wanted uint64) uint64) (Done, error) {
 	t.Helper()
 	if cfg.Rand == nil {
 		cfg.Rand = rand.New(rand.NewPCG(1, 1))
@@ -152,7 +154,7 @@
 func atOnce(wanted uint64) uint64 { return wanted }
 
 // content returns the newest content of the store.
-func (s *fakeStore) content(t testing.TB) (lists.Content, *pb.Root) {
+func (s *fakeStore) content(t rapid.TB) (lists.Content, *pb.Root) {
 	t.Helper()
 	root, err := DecodeRoot(s.latest(RootKey).value)
 	if err != nil {
@@ -195,7 +197,7 @@
 }
 
 // started returns a store that holds the samples as version 1.
-func started(t testing.TB) *fakeStore {
+func started(t rapid.TB) *fakeStore {
 	t.Helper()
 	s := newFakeStore()
 	done, err := run(t, s, EditorConfig{}, Edit{ID: "init", Operator: "ana", Callers: sampleCallers(3), Plans: samplePlans()}, atOnce)
--- a/internal/ctl/errors.go
+++ b/internal/ctl/errors.go
@@ -37,7 +37,7 @@
 	default:
 		fmt.Fprintln(&b, err)
 	}
-	if failure.GetStepOne() > 0 {
+	if failure.GetStepOne() > 0 && failure.GetKind() != pb.EditFailure_KIND_CONFLICT {
 		fmt.Fprintf(&b, "step one is version %d; repeat with --edit-id %s to finish the edit\n", failure.GetStepOne(), id)
 	}
 	for _, f := range failure.GetFindings() {
@@ -47,7 +47,13 @@
 }
 
 func writeConflict(b *strings.Builder, failure *pb.EditFailure) {
-	b.WriteString("conflict with another edit; nothing was changed\nyour edit:\n")
+	b.WriteString("conflict with another edit; ")
+	if failure.GetStepOne() == 0 {
+		b.WriteString("nothing was changed\n")
+	} else {
+		b.WriteString("only step one of yours was published\n")
+	}
+	b.WriteString("your edit:\n")
 	for _, line := range failure.GetYours() {
 		fmt.Fprintf(b, "  %s\n", line)
 	}
--- a/internal/editerr/editerr.go
+++ b/internal/editerr/editerr.go
@@ -41,7 +41,7 @@
 	switch {
 	case errors.As(err, &conflict):
 		return connect.CodeAborted, &pb.EditFailure{Kind: pb.EditFailure_KIND_CONFLICT, Yours: conflict.Yours,
-			Theirs: conflict.Theirs, TheirEdits: conflict.TheirEdits, Findings: wire(conflict.Findings)}
+			Theirs: conflict.Theirs, TheirEdits: conflict.TheirEdits, Findings: wire(conflict.Findings), StepOne: conflict.Published}
 	case errors.As(err, &invalid):
 		return connect.CodeInvalidArgument, &pb.EditFailure{Kind: pb.EditFailure_KIND_INVALID, Findings: wire(invalid.Findings)}
 	case errors.As(err, &unavailable):
@@ -51,11 +51,8 @@
 	case errors.As(err, &contention):
 		return connect.CodeAborted, &pb.EditFailure{Kind: pb.EditFailure_KIND_CONTENTION, StepOne: contention.Published}
 	case errors.As(err, &notInForce):
-		failure := &pb.EditFailure{Kind: pb.EditFailure_KIND_NOT_IN_FORCE, Version: notInForce.Version}
-		if notInForce.Published {
-			failure.StepOne = notInForce.Version
-		}
-		return connect.CodeDeadlineExceeded, failure
+		return connect.CodeDeadlineExceeded, &pb.EditFailure{Kind: pb.EditFailure_KIND_NOT_IN_FORCE,
+			Version: notInForce.Version, StepOne: notInForce.Published}
 	case errors.As(err, &base):
 		return connect.CodeFailedPrecondition, &pb.EditFailure{Kind: pb.EditFailure_KIND_BASE_UNKNOWN, Version: base.Base}
 	}
