--- a/internal/config/holder.go
+++ b/internal/config/holder.go
@@ -36,7 +36,6 @@
 type Snapshot struct {
 	Version uint64
 	Root    *pb.Root
-	Content lists.Content
 	Catalog *model.Catalog
 }
 
@@ -79,6 +78,14 @@
 // Current returns the version held.
 func (h *Holder) Current() *Snapshot { return h.held }
 
+// Content puts the lists of the version held together. They are not kept,
+// because they take as much memory as the catalog and only operators read them.
+func (h *Holder) Content() lists.Content {
+	// The shards were complete and decoded when the version became current.
+	content, _ := Assemble(h.held.Root.GetShards(), h.Shard)
+	return content
+}
+
 // Problem returns why a newer version is not in force here, or nil.
 func (h *Holder) Problem() error { return h.problem }
 
@@ -168,7 +175,7 @@
 	if err == nil {
 		catalog, found := buildCatalog(root.GetVersion(), content)
 		if err = found.Err(); err == nil {
-			h.held = &Snapshot{Version: root.GetVersion(), Root: root, Content: content, Catalog: catalog}
+			h.held = &Snapshot{Version: root.GetVersion(), Root: root, Catalog: catalog}
 			h.problem = nil
 		}
 	}
--- /dev/null
+++ b/internal/config/holder_test.go
@@ -0,0 +1,191 @@
+package config
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/model"
+	"cuminshift/internal/peer"
+)
+
+func newTestHolder(id model.InstanceID, live []model.InstanceID) *Holder {
+	h := NewHolder(HolderConfig{Self: id, DataCentre: "norte", Rand: rand.New(rand.NewPCG(1, 2))})
+	h.SetLive(live)
+	return h
+}
+
+// load gives a holder the newest version of the store, as a reader does.
+func (s *fakeStore) load(h *Holder, now time.Time) (changed bool, out []peer.Message) {
+	changed, out = h.StoreRoot(now, s.latest(RootKey).value)
+	if missing := h.Missing(); len(missing) > 0 {
+		shards := map[string][]byte{}
+		for _, hash := range missing {
+			shards[hash] = s.latest(ShardKey(hash)).value
+		}
+		changed, out = h.AddShards(now, shards)
+	}
+	return changed, out
+}
+
+// edits makes n versions in the store.
+func (s *fakeStore) edits(t rapid.TB, n int) {
+	for i := range n {
+		c, root := s.content(t)
+		callers := proto.CloneOf(c.Callers)
+		callers.Callers[0].Prefixes = []string{fmt.Sprintf("10.%d.0.0/16", 100+(int(root.GetVersion())+i)%100)}
+		id := fmt.Sprintf("more-%d", root.GetVersion())
+		if _, err := run(t, s, EditorConfig{}, Edit{ID: id, Operator: "o", BaseVersion: root.GetVersion(), Callers: callers}, atOnce); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Guards against a version that goes back, or becomes current while parts are
+// missing or damaged.
+func TestHolderIgnoresStaleAndPartialReads(t *testing.T) {
+	s := started(t)
+	old := s.latest(RootKey).value
+	s.edits(t, 1)
+	h := newTestHolder("a", nil)
+	if changed, _ := s.load(h, epoch); !changed || h.Current().Version != 2 || len(h.Current().Catalog.Callers) != 3 {
+		t.Fatalf("holds version %d", h.Current().Version)
+	}
+	if changed, _ := h.StoreRoot(epoch, old); changed || h.Current().Version != 2 {
+		t.Errorf("an older root makes version %d", h.Current().Version)
+	}
+	s.edits(t, 1)
+	root := s.latest(RootKey).value
+	if changed, _ := h.StoreRoot(epoch, root[:len(root)-1]); changed || h.Problem() == nil {
+		t.Errorf("a cut root makes version %d, problem %v", h.Current().Version, h.Problem())
+	}
+	if changed, _ := h.StoreRoot(epoch, root); changed || len(h.Missing()) != 1 {
+		t.Errorf("a root without its shards: version %d, missing %v", h.Current().Version, h.Missing())
+	}
+	if changed, _ := h.AddShards(epoch, map[string][]byte{h.Missing()[0]: []byte("x")}); changed {
+		t.Error("a damaged shard is taken")
+	}
+	if changed, _ := s.load(h, epoch); !changed || h.Current().Version != 3 || h.Problem() != nil {
+		t.Errorf("holds version %d, problem %v", h.Current().Version, h.Problem())
+	}
+}
+
+// Guards against a complete but invalid version coming into force.
+func TestHolderRejectsInvalidVersion(t *testing.T) {
+	s := started(t)
+	h := newTestHolder("a", nil)
+	s.load(h, epoch)
+	set, err := Split(sampleWithDanglingPlan())
+	if err != nil {
+		t.Fatal(err)
+	}
+	root, _ := DecodeRoot(s.latest(RootKey).value)
+	bad := nextRoot(root, set, &pb.EditRecord{Id: "bad"})
+	value, _ := encodeRoot(bad)
+	h.StoreRoot(epoch, value)
+	if changed, _ := h.AddShards(epoch, set.Shards); changed || h.Current().Version != 1 || h.Problem() == nil {
+		t.Errorf("holds version %d, problem %v", h.Current().Version, h.Problem())
+	}
+}
+
+// Guards against a wrong number of store readers in a data centre.
+func TestTwoReaders(t *testing.T) {
+	var live []model.InstanceID
+	for n := range 20 {
+		live = append(live, model.InstanceID(fmt.Sprintf("e%d", n)))
+		count := 0
+		for _, id := range live {
+			if newTestHolder(id, live).Reader() {
+				count++
+			}
+		}
+		if count != min(n+1, 2) {
+			t.Errorf("%d instances have %d readers", n+1, count)
+		}
+	}
+}
+
+// Guards against a version that does not spread, spreads wrongly or goes back
+// when messages are lost, repeated and reordered and instances restart empty.
+func TestVersionSpreads(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := started(t)
+		live := []model.InstanceID{"a", "b", "c", "d", "e"}
+		holders := map[model.InstanceID]*Holder{}
+		for _, id := range live {
+			holders[id] = newTestHolder(id, live)
+		}
+		type envelope struct {
+			from model.InstanceID
+			m    peer.Message
+		}
+		var wire []envelope
+		now := epoch
+		post := func(from model.InstanceID, out []peer.Message) {
+			for _, m := range out {
+				wire = append(wire, envelope{from, m})
+			}
+		}
+		deliver := func(e envelope) {
+			h := holders[e.m.To]
+			before := h.Current().Version
+			switch body := e.m.Body.GetBody().(type) {
+			case *pb.PeerMessage_ConfigRequest:
+				post(e.m.To, h.HandleRequest(now, e.from, body.ConfigRequest))
+			case *pb.PeerMessage_ConfigReply:
+				_, out := h.HandleReply(now, e.from, body.ConfigReply)
+				post(e.m.To, out)
+			}
+			if h.Current().Version < before {
+				t.Fatalf("%s went from version %d to %d", e.m.To, before, h.Current().Version)
+			}
+		}
+		for range rapid.IntRange(5, 60).Draw(t, "steps") {
+			now = now.Add(100 * time.Millisecond)
+			id := rapid.SampledFrom(live).Draw(t, "instance")
+			switch rapid.IntRange(0, 7).Draw(t, "event") {
+			case 0:
+				s.edits(t, rapid.IntRange(1, 3).Draw(t, "edits"))
+			case 1:
+				_, out := s.load(holders[id], now)
+				post(id, out)
+			case 2:
+				holders[id] = newTestHolder(id, live)
+			case 3:
+				wire = nil
+			default:
+				post(id, holders[id].Tick(now))
+				if len(wire) > 0 {
+					i := rapid.IntRange(0, len(wire)-1).Draw(t, "message")
+					deliver(wire[i])
+				}
+			}
+		}
+		_, out := s.load(holders["a"], now)
+		post("a", out)
+		// comparePeriod bounds the rounds in which 5 instances meet with
+		// certainty far beyond the number of checks.
+		for range 600 {
+			now = now.Add(100 * time.Millisecond)
+			for _, id := range live {
+				post(id, holders[id].Tick(now))
+			}
+			for _, e := range wire {
+				wire = wire[1:]
+				deliver(e)
+			}
+		}
+		want, root := s.content(t)
+		for _, id := range live {
+			h := holders[id]
+			if h.Current().Version != root.GetVersion() || !proto.Equal(h.Content().Callers, want.Callers) || h.Problem() != nil {
+				t.Fatalf("%s holds version %d of %d, problem %v", id, h.Current().Version, root.GetVersion(), h.Problem())
+			}
+		}
+	})
+}
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -206,3 +206,8 @@
 	}
 	return s
 }
+
+// sampleWithDanglingPlan is content that no editor would publish.
+func sampleWithDanglingPlan() lists.Content {
+	return lists.Content{Callers: &pb.CallerList{Callers: []*pb.CallerEntry{{Name: "x", Plan: "none", Prefixes: []string{"10.0.0.0/8"}}}}}
+}
--- a/internal/findings/yaml.go
+++ b/internal/findings/yaml.go
@@ -18,6 +18,7 @@
 type Source struct {
 	File   string
 	root   *yaml.Node
+	isText bool
 	broken bool
 }
 
@@ -27,7 +28,7 @@
 // ParseYAML decodes one YAML document into the message. Unknown and repeated
 // fields are findings. The Source is never nil.
 func ParseYAML(file string, data []byte, into proto.Message) (*Source, Findings) {
-	src := &Source{File: file}
+	src := &Source{File: file, isText: true}
 	if found := checkLineBreaks(file, data); len(found) > 0 {
 		src.broken = true
 		return src, found
@@ -154,6 +155,9 @@
 		return f
 	}
 	f.File = s.File
+	if s.isText {
+		f.Line, f.Column = 1, 1
+	}
 	n := s.root
 	for _, step := range path {
 		if n == nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -79,10 +79,10 @@
 func Parse(file string, data []byte) (*Settings, findings.Findings) {
 	raw := &pb.EntrySettings{}
 	src, found := findings.ParseYAML(file, data, raw)
-	if len(found) > 0 {
+	if src.Broken() {
 		return nil, found
 	}
-	c := &checker{src: src}
+	c := &checker{src: src, found: found}
 	s := c.settings(raw)
 	if len(c.found) > 0 {
 		c.found.Sort()
