--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,210 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"cuminshift/internal/config"
+	"cuminshift/internal/editerr"
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/gen/cuminshift/v1/cuminshiftv1connect"
+	"cuminshift/internal/storeclient"
+)
+
+// entry is an entry instance's operator service over a store in memory.
+type entry struct {
+	cuminshiftv1connect.UnimplementedOperatorHandler
+	mu      sync.Mutex
+	objects map[string]*pb.GetResponse
+	down    bool
+	lagging bool
+}
+
+func (e *entry) Get(_ context.Context, key string) ([]byte, uint64, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return nil, 0, &storeclient.Unavailable{Cause: errors.New("down")}
+	}
+	return e.objects[key].GetValue(), e.objects[key].GetVersion(), nil
+}
+
+func (e *entry) Put(_ context.Context, key string, value []byte, ifVersion *uint64) (uint64, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	version := e.objects[key].GetVersion()
+	if *ifVersion != version {
+		return 0, &storeclient.Conflict{Key: key}
+	}
+	e.objects[key] = &pb.GetResponse{Version: version + 1, Value: value}
+	return version + 1, nil
+}
+
+func (e *entry) GetConfig(context.Context, *connect.Request[pb.GetConfigRequest]) (*connect.Response[pb.GetConfigResponse], error) {
+	root, err := config.DecodeRoot(e.objects[config.RootKey].GetValue())
+	if err != nil {
+		return nil, err
+	}
+	c, err := config.Assemble(root.GetShards(), func(hash string) ([]byte, bool) {
+		o, ok := e.objects[config.ShardKey(hash)]
+		return o.GetValue(), ok
+	})
+	return connect.NewResponse(&pb.GetConfigResponse{Root: root, Callers: c.Callers, Plans: c.Plans, Marks: c.Marks, FromStore: !e.down}), err
+}
+
+func (e *entry) Edit(ctx context.Context, r *connect.Request[pb.EditRequest]) (*connect.Response[pb.EditResponse], error) {
+	m := r.Msg
+	editor := config.NewEditor(config.EditorConfig{Deadline: time.Now().Add(500 * time.Millisecond), Rand: rand.New(rand.NewPCG(1, 2))},
+		config.Edit{ID: m.GetEditId(), Operator: m.GetOperator(), Summary: m.GetSummary(), BaseVersion: m.GetBaseVersion(),
+			Callers: m.GetCallers(), Plans: m.GetPlans(), Marks: m.GetMarks(), DryRun: m.GetDryRun()})
+	done, err := storeclient.RunEdit(ctx, e, editor, func(context.Context) uint64 { return 0 })
+	if err != nil {
+		return nil, editerr.Encode(err)
+	}
+	return connect.NewResponse(&pb.EditResponse{Version: done.Version, Changes: done.Changes}), nil
+}
+
+func (e *entry) Status(context.Context, *connect.Request[pb.StatusRequest]) (*connect.Response[pb.StatusResponse], error) {
+	version := e.objects[config.RootKey].GetVersion()
+	s := &pb.StatusResponse{Instance: "e1", DataCentre: "norte", ConfigVersion: version, StoreReachable: !e.down,
+		Instances:   []*pb.InstanceStatus{{Instance: "e1", ConfigVersion: version}, {Instance: "e2", ConfigVersion: version}},
+		DataCentres: []*pb.DataCentreSummary{{DataCentre: "sur"}, {DataCentre: "centro", LiveInstances: 4, InForceVersion: version}}}
+	if e.lagging {
+		s.Instances[1].ConfigVersion = 0
+	}
+	return connect.NewResponse(s), nil
+}
+
+const callersYAML = `callers:
+  - {name: north, plan: gold, prefixes: [10.0.0.0/16]}
+  - {name: south, plan: gold, prefixes: [10.1.0.0/16]}
+`
+
+const plansYAML = `plans:
+  - {name: gold, uses: [{service: campo}]}
+services:
+  - name: campo
+    sites: [{data_centre: norte, address: "127.0.1.1:9000"}]
+`
+
+type session struct {
+	t   *testing.T
+	url string
+}
+
+// run executes a command line and checks the exit code and parts of the output.
+func (s session) run(exit int, args string, want ...string) {
+	s.t.Helper()
+	var out, errs bytes.Buffer
+	// The first entry does not answer, so each command also tries the next one.
+	line := append([]string{"--entry", "127.0.0.1:1", "--entry", s.url}, strings.Fields(args)...)
+	if got := Main(context.Background(), line, &out, &errs); got != exit {
+		s.t.Fatalf("%s: exit %d, want %d\n%s%s", args, got, exit, &out, &errs)
+	}
+	for _, w := range want {
+		if !strings.Contains(out.String()+errs.String(), w) {
+			s.t.Fatalf("%s: no %q in\n%s%s", args, w, &out, &errs)
+		}
+	}
+}
+
+func (s session) write(name, text string) {
+	s.t.Helper()
+	if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s session) replace(name, old, new string) {
+	s.t.Helper()
+	data, err := os.ReadFile(name)
+	if err != nil || !bytes.Contains(data, []byte(old)) {
+		s.t.Fatalf("no %q in %s, %v:\n%s", old, name, err, data)
+	}
+	s.write(name, strings.Replace(string(data), old, new, 1))
+}
+
+func (s session) holds(name string, want ...string) {
+	s.t.Helper()
+	data, err := os.ReadFile(name)
+	for _, w := range want {
+		if err != nil || !bytes.Contains(data, []byte(w)) {
+			s.t.Fatalf("no %q in %s, %v:\n%s", w, name, err, data)
+		}
+	}
+}
+
+// Guards against an operator who is told the wrong outcome, and against stale
+// files that undo the edits of others.
+func TestOperatorsAtWork(t *testing.T) {
+	t.Chdir(t.TempDir())
+	e := &entry{objects: map[string]*pb.GetResponse{}}
+	mux := http.NewServeMux()
+	mux.Handle(cuminshiftv1connect.NewOperatorHandler(e))
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	s := session{t, strings.TrimPrefix(server.URL, "http://")}
+
+	s.write("callers.yaml", callersYAML)
+	s.write("plans.yaml", plansYAML)
+	s.run(ExitOK, "validate", "valid: 2 callers, 1 plans, 1 services")
+	s.run(ExitOK, "apply --operator ana --dry-run", "+ caller north", "nothing was changed")
+	s.run(ExitOK, "apply --operator ana --summary first", "accepted as version 1", "in force", "unreachable, not confirmed: sur")
+	s.run(ExitOK, "diff", "files are based on version 1", "no changes")
+
+	// Two operators start from version 1.
+	s.run(ExitOK, "export --callers bruno.yaml --plans bruno-plans.yaml", "wrote version 1")
+	s.replace("bruno.yaml", "10.1.0.0/16", "10.2.0.0/16")
+	s.replace("callers.yaml", "10.0.0.0/16", "10.9.0.0/16")
+	s.run(ExitOK, "apply --operator ana", "version 2")
+	s.run(ExitOK, "apply --operator bruno --callers bruno.yaml --plans none.yaml", "version 3", "run cuminctl export")
+	s.run(ExitOK, "export --callers now.yaml --plans now-plans.yaml")
+	s.holds("now.yaml", "10.9.0.0/16", "10.2.0.0/16")
+	s.replace("callers.yaml", "10.1.0.0/16", "10.3.0.0/16")
+	s.run(ExitConflict, "apply --operator ana", "your edit:", "10.3.0.0/16", "by bruno", "10.2.0.0/16", "nothing was changed")
+
+	s.write("plain.yaml", callersYAML)
+	s.run(ExitUsage, "apply --operator ana --callers plain.yaml --plans none.yaml", "--base 3")
+	s.write("bad.yaml", strings.Replace(callersYAML, "10.1.0.0", "10.0.0.0", 1))
+	s.run(ExitInvalid, "validate --callers bad.yaml", "bad.yaml:3:42: prefix")
+	s.run(ExitInvalid, "validate --callers bad.yaml --output json", `"line": 3`)
+
+	s.run(ExitOK, "mark data-centre norte out --operator ana", "data centre norte: marked out", "in force")
+	s.run(ExitInvalid, "mark data-centre nort out --operator ana", `"nort" has no site`)
+	s.run(ExitOK, "history", "mark data-centre norte out", "first")
+	e.lagging = true
+	s.run(ExitNotInForce, "mark data-centre norte in --operator ana --wait 300ms", "waiting for e2", "not in force at: e2")
+	e.lagging = false
+
+	e.down = true
+	s.run(ExitOK, "status", "THE STORE IS OUT", "version 5 stays in force")
+	s.run(ExitStoreOut, "mark data-centre norte out --operator ana", "the store is out")
+	s.run(ExitOK, "history", "the store is out; this is version 5")
+	server.Close()
+	s.run(ExitNoEntry, "status", "no entry instance answered")
+}
+
+// Guards against "nothing was changed" for an edit that an instance may have
+// accepted before its answer was lost.
+func TestLostAnswerIsAnUnknownOutcome(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	_, err := newClient([]string{server.URL}).edit(context.Background(), &pb.EditRequest{EditId: "e1"})
+	var exit *exitError
+	if !errors.As(err, &exit) || exit.code != ExitOutcomeUnknown || !strings.Contains(err.Error(), "--edit-id e1") {
+		t.Errorf("got %v", err)
+	}
+}
