Test requests under faults and fix three ways to run one twice

A generated simulation runs coordinators, admitters and serverhealth over a lossy network while instances are killed, frozen, restarted and retired, and checks I3, I5, I6, I7 and I9. It showed, or its design did:

- The release of an attempt that did not run could arrive after the grant of its retry and free the request for a copy elsewhere.
The memory now names the latest grant, and only the release of that grant frees the request.
- A coordinator that took up a copy after its own attempt had ended could pass as the holder of that attempt.
A request now lists the grant numbers that it asked for before (GrantRequest.former_grants).
- A network duplicate of a first transmission could wait at its coordinator until a new admitter without memory granted it.
Such a repeated ask (GrantRequest.reasked) counts as a possible copy while memory is lost.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -252,7 +252,7 @@
 	if left <= 0 || left > a.cfg.MaxGrant {
 		left = a.cfg.MaxGrant
 	}
-	w := &waiter{key: key, request: r, deadline: now.Add(left), arrival: s.nextArrival()}
+	w := &waiter{key: key, request: r, deadline: now.Add(left), arrivedAt: now, arrival: s.nextArrival()}
 	if result, reason := s.check(now, w, &a.cfg); result != pb.GrantResult_GRANT_RESULT_GRANTED && s.phase == owned {
 		return []peer.Message{reply(from, r.GetGrant(), result, reason)}
 	}
@@ -275,7 +275,7 @@
 	if g := s.grants[key]; g != nil {
 		delete(s.grants, key)
 		if !g.idempotent {
-			s.memory.released(now, g.request, from, r.GetDidNotRun())
+			s.memory.released(now, g.request, key, r.GetDidNotRun())
 		}
 		s.ramp.release(now, s.info, &a.cfg, g.grantedAt, r)
 	}
--- a/internal/admission/memory.go
+++ b/internal/admission/memory.go
@@ -17,10 +17,10 @@
 	return requestKey{model.FlowHash(r.GetFlow()), r.GetRequestId()}
 }
 
-// memo is what is remembered of a non-idempotent request. An empty holder
-// means that the server said that it did not run: any instance may send it.
+// memo is what is remembered of a non-idempotent request: its latest grant.
+// An empty holder means that the server said that it did not run: any instance may send it.
 type memo struct {
-	holder  model.InstanceID
+	latest  grantKey
 	expires time.Time
 }
 
@@ -55,30 +55,33 @@
 	return len(m.memos) >= m.max
 }
 
-func (m *memory) lookup(now time.Time, k requestKey) (known bool, holder model.InstanceID) {
+// lookup returns the latest grant of a request that is known.
+func (m *memory) lookup(now time.Time, k requestKey) (latest grantKey, known bool) {
 	e, ok := m.memos[k]
 	if !ok || !now.Before(e.expires) {
-		return false, ""
+		return grantKey{}, false
 	}
-	return true, e.holder
+	return e.latest, true
 }
 
-func (m *memory) remember(until time.Time, k requestKey, holder model.InstanceID) {
-	m.memos[k] = memo{holder, until}
+func (m *memory) remember(until time.Time, k requestKey, latest grantKey) {
+	m.memos[k] = memo{latest, until}
 	m.order = append(m.order, remembered{k, until})
 }
 
 // released records the end of a grant: the request may be sent again by
-// anyone if it did not run, else only a retry of its holder may follow.
-func (m *memory) released(now time.Time, k requestKey, holder model.InstanceID, didNotRun bool) {
+// anyone if it did not run, else only a retry of its holder may follow. The
+// release of an earlier grant can arrive after the retry was granted, and
+// must not free the request then.
+func (m *memory) released(now time.Time, k requestKey, g grantKey, didNotRun bool) {
 	e, ok := m.memos[k]
-	if !ok || e.holder != holder {
+	if !ok || e.latest != g {
 		return
 	}
 	if didNotRun {
-		holder = ""
+		g = grantKey{}
 	}
-	m.remember(now.Add(m.keep), k, holder)
+	m.remember(now.Add(m.keep), k, g)
 }
 
 // expire forgets what has expired, oldest first.
@@ -103,7 +106,7 @@
 		}
 		listed[r.key] = true
 		out = append(out, &pb.RememberedRequest{
-			Flow: uint64(r.key.flow), RequestId: r.key.id, ExpiresMs: milliseconds(e.expires.Sub(now)), Holder: string(e.holder),
+			Flow: uint64(r.key.flow), RequestId: r.key.id, ExpiresMs: milliseconds(e.expires.Sub(now)), Holder: string(e.latest.holder), Grant: e.latest.id,
 		})
 	}
 	return out
@@ -114,10 +117,10 @@
 func (m *memory) adopt(now time.Time, list []*pb.RememberedRequest) {
 	for _, r := range list {
 		k := requestKey{model.FlowHash(r.GetFlow()), r.GetRequestId()}
-		if known, _ := m.lookup(now, k); known {
+		if _, known := m.lookup(now, k); known {
 			continue
 		}
 		left := min(time.Duration(r.GetExpiresMs())*time.Millisecond, m.keep)
-		m.remember(now.Add(left), k, model.InstanceID(r.GetHolder()))
+		m.remember(now.Add(left), k, grantKey{model.InstanceID(r.GetHolder()), r.GetGrant()})
 	}
 }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -10,11 +10,12 @@
 
 // waiter is a request for a grant that waits for a slot.
 type waiter struct {
-	key      grantKey
-	request  *pb.GrantRequest
-	deadline time.Time
-	arrival  uint64
-	index    int
+	key       grantKey
+	request   *pb.GrantRequest
+	deadline  time.Time
+	arrivedAt time.Time
+	arrival   uint64
+	index     int
 }
 
 // before orders waiters by priority, then arrival.
--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -58,6 +59,9 @@
 	// unreportedUntil: grants of a dead admitter may still use them.
 	unreported      int
 	unreportedUntil time.Time
+	// blindUntil is set when the former admitter did not leave the view but
+	// restarted: less than DeadAfter may have passed since its last grant.
+	blindUntil time.Time
 
 	arrivals uint64
 }
@@ -91,14 +95,15 @@
 	if r.GetIdempotent() {
 		return pb.GrantResult_GRANT_RESULT_GRANTED, 0
 	}
-	known, holder := s.memory.lookup(now, keyOf(r))
+	latest, known := s.memory.lookup(now, keyOf(r))
 	switch {
-	case known && holder != "" && (holder != w.key.holder || !(r.GetRetry() || r.GetReasked())):
-		return pb.GrantResult_GRANT_RESULT_DUPLICATE, pb.Reason_REASON_DUPLICATE
-	case known:
+	case known && latest.holder == "":
 		return pb.GrantResult_GRANT_RESULT_GRANTED, 0
-	case r.GetRetry() || (r.GetCallerAttempt() > 1 && s.memory.lossy(now)):
-		// The request may have run, and the memory of it was lost.
+	case known && latest.holder == w.key.holder && slices.Contains(r.GetFormerGrants(), latest.id):
+		return pb.GrantResult_GRANT_RESULT_GRANTED, 0
+	case known:
+		return pb.GrantResult_GRANT_RESULT_DUPLICATE, pb.Reason_REASON_DUPLICATE
+	case r.GetRetry() || (s.memory.lossy(now) && s.mayBeCopy(w)):
 		return pb.GrantResult_GRANT_RESULT_DUPLICATE, pb.Reason_REASON_DUPLICATE
 	case s.memory.full(now):
 		return pb.GrantResult_GRANT_RESULT_REFUSED, pb.Reason_REASON_OVERLOAD
@@ -106,6 +111,15 @@
 	return pb.GrantResult_GRANT_RESULT_GRANTED, 0
 }
 
+// mayBeCopy reports whether the request may be a copy of one that a former
+// admitter granted and this one does not know. A network duplicate of a first
+// transmission meets this admitter only if its coordinator asked the former
+// one before, or if the former one was replaced faster than a datagram
+// travels.
+func (s *server) mayBeCopy(w *waiter) bool {
+	return w.request.GetCallerAttempt() > 1 || w.request.GetReasked() || w.arrivedAt.Before(s.blindUntil)
+}
+
 // grant gives a slot to the waiter. It expires when the coordinator must have
 // ended the attempt, plus the time for which its packet may be under way.
 func (s *server) grant(now time.Time, w *waiter, cfg *Config) {
@@ -114,7 +128,7 @@
 		grantedAt: now, expires: w.deadline.Add(cfg.Margin),
 	}
 	if !w.request.GetIdempotent() {
-		s.memory.remember(now.Add(cfg.RequestMemory), keyOf(w.request), w.key.holder)
+		s.memory.remember(now.Add(cfg.RequestMemory), keyOf(w.request), w.key)
 	}
 }
 
@@ -157,8 +171,8 @@
 	left := min(time.Duration(o.GetExpiresMs())*time.Millisecond, cfg.MaxGrant+cfg.Margin)
 	request := requestKey{model.FlowHash(o.GetFlow()), o.GetRequestId()}
 	s.grants[key] = &grant{request: request, idempotent: o.GetIdempotent(), grantedAt: now, expires: now.Add(left), inherited: true}
-	if known, _ := s.memory.lookup(now, request); !known && !o.GetIdempotent() {
-		s.memory.remember(now.Add(cfg.RequestMemory), request, holder)
+	if _, known := s.memory.lookup(now, request); !known && !o.GetIdempotent() {
+		s.memory.remember(now.Add(cfg.RequestMemory), request, key)
 	}
 }
 
--- a/internal/admission/takeover.go
+++ b/internal/admission/takeover.go
@@ -88,7 +88,7 @@
 	if s.formerSure {
 		m, _ := old.Member(was)
 		s.formerIncarnation = m.Incarnation
-		if was == a.cfg.Self || a.formerGone(s) {
+		if a.formerGone(s) {
 			a.takeOver(now, s)
 		}
 		return
@@ -115,6 +115,9 @@
 	// within DeadAfter of the change that replaced it.
 	s.unreportedUntil = now.Add(a.cfg.MaxGrant + a.cfg.Margin + a.cfg.DeadAfter)
 	s.openAt = now.Add(a.cfg.ReportWait)
+	if _, ok := a.state.Member(s.former); ok {
+		s.blindUntil = now.Add(a.cfg.Margin)
+	}
 }
 
 // takeFresh starts to admit for a server that no instance of the view
--- a/internal/requests/answer.go
+++ b/internal/requests/answer.go
@@ -106,38 +106,26 @@
 	return serverhealth.Unknown
 }
 
-// latePacket uses a packet for a request that is over: it shows that the
-// server has ended the attempt, whose grant can be released.
+// latePacket uses the last packet of an attempt whose request is over: it
+// shows that the server has ended the attempt, so its grant can be released.
 func (c *Coordinator) latePacket(now time.Time, p ServerPacket) []Action {
-	for _, id := range c.lingering(p) {
-		g := c.held[id]
-		delete(c.held, id)
-		release := &pb.GrantRelease{
-			Grant: id, Server: uint64(g.server), Condition: refusalCondition(p),
-			DidNotRun: p.Kind == pb.Kind_KIND_REFUSAL && p.Outcome == pb.Outcome_OUTCOME_DID_NOT_RUN,
-		}
-		kind := serverhealth.Answered
-		if p.Kind == pb.Kind_KIND_REFUSAL {
-			kind = serverhealth.Refused
-		}
-		o := serverhealth.Observation{Kind: kind, Reason: p.Reason, Cold: p.Cold}
-		return []Action{ReleaseGrant{g.server, release}, Observe{p.Key, g.server, o}}
-	}
-	return nil
-}
-
-// lingering returns the grant of the packet's attempt, if it is still held
-// and the packet is the last of the attempt.
-func (c *Coordinator) lingering(p ServerPacket) []uint64 {
-	if p.Kind == pb.Kind_KIND_ANSWER && p.Part+1 < p.Parts {
+	id := c.byAttempt[p.Attempt]
+	g := c.held[id]
+	last := p.Kind == pb.Kind_KIND_REFUSAL || p.Part+1 >= p.Parts
+	if g == nil || g.key != p.Key || g.server != p.Server || !last {
 		return nil
 	}
-	for id, g := range c.held {
-		if g.key == p.Key && g.attempt == p.Attempt && g.server == p.Server {
-			return []uint64{id}
-		}
+	c.dropHeld(id)
+	release := &pb.GrantRelease{
+		Grant: id, Server: uint64(g.server), Condition: refusalCondition(p),
+		DidNotRun: p.Kind == pb.Kind_KIND_REFUSAL && p.Outcome == pb.Outcome_OUTCOME_DID_NOT_RUN,
+	}
+	kind := serverhealth.Answered
+	if p.Kind == pb.Kind_KIND_REFUSAL {
+		kind = serverhealth.Refused
 	}
-	return nil
+	o := serverhealth.Observation{Kind: kind, Reason: p.Reason, Cold: p.Cold}
+	return []Action{ReleaseGrant{g.server, release}, Observe{p.Key, g.server, o}}
 }
 
 // answerMemory keeps answers for repeated copies of their requests.
--- a/internal/requests/attempt.go
+++ b/internal/requests/attempt.go
@@ -1,6 +1,7 @@
 package requests
 
 import (
+	"slices"
 	"time"
 
 	"cuminshift/internal/dcstate"
@@ -46,7 +47,9 @@
 	copyElsewhere bool
 	reason        pb.Reason
 
-	ask         uint64
+	ask uint64
+	// numbers lists the numbers of all asks.
+	numbers     []uint64
 	reasked     bool
 	nextAsk     time.Time
 	askWait     time.Duration
@@ -119,6 +122,7 @@
 	c.nextGrant++
 	r.phase, r.ask, r.askWait = asking, c.nextGrant, c.cfg.AskTimeout
 	r.window = earlier(r.Deadline, now.Add(c.cfg.MaxGrant))
+	r.numbers = append(r.numbers, r.ask)
 	c.asks[r.ask] = r
 	return c.sendAsk(now, r)
 }
@@ -129,11 +133,16 @@
 	r.nextAsk = now.Add(r.askWait)
 	r.askWait *= 2
 	c.schedule(r)
-	return []Action{AskGrant{r.Server, &pb.GrantRequest{
+	ask := AskGrant{r.Server, &pb.GrantRequest{
 		Grant: r.ask, Server: uint64(r.Server), Flow: uint64(r.Flow), RequestId: r.ID, Idempotent: r.Idempotent,
 		Priority: r.Priority, DeadlineMs: max(1, milliseconds(r.window.Sub(now))), CallerAttempt: r.CallerAttempt,
 		Retry: len(r.attempts) > 0, Reasked: r.reasked,
-	}}}
+	}}
+	if !r.Idempotent {
+		ask.Request.FormerGrants = slices.Clone(r.numbers[:len(r.numbers)-1])
+	}
+	r.reasked = true
+	return []Action{ask}
 }
 
 func (c *Coordinator) forgetAsk(r *request) {
@@ -171,6 +180,7 @@
 	c.held[r.ask] = &heldGrant{
 		server: r.Server, key: r.Key, attempt: a.number, idempotent: r.Idempotent, expires: r.window.Add(c.cfg.Margin),
 	}
+	c.byAttempt[a.number] = a.grant
 	c.forgetAsk(r)
 	r.attempts = append(r.attempts, a)
 	r.phase = running
@@ -231,7 +241,7 @@
 	case r.phase == backingOff && !now.Before(r.retryAt):
 		return c.ask(now, r)
 	case r.phase == asking && !now.Before(r.window):
-		return append(c.abandonAsk(r), c.ask(now, r)...)
+		return append(c.abandonAsk(r), c.askNumbered(now, r)...)
 	case r.phase == asking && !now.Before(r.nextAsk):
 		return c.sendAsk(now, r)
 	}
@@ -262,6 +272,13 @@
 	return []Action{SendCancel{r.Key, a.server, a.number}}
 }
 
+func (c *Coordinator) dropHeld(grant uint64) {
+	if g := c.held[grant]; g != nil {
+		delete(c.byAttempt, g.attempt)
+		delete(c.held, grant)
+	}
+}
+
 // linger keeps the grant of an attempt that may still run at the server.
 func (c *Coordinator) linger(now time.Time, a *attempt) {
 	g := c.held[a.grant]
@@ -277,7 +294,7 @@
 	if g == nil {
 		return nil
 	}
-	delete(c.held, t.grant)
+	c.dropHeld(t.grant)
 	return []Action{ReleaseGrant{g.server, &pb.GrantRelease{
 		Grant: t.grant, Server: uint64(g.server), Condition: serverhealth.Silent,
 	}}}
@@ -288,7 +305,7 @@
 	if c.held[a.grant] == nil {
 		return nil
 	}
-	delete(c.held, a.grant)
+	c.dropHeld(a.grant)
 	m.Grant, m.Server = a.grant, uint64(a.server)
 	m.LatencyMs = milliseconds(now.Sub(a.sentAt))
 	return []Action{ReleaseGrant{a.server, m}}
--- a/internal/requests/requests.go
+++ b/internal/requests/requests.go
@@ -192,6 +192,8 @@
 	requests map[Key]*request
 	asks     map[uint64]*request
 	held     map[uint64]*heldGrant
+	// byAttempt finds the held grant of an attempt.
+	byAttempt map[uint32]uint64
 	// abandoned remembers asks that were given up: a late grant is released.
 	abandoned   *fifo[uint64, model.ServerID]
 	finished    *answerMemory
@@ -210,7 +212,7 @@
 func New(cfg Config) *Coordinator {
 	cfg.setDefaults()
 	return &Coordinator{
-		cfg: cfg, requests: map[Key]*request{}, asks: map[uint64]*request{}, held: map[uint64]*heldGrant{},
+		cfg: cfg, requests: map[Key]*request{}, asks: map[uint64]*request{}, held: map[uint64]*heldGrant{}, byAttempt: map[uint32]uint64{},
 		abandoned: newFIFO[uint64, model.ServerID](maxAbandoned), finished: newAnswerMemory(cfg.AnswerMemory, cfg.MaxBytes/8),
 		budgets: map[model.ServiceID]*budget{},
 		// Random starts keep the numbers of one incarnation apart from those
@@ -358,7 +360,6 @@
 		}
 		c.abandoned.put(id, r.Server)
 		delete(c.asks, id)
-		r.reasked = true
 		actions = append(actions, c.askNumbered(now, r)...)
 	}
 	return actions
--- /dev/null
+++ b/internal/requests/sim_test.go
@@ -0,0 +1,541 @@
+package requests_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"cuminshift/internal/admission"
+	"cuminshift/internal/dcstate"
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/model"
+	"cuminshift/internal/peer"
+	"cuminshift/internal/requests"
+	"cuminshift/internal/serverhealth"
+)
+
+const (
+	lease     = 600 * time.Millisecond
+	deadAfter = time.Second
+	lifetime  = 300 * time.Millisecond
+	maxGrant  = 2 * time.Second
+)
+
+// event is something that happens at a time of the simulation.
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || (e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	x := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return x
+}
+
+// instance runs the three packages as the entry instance does.
+type instance struct {
+	sim         *sim
+	id          model.InstanceID
+	incarnation uint64
+	dead        bool
+	leaving     bool
+	frozenUntil time.Time
+	// acked is the last time at which the publisher heard the instance.
+	acked   time.Time
+	state   *dcstate.State
+	coord   *requests.Coordinator
+	admit   *admission.Admitter
+	health  *serverhealth.Health
+	lastSaw map[model.ServerID]serverhealth.Condition
+}
+
+// run is one execution at a server.
+type run struct {
+	key     requests.Key
+	attempt uint32
+	over    bool
+}
+
+type server struct {
+	info    *model.BackendServer
+	cold    bool
+	running []*run
+	seen    map[string]bool
+	peak    int
+}
+
+// call is a request as its caller sees it.
+type call struct {
+	request requests.Request
+	// runs counts executions per transmission by the caller.
+	runs       map[uint32]int
+	duplicated bool
+	answered   bool
+	parts      []string
+}
+
+// sim is a data centre with an ideal membership: it knows who is dead, and
+// publishes that with the delays that docs/design.md promises.
+type sim struct {
+	t         *rapid.T
+	rng       *rand.Rand
+	now       time.Time
+	queue     events
+	seq       int
+	instances []*instance
+	published *dcstate.State
+	servers   map[model.ServerID]*server
+	infos     map[model.ServerID]*model.BackendServer
+	calls     map[requests.Key]*call
+	// loss is the chance in percent that a datagram or peer message is lost.
+	loss            int
+	answers, denied int
+	failure         string
+}
+
+func (s *sim) after(d time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.queue, event{s.now.Add(d), s.seq, do})
+}
+
+func (s *sim) ms(from, to int) time.Duration {
+	return time.Duration(from+s.rng.IntN(to-from+1)) * time.Millisecond
+}
+
+func (s *sim) chance(percent int) bool { return s.rng.IntN(100) < percent }
+
+func (s *sim) fail(format string, args ...any) {
+	if s.failure == "" {
+		s.failure = fmt.Sprintf("%v: ", s.now.Sub(time.Unix(0, 0))) + fmt.Sprintf(format, args...)
+	}
+}
+
+// deliver runs do at the instance after the delay, when it is not frozen.
+func (s *sim) deliver(in *instance, delay time.Duration, do func()) {
+	s.after(delay, func() {
+		if wait := in.frozenUntil.Sub(s.now); wait > 0 && !in.dead {
+			s.deliver(in, wait, do)
+		} else if !in.dead {
+			do()
+		}
+	})
+}
+
+func (s *sim) find(id model.InstanceID) *instance {
+	for _, in := range s.instances {
+		if in.id == id && !in.dead {
+			return in
+		}
+	}
+	return nil
+}
+
+func (s *sim) start(id model.InstanceID) {
+	in := &instance{sim: s, id: id, incarnation: uint64(s.now.UnixNano()), acked: s.now, lastSaw: map[model.ServerID]serverhealth.Condition{}}
+	in.coord = requests.New(requests.Config{Self: id, Rand: rand.New(rand.NewPCG(s.rng.Uint64(), 1)), MaxGrant: maxGrant})
+	in.admit = admission.New(admission.Config{Self: id, MaxGrant: maxGrant, Fenced: in.fenced, QueueLength: 8, RampInterval: 200 * time.Millisecond}, 0)
+	in.health = serverhealth.New(serverhealth.Config{})
+	in.health.SetServers(s.now, s.infos)
+	in.admit.SetServers(s.now, s.infos)
+	s.instances = append(s.instances, in)
+	s.publish()
+	s.tick(in)
+	s.beat(in)
+}
+
+// beat is the heartbeat of an instance: while it runs, it stays unfenced once
+// it has the newest state.
+func (s *sim) beat(in *instance) {
+	s.deliver(in, 200*time.Millisecond, func() {
+		if in.state == s.published {
+			in.acked = s.now
+		}
+		s.beat(in)
+	})
+}
+
+func (s *sim) tick(in *instance) {
+	s.deliver(in, 10*time.Millisecond, func() {
+		in.perform(in.coord.Tick(s.now))
+		in.send(in.admit.Tick(s.now))
+		in.health.Tick(s.now)
+		in.observeConditions()
+		s.tick(in)
+	})
+}
+
+func (in *instance) fenced(now time.Time) bool { return in.state == nil || now.Sub(in.acked) > lease }
+
+// publish makes a new state of the instances that are heard and sends it.
+func (s *sim) publish() {
+	var members []dcstate.Member
+	for _, in := range s.instances {
+		if in.dead || s.now.Sub(in.acked) > deadAfter {
+			continue
+		}
+		st := pb.InstanceState_INSTANCE_STATE_READY
+		if in.leaving {
+			st = pb.InstanceState_INSTANCE_STATE_LEAVING
+		}
+		members = append(members, dcstate.Member{Instance: in.id, Incarnation: in.incarnation, State: st})
+	}
+	slices.SortFunc(members, func(a, b dcstate.Member) int { return int(a.Instance[0]) - int(b.Instance[0]) })
+	generation := uint64(1)
+	if s.published != nil {
+		generation = s.published.Version.Generation + 1
+	}
+	state := dcstate.New(dcstate.Version{Generation: generation, Publisher: "p"}, members, nil)
+	s.published = state
+	for _, in := range s.instances {
+		s.deliver(in, s.ms(0, 50), func() { in.apply(state) })
+	}
+}
+
+func (in *instance) apply(state *dcstate.State) {
+	if in.state != nil && !in.state.Version.Less(state.Version) {
+		return
+	}
+	old, now := in.state, in.sim.now
+	in.state = state
+	if in.sim.published == state {
+		in.acked = now
+	}
+	in.send(in.admit.StateChanged(now, old, state, func(id model.ServerID) []*pb.OutstandingGrant { return in.coord.Held(now, id) }))
+	in.perform(in.coord.StateChanged(now, old, state))
+}
+
+// watch removes instances that were not heard for deadAfter, and adds those
+// that woke.
+func (s *sim) watch() {
+	s.after(100*time.Millisecond, func() {
+		changed := false
+		for _, in := range s.instances {
+			m, member := s.published.Member(in.id)
+			member = member && m.Incarnation == in.incarnation
+			gone := s.now.Sub(in.acked) > deadAfter
+			if !in.dead && !gone && in.frozenUntil.Before(s.now) {
+				changed = changed || !member
+			} else if gone && member {
+				changed = true
+			}
+			if !in.dead && gone && in.frozenUntil.Before(s.now) {
+				in.acked, changed = s.now.Add(-lease-1), true
+			}
+		}
+		if changed {
+			s.publish()
+		}
+		s.watch()
+	})
+}
+
+func (in *instance) send(messages []peer.Message) {
+	s := in.sim
+	for _, m := range messages {
+		to, body, delay := s.find(m.To), proto.Clone(m.Body).(*pb.PeerMessage), s.ms(0, 20)
+		if m.To == in.id {
+			delay = 0
+		} else if s.chance(s.loss) {
+			continue
+		}
+		if to == nil {
+			continue
+		}
+		s.deliver(to, delay, func() {
+			if r := body.GetGrantReply(); r != nil {
+				to.perform(to.coord.GrantReply(s.now, r))
+				return
+			}
+			to.send(to.admit.HandlePeer(s.now, in.id, body))
+		})
+	}
+}
+
+func (in *instance) observeConditions() {
+	for id := range in.sim.infos {
+		if c := in.health.Condition(id); c != in.lastSaw[id] {
+			in.lastSaw[id] = c
+			in.send(in.admit.Observe(in.sim.now, id, c))
+		}
+	}
+}
+
+func (in *instance) perform(actions []requests.Action) {
+	s := in.sim
+	for _, a := range actions {
+		switch a := a.(type) {
+		case requests.AskGrant:
+			in.toAdmitter(a.Server, &pb.PeerMessage{Body: &pb.PeerMessage_GrantRequest{GrantRequest: a.Request}})
+		case requests.ReleaseGrant:
+			in.toAdmitter(a.Server, &pb.PeerMessage{Body: &pb.PeerMessage_GrantRelease{GrantRelease: a.Release}})
+		case requests.SendToServer:
+			left := a.Deadline.Sub(s.now)
+			if !s.chance(s.loss) {
+				s.after(s.ms(0, 20), func() { s.serve(in, a, left) })
+			}
+		case requests.SendCancel:
+			if !s.chance(s.loss) {
+				s.after(s.ms(0, 20), func() { s.cancel(in, a) })
+			}
+		case requests.Observe:
+			in.health.Observe(s.now, a.Server, 0, a.Observation)
+		case requests.ReplyToCaller:
+			s.receive(a)
+		}
+	}
+}
+
+func (in *instance) toAdmitter(id model.ServerID, body *pb.PeerMessage) {
+	if in.state != nil {
+		in.send([]peer.Message{{To: in.state.Admitter(id), Body: body}})
+	}
+}
+
+// serve is the backend server: it sheds, or runs the request until it is done
+// or past its deadline, and answers in parts that cross and repeat.
+func (s *sim) serve(in *instance, a requests.SendToServer, left time.Duration) {
+	sv := s.servers[a.Server]
+	copyKey := fmt.Sprint(in.id, in.incarnation, a.Key, a.Attempt)
+	if sv.seen[copyKey] {
+		return
+	}
+	sv.seen[copyKey] = true
+	c := s.calls[a.Key]
+	sv.running = slices.DeleteFunc(sv.running, func(r *run) bool { return r.over })
+	if sv.cold && len(sv.running) >= sv.info.ColdSlots {
+		s.fail("server %d runs %d and got one more, bears %d", a.Server, len(sv.running), sv.info.ColdSlots)
+	}
+	if len(sv.running) >= sv.info.Slots || s.chance(5) {
+		s.refuse(in, a.Key, a.Server, a.Attempt, pb.Reason_REASON_SHED, pb.Outcome_OUTCOME_DID_NOT_RUN)
+		return
+	}
+	r := &run{key: a.Key, attempt: a.Attempt}
+	sv.running = append(sv.running, r)
+	sv.peak = max(sv.peak, len(sv.running))
+	c.runs[a.CallerAttempt]++
+	total := 0
+	for _, n := range c.runs {
+		total += n
+	}
+	if !a.Idempotent && total > 1 {
+		s.fail("non-idempotent request %v ran %d times", a.Key, total)
+	}
+	if took := s.ms(5, 400); took < left {
+		s.after(took, func() {
+			if !r.over {
+				r.over = true
+				s.answer(in, a, sv.cold)
+			}
+		})
+		return
+	}
+	s.after(left, func() {
+		if !r.over {
+			r.over = true
+			s.refuse(in, a.Key, a.Server, a.Attempt, pb.Reason_REASON_DEADLINE, pb.Outcome_OUTCOME_UNKNOWN)
+		}
+	})
+}
+
+func (s *sim) cancel(in *instance, a requests.SendCancel) {
+	for _, r := range s.servers[a.Server].running {
+		if r.key == a.Key && r.attempt == a.Attempt && !r.over {
+			r.over = true
+			s.refuse(in, a.Key, a.Server, a.Attempt, pb.Reason_REASON_CANCELLED, pb.Outcome_OUTCOME_UNKNOWN)
+		}
+	}
+}
+
+func (s *sim) toInstance(in *instance, p requests.ServerPacket) {
+	for n := 1 + s.rng.IntN(2); n > 0; n-- {
+		if !s.chance(s.loss) {
+			s.deliver(in, s.ms(0, int(lifetime/time.Millisecond)), func() { in.perform(in.coord.ServerPacket(s.now, p)) })
+		}
+	}
+}
+
+func (s *sim) refuse(in *instance, k requests.Key, id model.ServerID, attempt uint32, reason pb.Reason, outcome pb.Outcome) {
+	s.toInstance(in, requests.ServerPacket{
+		Key: k, Server: id, Kind: pb.Kind_KIND_REFUSAL, Attempt: attempt, Reason: reason, Outcome: outcome, Cold: s.servers[id].cold,
+	})
+}
+
+func (s *sim) answer(in *instance, a requests.SendToServer, cold bool) {
+	parts := uint32(1 + s.rng.IntN(4))
+	serial := s.rng.Uint64()
+	for part := uint32(0); part < parts; part++ {
+		payload := []byte(fmt.Sprint(a.Key, serial))
+		s.toInstance(in, requests.ServerPacket{
+			Key: a.Key, Server: a.Server, Kind: pb.Kind_KIND_ANSWER, Attempt: a.Attempt, Part: part, Parts: parts, Payload: payload, Cold: cold,
+		})
+	}
+}
+
+// receive checks what a caller gets.
+func (s *sim) receive(a requests.ReplyToCaller) {
+	c := s.calls[a.Key]
+	c.answered = true
+	if a.Kind == pb.Kind_KIND_REFUSAL {
+		s.denied++
+		if a.Outcome == pb.Outcome_OUTCOME_DID_NOT_RUN && c.runs[a.CallerAttempt] > 0 && !c.duplicated {
+			s.fail("request %v was refused as not run, and ran", a.Key)
+		}
+		return
+	}
+	if a.Part == 0 {
+		c.parts = nil
+	}
+	c.parts = append(c.parts, string(a.Payload))
+	if len(c.parts) != int(a.Part)+1 || c.parts[0] != string(a.Payload) {
+		s.fail("request %v: part %d of %d with %q after %q", a.Key, a.Part, a.Parts, a.Payload, c.parts)
+	}
+	if a.Part+1 == a.Parts {
+		s.answers++
+	}
+}
+
+// request sends a new request and its repeated copies to any instances.
+func (s *sim) request(id uint64) {
+	k := requests.Key{Service: 1, Flow: model.FlowHash(id % 7), ID: id}
+	ids := s.serverIDs()
+	c := &call{runs: map[uint32]int{}, duplicated: s.chance(10), request: requests.Request{
+		Key: k, Server: ids[s.rng.IntN(len(ids))], Idempotent: s.chance(40), Priority: uint32(s.rng.IntN(3)), CallerAttempt: 1,
+	}}
+	s.calls[k] = c
+	deadline := s.now.Add(s.ms(300, 2500))
+	transmit := func(copy uint32, delay time.Duration) {
+		in := s.instances[s.rng.IntN(len(s.instances))]
+		r := c.request
+		r.CallerAttempt, r.Deadline = copy, deadline
+		s.deliver(in, delay, func() {
+			if in.state != nil {
+				in.perform(in.coord.Start(s.now, r))
+			}
+		})
+	}
+	transmit(1, s.ms(0, 5))
+	if c.duplicated {
+		transmit(1, s.ms(0, int(lifetime/time.Millisecond)))
+	}
+	for copy := uint32(2); copy <= 4; copy++ {
+		s.after(time.Duration(copy-1)*s.ms(100, 700), func() {
+			if !c.answered && s.now.Before(deadline) {
+				transmit(copy, s.ms(0, 5))
+			}
+		})
+	}
+}
+
+func (s *sim) serverIDs() []model.ServerID {
+	var ids []model.ServerID
+	for id := range s.servers {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// disturb kills, freezes, restarts or retires an instance.
+func (s *sim) disturb() {
+	var live []*instance
+	for _, in := range s.instances {
+		if !in.dead && !in.leaving && in.frozenUntil.Before(s.now) {
+			live = append(live, in)
+		}
+	}
+	if len(live) == 0 {
+		return
+	}
+	in := live[s.rng.IntN(len(live))]
+	switch s.rng.IntN(4) {
+	case 0:
+		in.dead = true
+		s.after(s.ms(100, 3000), func() { s.start(in.id) })
+	case 1:
+		in.frozenUntil = s.now.Add(s.ms(100, 4000))
+	case 2:
+		in.dead = true
+	case 3:
+		in.leaving = true
+		in.coord.Stop()
+		s.publish()
+		s.after(3*time.Second, func() {
+			if !in.dead && !in.coord.Idle() {
+				s.fail("planned stop of %s did not finish its requests", in.id)
+			}
+			in.dead = true
+			s.publish()
+		})
+		s.start(model.InstanceID(rune('a' + len(s.instances))))
+	}
+}
+
+func (s *sim) run(length time.Duration) {
+	end := s.now.Add(length)
+	for len(s.queue) > 0 && s.failure == "" {
+		e := heap.Pop(&s.queue).(event)
+		if e.at.After(end) {
+			return
+		}
+		s.now = e.at
+		e.do()
+	}
+}
+
+func newSim(t *rapid.T, seed uint64, cold bool, loss int) *sim {
+	s := &sim{
+		t: t, rng: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(0, 0), calls: map[requests.Key]*call{}, loss: loss,
+		servers: map[model.ServerID]*server{}, infos: map[model.ServerID]*model.BackendServer{},
+	}
+	for id := model.ServerID(1); id <= 3; id++ {
+		s.infos[id] = &model.BackendServer{ID: id, Service: 1, Slots: 3, ColdSlots: 1}
+		s.servers[id] = &server{info: s.infos[id], cold: cold, seen: map[string]bool{}}
+	}
+	for i := 0; i < 4; i++ {
+		s.start(model.InstanceID(rune('a' + i)))
+	}
+	s.watch()
+	return s
+}
+
+// Guards against a second run of a non-idempotent request, a false
+// DID_NOT_RUN, a mixed or partial answer, more load on cold servers than they
+// bear, and requests cut by a planned stop, while instances are killed,
+// frozen, restarted and replaced.
+func TestRequestsUnderFaults(t *testing.T) {
+	answers, denied, runs := 0, 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t, rapid.Uint64().Draw(t, "seed"), rapid.Bool().Draw(t, "cold"), rapid.IntRange(0, 3).Draw(t, "loss"))
+		for i := uint64(1); i <= uint64(rapid.IntRange(50, 600).Draw(t, "requests")); i++ {
+			s.after(500*time.Millisecond+s.ms(0, 10_000), func() { s.request(i) })
+		}
+		for n := rapid.IntRange(0, 6).Draw(t, "faults"); n > 0; n-- {
+			s.after(s.ms(500, 10_000), s.disturb)
+		}
+		s.run(16 * time.Second)
+		if s.failure != "" {
+			t.Fatal(s.failure)
+		}
+		answers, denied, runs = answers+s.answers, denied+s.denied, runs+1
+	})
+	t.Logf("%d simulations: %d answers, %d refusals", runs, answers, denied)
+	if answers < denied/20 {
+		t.Errorf("%d answers and %d refusals: the simulation shows little", answers, denied)
+	}
+}
