--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -275,7 +275,7 @@
 	if g := s.grants[key]; g != nil {
 		delete(s.grants, key)
 		if !g.idempotent {
-			s.memory.released(now, g.request, from, r.GetDidNotRun())
+			s.memory.released(now, g.request, key, r.GetDidNotRun())
 		}
 		s.ramp.release(now, s.info, &a.cfg, g.grantedAt, r)
 	}
--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -94,12 +95,14 @@
 	if r.GetIdempotent() {
 		return pb.GrantResult_GRANT_RESULT_GRANTED, 0
 	}
-	known, holder := s.memory.lookup(now, keyOf(r))
+	latest, known := s.memory.lookup(now, keyOf(r))
 	switch {
-	case known && holder != "" && (holder != w.key.holder || !(r.GetRetry() || r.GetReasked())):
-		return pb.GrantResult_GRANT_RESULT_DUPLICATE, pb.Reason_REASON_DUPLICATE
-	case known:
+	case known && latest.holder == "":
+		return pb.GrantResult_GRANT_RESULT_GRANTED, 0
+	case known && latest.holder == w.key.holder && slices.Contains(r.GetFormerGrants(), latest.id):
 		return pb.GrantResult_GRANT_RESULT_GRANTED, 0
+	case known:
+		return pb.GrantResult_GRANT_RESULT_DUPLICATE, pb.Reason_REASON_DUPLICATE
 	case r.GetRetry() || (s.memory.lossy(now) && s.mayBeCopy(w)):
 		return pb.GrantResult_GRANT_RESULT_DUPLICATE, pb.Reason_REASON_DUPLICATE
 	case s.memory.full(now):
@@ -125,7 +128,7 @@
 		grantedAt: now, expires: w.deadline.Add(cfg.Margin),
 	}
 	if !w.request.GetIdempotent() {
-		s.memory.remember(now.Add(cfg.RequestMemory), keyOf(w.request), w.key.holder)
+		s.memory.remember(now.Add(cfg.RequestMemory), keyOf(w.request), w.key)
 	}
 }
 
@@ -168,8 +171,8 @@
 	left := min(time.Duration(o.GetExpiresMs())*time.Millisecond, cfg.MaxGrant+cfg.Margin)
 	request := requestKey{model.FlowHash(o.GetFlow()), o.GetRequestId()}
 	s.grants[key] = &grant{request: request, idempotent: o.GetIdempotent(), grantedAt: now, expires: now.Add(left), inherited: true}
-	if known, _ := s.memory.lookup(now, request); !known && !o.GetIdempotent() {
-		s.memory.remember(now.Add(cfg.RequestMemory), request, holder)
+	if _, known := s.memory.lookup(now, request); !known && !o.GetIdempotent() {
+		s.memory.remember(now.Add(cfg.RequestMemory), request, key)
 	}
 }
 
--- a/internal/requests/attempt.go
+++ b/internal/requests/attempt.go
@@ -1,6 +1,7 @@
 package requests
 
 import (
+	"slices"
 	"time"
 
 	"cuminshift/internal/dcstate"
@@ -46,7 +47,9 @@
 	copyElsewhere bool
 	reason        pb.Reason
 
-	ask         uint64
+	ask uint64
+	// numbers lists the numbers of all asks.
+	numbers     []uint64
 	reasked     bool
 	nextAsk     time.Time
 	askWait     time.Duration
@@ -119,6 +122,7 @@
 	c.nextGrant++
 	r.phase, r.ask, r.askWait = asking, c.nextGrant, c.cfg.AskTimeout
 	r.window = earlier(r.Deadline, now.Add(c.cfg.MaxGrant))
+	r.numbers = append(r.numbers, r.ask)
 	c.asks[r.ask] = r
 	return c.sendAsk(now, r)
 }
@@ -134,6 +138,9 @@
 		Priority: r.Priority, DeadlineMs: max(1, milliseconds(r.window.Sub(now))), CallerAttempt: r.CallerAttempt,
 		Retry: len(r.attempts) > 0, Reasked: r.reasked,
 	}}
+	if !r.Idempotent {
+		ask.Request.FormerGrants = slices.Clone(r.numbers[:len(r.numbers)-1])
+	}
 	r.reasked = true
 	return []Action{ask}
 }
