--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -197,6 +197,19 @@
 	return n
 }
 
+// Slots returns the number of slots that Scan and Expire pass over in a full
+// round; it includes the free slots of removed pins.
+func (t *Table) Slots() int {
+	n := 0
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		n += s.slots
+		s.mu.Unlock()
+	}
+	return n
+}
+
 // Range calls visit for each pin until it returns false. visit runs under a
 // shard lock and must not use the table.
 func (t *Table) Range(visit func(Key, Pin) bool) {
