--- a/internal/entry/configuration.go
+++ b/internal/entry/configuration.go
@@ -7,6 +7,7 @@
 
 	"cuminshift/internal/config"
 	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/lists"
 	"cuminshift/internal/membership"
 	"cuminshift/internal/model"
 	"cuminshift/internal/peer"
@@ -44,6 +45,13 @@
 	return c.holder.Current()
 }
 
+// Lists returns the lists and marks of the version that this instance holds.
+func (c *Core) Lists() lists.Content {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.holder.Content()
+}
+
 // InForce returns the newest version that is in force on all live instances
 // of all data centres that this instance hears of.
 func (c *Core) InForce(now time.Time) uint64 {
--- a/internal/faultmatrix/product.go
+++ b/internal/faultmatrix/product.go
@@ -56,7 +56,7 @@
 func (n *productNode) Version() uint64 { return n.core.Configuration().Version }
 
 func (n *productNode) Lists() (*pb.PlanList, *pb.Marks) {
-	c := n.core.Configuration().Content
+	c := n.core.Lists()
 	return c.Plans, c.Marks
 }
 
--- a/internal/shell/edit.go
+++ b/internal/shell/edit.go
@@ -20,12 +20,12 @@
 
 // GetConfig returns the newest version that this instance holds.
 func (o *operator) GetConfig(context.Context, *connect.Request[pb.GetConfigRequest]) (*connect.Response[pb.GetConfigResponse], error) {
-	held := o.sh.core.Configuration()
+	held, content := o.sh.core.Configuration(), o.sh.core.Lists()
 	return connect.NewResponse(&pb.GetConfigResponse{
 		Root:      held.Root,
-		Callers:   held.Content.Callers,
-		Plans:     held.Content.Plans,
-		Marks:     held.Content.Marks,
+		Callers:   content.Callers,
+		Plans:     content.Plans,
+		Marks:     content.Marks,
 		FromStore: o.sh.platform.reachable.Load(),
 	}), nil
 }
