Promise nothing when a repeated request is refused; measure the fleet

Cause of the false DID_NOT_RUN: an instance that refuses a copy by itself (plan, mark, lease) does not know whether an earlier copy ran elsewhere.

--- a/internal/entry/flows.go
+++ b/internal/entry/flows.go
@@ -90,9 +90,9 @@
 }
 
 // closeFlow ends a flow that caller or server closed.
-func (c *Core) closeFlow(now time.Time, key flowtable.Key) {
+func (c *Core) closeFlow(now time.Time, key flowtable.Key, use model.Use) {
 	c.steerActions(now, c.steering.Close(now, key.Service, key.Flow))
-	if _, here := c.counted[key]; !here {
+	if _, here := c.counted[key]; !here && use.ConcurrentFlows > 0 {
 		c.tellFlowEnded(key)
 	}
 	c.flowEnded(now, key)
--- a/internal/entry/packets.go
+++ b/internal/entry/packets.go
@@ -28,6 +28,15 @@
 	counted bool
 }
 
+// limited reports whether the limits count the running flows or requests that
+// the packet starts; only then must they be told of the end.
+func (h *heldPacket) limited() bool {
+	if h.packet.Kind == pb.Kind_KIND_OPEN {
+		return h.use.ConcurrentFlows > 0
+	}
+	return h.use.ConcurrentRequests > 0
+}
+
 // fromCaller takes a datagram of the fabric or of another data centre.
 func (c *Core) fromCaller(now time.Time, data []byte) {
 	c.counts.add(countSlowCaller)
@@ -110,7 +119,7 @@
 func (c *Core) decided(now time.Time, h *heldPacket, d limits.Decision) {
 	switch d.Verdict {
 	case limits.Allowed:
-		h.counted = true
+		h.counted = h.limited()
 		c.continueAllowed(now, h)
 	case limits.Refused:
 		c.refuse(now, h, d.Reason)
@@ -208,7 +217,7 @@
 		c.cancel(now, h, server)
 	case pb.Kind_KIND_CLOSE:
 		c.toServer(h, server)
-		c.closeFlow(now, h.key)
+		c.closeFlow(now, h.key, h.use)
 	default:
 		c.toServer(h, server)
 	}
@@ -250,7 +259,17 @@
 	if h.packet.Kind == pb.Kind_KIND_CANCEL || !h.packet.Caller.IsValid() {
 		return
 	}
-	c.reply(h.packet.Caller, refusalOf(&h.packet, reason, pb.Outcome_OUTCOME_DID_NOT_RUN))
+	c.reply(h.packet.Caller, refusalOf(&h.packet, reason, refusedOutcome(&h.packet)))
+}
+
+// refusedOutcome returns what this instance can say of a packet that it does
+// not pass on. An earlier copy of a repeated request may have run at another
+// instance; only the server's admitter knows.
+func refusedOutcome(p *packet.Packet) pb.Outcome {
+	if p.Kind == pb.Kind_KIND_REQUEST && p.CallerAttempt > 1 {
+		return pb.Outcome_OUTCOME_UNKNOWN
+	}
+	return pb.Outcome_OUTCOME_DID_NOT_RUN
 }
 
 func refusalOf(p *packet.Packet, reason pb.Reason, outcome pb.Outcome) packet.Packet {
@@ -301,7 +320,8 @@
 		c.counts.add(countWrongService)
 		return
 	}
-	if _, allowed := c.catalog.Allows(c.catalog.CallerOf(p.Caller.Addr()), server.Service); !allowed {
+	use, allowed := c.catalog.Allows(c.catalog.CallerOf(p.Caller.Addr()), server.Service)
+	if !allowed {
 		c.counts.add(countNotInPlan)
 		return
 	}
@@ -318,7 +338,7 @@
 		c.learn(now, key, server.ID)
 		c.act(SendToCaller{Address: p.Caller, Data: ev.Data})
 	case pb.Kind_KIND_CLOSE:
-		c.closeFlow(now, key)
+		c.closeFlow(now, key, use)
 		c.act(SendToCaller{Address: p.Caller, Data: ev.Data})
 	default:
 		c.counts.add(countMalformed)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -148,7 +148,7 @@
 			c.refuse(now, h, r.Reason)
 			continue
 		}
-		h.counted = true
+		h.counted = h.limited()
 		c.continueAllowed(now, h)
 	}
 }
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -8,7 +8,6 @@
 
 	"cuminshift/internal/burn"
 	pb "cuminshift/internal/gen/cuminshift/v1"
-	"cuminshift/internal/limits"
 	"cuminshift/internal/model"
 	"cuminshift/internal/packet"
 	"cuminshift/internal/peer"
@@ -40,11 +39,6 @@
 	}
 	c.counts.add(countRequests)
 	d := c.limits.StartRequest(now, h.caller.Name, h.key.Service, h.use)
-	if d.Verdict == limits.Allowed {
-		h.counted = true
-		c.startRequest(now, h)
-		return
-	}
 	c.decided(now, h, d)
 }
 
--- /dev/null
+++ b/internal/measure/desk.go
@@ -0,0 +1,124 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"cuminshift/internal/config"
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/model"
+	"cuminshift/internal/storeclient"
+)
+
+// memoryStore is an object store without faults.
+type memoryStore struct {
+	objects map[string]object
+}
+
+type object struct {
+	value   []byte
+	version uint64
+}
+
+func (m *memoryStore) Get(_ context.Context, key string) ([]byte, uint64, error) {
+	o := m.objects[key]
+	return o.value, o.version, nil
+}
+
+func (m *memoryStore) Put(_ context.Context, key string, value []byte, ifVersion *uint64) (uint64, error) {
+	o := m.objects[key]
+	if ifVersion != nil && *ifVersion != o.version {
+		return 0, &storeclient.Conflict{Key: key}
+	}
+	m.objects[key] = object{value, o.version + 1}
+	return o.version + 1, nil
+}
+
+// operatorDesk holds the lists and makes edits.
+type operatorDesk struct {
+	f       *fleet
+	store   *memoryStore
+	version uint64
+	edits   int
+	marks   *pb.Marks
+	// draining and absent are servers by name.
+	draining, absent map[string]bool
+	// accepted is when the newest edit was accepted.
+	accepted time.Time
+}
+
+func newOperatorDesk(f *fleet) *operatorDesk {
+	d := &operatorDesk{f: f, store: &memoryStore{objects: map[string]object{}}, marks: &pb.Marks{}, draining: map[string]bool{}, absent: map[string]bool{}}
+	d.apply()
+	return d
+}
+
+func (d *operatorDesk) callers() *pb.CallerList {
+	return &pb.CallerList{Callers: []*pb.CallerEntry{{Name: "all", Plan: "all", Prefixes: []string{"10.1.0.0/16"}}}}
+}
+
+func (d *operatorDesk) plans() *pb.PlanList {
+	service := &pb.ServiceEntry{Name: serviceName}
+	for _, c := range d.f.centres {
+		site := &pb.ServiceSite{DataCentre: string(c.name), Address: c.address.String()}
+		for _, s := range c.servers {
+			if d.absent[s.entry.Name] {
+				continue
+			}
+			s.entry.Drain = d.draining[s.entry.Name]
+			site.Servers = append(site.Servers, s.entry)
+		}
+		service.Sites = append(service.Sites, site)
+	}
+	return &pb.PlanList{
+		Plans:    []*pb.PlanEntry{{Name: "all", Uses: []*pb.PlanUse{{Service: serviceName}}}},
+		Services: []*pb.ServiceEntry{service},
+	}
+}
+
+// apply makes an edit of both lists and the marks.
+func (d *operatorDesk) apply() {
+	d.edits++
+	editor := config.NewEditor(config.EditorConfig{Deadline: time.Now().Add(time.Minute), Rand: rand.New(rand.NewPCG(uint64(d.edits), 5))}, config.Edit{
+		ID: fmt.Sprint("edit-", d.edits), Operator: "measure", Summary: "measure", BaseVersion: d.version,
+		Callers: d.callers(), Plans: d.plans(), Marks: d.marks,
+	})
+	done, err := storeclient.RunEdit(context.Background(), d.store, editor, func(context.Context) uint64 { return d.version })
+	if err != nil {
+		panic(fmt.Sprintf("measure: edit failed: %+v", err))
+	}
+	d.version, d.accepted = done.Version, d.f.now
+}
+
+func (d *operatorDesk) drain(s *server) {
+	s.drain = true
+	d.draining[s.entry.Name] = true
+	d.apply()
+	d.f.notifyChanged(50 * time.Millisecond)
+}
+
+// toggleDrain drains a server or ends its drain.
+func (d *operatorDesk) toggleDrain(s *server) {
+	s.drain = !s.drain
+	d.draining[s.entry.Name] = s.drain
+	d.apply()
+}
+
+func (d *operatorDesk) add(c *centre) *server {
+	s := d.f.newServer(c, len(c.servers))
+	s.goCold(10 * time.Second)
+	c.servers = append(c.servers, s)
+	d.apply()
+	d.f.notifyChanged(50 * time.Millisecond)
+	return s
+}
+
+func (d *operatorDesk) mark(dc model.DataCentre, out bool) {
+	d.marks = &pb.Marks{}
+	if out {
+		d.marks.DataCentresOut = []string{string(dc)}
+	}
+	d.apply()
+}
