Guard against reused versions and a start beside a live state

Cause: generated faults showed that a restarted publisher reused generation numbers that frozen instances held with other content, and that an instance without state stopped waiting for the state of others. Change: a start from nothing takes its generation from the time; an instance without state waits as long as another one reports a state; buckets on which an adopted state differs from the publisher's own become ambiguous.

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -169,6 +169,9 @@
 	required    dcstate.Version
 	behindSince time.Time
 	lastRequest time.Time
+	// waitingSince is the time since which this instance, at the head of the
+	// ranking, lacks a state that another one has.
+	waitingSince time.Time
 	// newestSeen is the newest state ever reported by another instance.
 	newestSeen dcstate.Version
 
--- a/internal/membership/role.go
+++ b/internal/membership/role.go
@@ -131,6 +131,8 @@
 	}
 	if m.publishing {
 		m.leaseFrom, m.lastAck = now, now
+	} else if !m.headsRanking(now) {
+		m.waitingSince = time.Time{}
 	}
 }
 
@@ -190,17 +192,18 @@
 	return true
 }
 
-// behind reports whether a live instance has a newer state. It gives up
-// waiting for that state after a while.
+// behind reports whether a live instance has a newer state. An instance that
+// heads the ranking gives up waiting for that state after a while, unless it
+// has no state at all: a start from nothing would contradict the others.
 func (m *Membership) behind(now time.Time) bool {
 	if !m.state.Version.Less(m.newestHeard(now)) {
-		m.behindSince = time.Time{}
+		m.waitingSince = time.Time{}
 		return false
 	}
-	if m.behindSince.IsZero() {
-		m.behindSince = now
+	if m.waitingSince.IsZero() {
+		m.waitingSince = now
 	}
-	return now.Sub(m.behindSince) < catchUpFactor*m.cfg.DeadAfter
+	return m.state.Version.Generation == 0 || now.Sub(m.waitingSince) < catchUpFactor*m.cfg.DeadAfter
 }
 
 // silenceSince returns the time since which no publisher was heard.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -108,6 +108,7 @@
 	EventDistrusted     = "silence distrusted"
 	EventHeld           = "server held back"
 	EventRecordsLost    = "records lost"
+	EventDiverged       = "states diverged"
 )
 
 // Event is a decision for the journal.
@@ -132,6 +133,7 @@
 	confirmed   map[model.InstanceID]uint64
 	book        addressBook
 
+	lastStep   time.Time
 	moveTokens float64
 	refilled   time.Time
 
@@ -161,7 +163,7 @@
 		return nil, nil
 	}
 	p.state, p.in, p.events = s, in, nil
-	p.gen = max(s.Version.Generation, in.Newest.Generation) + 1
+	p.gen = nextGeneration(now, in, s)
 	takeover := s.Version != p.version || s.Version.Publisher != p.cfg.Self
 	if takeover {
 		p.adopt(now)
@@ -169,6 +171,7 @@
 	for id, svc := range p.services {
 		svc.buckets = s.Services[id]
 	}
+	p.lastStep = now
 	p.refill(now)
 	membersChanged := !slices.Equal(s.Members, in.View)
 	if membersChanged {
@@ -184,6 +187,19 @@
 	return p.update(takeover, membersChanged, services), p.events
 }
 
+// nextGeneration counts on from the newest state known. A start from nothing
+// takes the time in milliseconds: a restarted publisher that began at 1 would
+// use version numbers again that instances hold with other content, and a
+// frozen instance that wakes would put its old state above the new one.
+// Generations grow by a few per second, so that they stay below the time.
+func nextGeneration(now time.Time, in Input, s *dcstate.State) uint64 {
+	newest := max(s.Version.Generation, in.Newest.Generation)
+	if newest == 0 {
+		newest = uint64(max(0, now.UnixMilli()))
+	}
+	return newest + 1
+}
+
 func (p *Publisher) event(e Event) { p.events = append(p.events, e) }
 
 // adopt rebuilds the index from a state that this publisher did not make. All
@@ -199,6 +215,9 @@
 		if was := old[id]; was != nil {
 			svc.keepRamps(was)
 		}
+		if was := old[id]; was != nil && now.Sub(p.lastStep) < divergedWithin {
+			p.announceDiverged(now, svc, was)
+		}
 		for _, m := range svc.mixed {
 			m.lost = len(p.in.UnplannedDeaths) > 0
 		}
@@ -210,6 +229,28 @@
 	p.event(Event{Name: EventTakeover, Cause: "state of " + string(p.state.Version.Publisher) + " adopted"})
 }
 
+// divergedWithin is the time after a publisher's own last decision in which it
+// takes an adopted state for one that was made independently of its own.
+const divergedWithin = 5 * time.Second
+
+// announceDiverged makes buckets ambiguous whose openings went to one server
+// by this publisher's state and go to another by the adopted one (after a
+// partition, or when an instance with a newer state wakes). Their flows are
+// then looked for before a packet goes to the base server.
+func (p *Publisher) announceDiverged(now time.Time, svc, was *service) {
+	n := 0
+	for i := range min(svc.n, was.n) {
+		b := svc.at(uint32(i))
+		if b.Phase == dcstate.Stable && destination(was.at(uint32(i))) != b.Base {
+			svc.set(uint32(i), dcstate.Bucket{Base: b.Base, Next: b.Base, Phase: dcstate.Announced}, p.gen, now)
+			n++
+		}
+	}
+	if n > 0 {
+		p.event(Event{Service: svc.id, Name: EventDiverged, Cause: "two publishers", Buckets: n})
+	}
+}
+
 // readConfirmations finds the generation of this publisher's states, and the
 // configuration version, that all members have confirmed.
 func (p *Publisher) readConfirmations() {
