--- /dev/null
+++ b/internal/config/scale_test.go
@@ -0,0 +1,123 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/lists"
+)
+
+// The two-year scale; the number of callers is an assumption.
+const (
+	scaleServers = 82_000
+	scaleCallers = 100_000
+)
+
+// scaled returns valid content with the given numbers of servers and callers,
+// 41 servers a service in 16 data centres.
+func scaled(servers, callers int) lists.Content {
+	c := lists.Content{Callers: &pb.CallerList{}, Plans: &pb.PlanList{}}
+	c.Plans.Plans = []*pb.PlanEntry{{Name: "gold"}}
+	for i := range servers {
+		if i%41 == 0 {
+			n := i / 41
+			c.Plans.Services = append(c.Plans.Services, &pb.ServiceEntry{Name: fmt.Sprintf("service-%05d", n), Sites: []*pb.ServiceSite{{
+				DataCentre: fmt.Sprintf("dc-%02d", n%16), Address: fmt.Sprintf("172.16.%d.%d:9000", n/256, n%256)}}})
+		}
+		site := c.Plans.Services[i/41].Sites[0]
+		site.Servers = append(site.Servers, &pb.ServerEntry{Name: fmt.Sprintf("server-%02d", i%41),
+			Address: fmt.Sprintf("10.%d.%d.%d:9000", i>>16, i>>8&255, i&255), Health: fmt.Sprintf("10.%d.%d.%d:9001", i>>16, i>>8&255, i&255),
+			Slots: 3, Connections: 2000, ColdSlots: 1, ColdOpeningsPerSecond: 10})
+	}
+	for i := range callers {
+		c.Callers.Callers = append(c.Callers.Callers, &pb.CallerEntry{Name: fmt.Sprintf("caller-%06d", i), Plan: "gold",
+			Prefixes: []string{fmt.Sprintf("100.%d.%d.%d/32", i>>16, i>>8&255, i&255)}})
+	}
+	return c
+}
+
+// Guards against values above the store's limit, and against an edit that
+// sends more than the control traffic allows, at the two-year scale.
+func TestScaleFitsTheStore(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes seconds")
+	}
+	s := newFakeStore()
+	c := scaled(scaleServers, scaleCallers)
+	if _, err := run(t, s, EditorConfig{}, Edit{ID: "init", Operator: "o", Callers: c.Callers, Plans: c.Plans}, atOnce); err != nil {
+		t.Fatal(err)
+	}
+	behind, holder := newTestHolder("a", nil), newTestHolder("b", nil)
+	s.load(behind, epoch)
+	callers := proto.CloneOf(c.Callers)
+	callers.Callers[70_000].Plan, callers.Callers[70_000].Prefixes = "gold", []string{"101.0.0.0/24"}
+	if _, err := run(t, s, EditorConfig{}, Edit{ID: "e", Operator: "o", BaseVersion: 1, Callers: callers}, atOnce); err != nil {
+		t.Fatal(err)
+	}
+	s.load(holder, epoch)
+	largest, total, root := 0, 0, len(s.latest(RootKey).value)
+	for _, ref := range holder.Current().Root.GetShards() {
+		data, _ := holder.Shard(ref.GetHash())
+		largest, total = max(largest, len(data)), total+len(data)
+	}
+	out := holder.HandleRequest(epoch, "a", &pb.ConfigRequest{HaveVersion: 1})
+	update := proto.Size(out[0].Body)
+	t.Logf("%d shards, largest %d bytes, total %d, root %d, update for a peer %d",
+		len(holder.Current().Root.GetShards()), largest, total, root, update)
+	// 8,500 changes a day are one in 10 s, for which 7 KB/s give 70 KB.
+	if root > MaxValueBytes || largest > MaxValueBytes || update > 30_000 {
+		t.Errorf("root %d, largest shard %d, update %d bytes", root, largest, update)
+	}
+	if changed, _ := behind.HandleReply(epoch, "b", out[0].Body.GetConfigReply()); !changed || behind.Current().Version != 2 {
+		t.Errorf("the peer holds version %d", behind.Current().Version)
+	}
+}
+
+func BenchmarkBuildCatalog(b *testing.B) {
+	c := scaled(scaleServers, scaleCallers)
+	for b.Loop() {
+		if _, found := buildCatalog(1, c); len(found) > 0 {
+			b.Fatal(found[0])
+		}
+	}
+}
+
+// BenchmarkUpdate is the work of an instance for one edit at the two-year scale.
+func BenchmarkUpdate(b *testing.B) {
+	s := newFakeStore()
+	c := scaled(scaleServers, scaleCallers)
+	if _, err := run(b, s, EditorConfig{}, Edit{ID: "init", Operator: "o", Callers: c.Callers, Plans: c.Plans}, atOnce); err != nil {
+		b.Fatal(err)
+	}
+	h := newTestHolder("a", nil)
+	s.load(h, epoch)
+	for n := 0; b.Loop(); n++ {
+		b.StopTimer()
+		c.Callers.Callers[n].Prefixes = []string{fmt.Sprintf("101.0.%d.0/24", n)}
+		if _, err := run(b, s, EditorConfig{}, Edit{ID: fmt.Sprint(n), Operator: "o", BaseVersion: uint64(n + 1), Callers: c.Callers}, atOnce); err != nil {
+			b.Fatal(err)
+		}
+		b.StartTimer()
+		if changed, _ := s.load(h, epoch); !changed {
+			b.Fatal(h.Problem())
+		}
+	}
+}
+
+// BenchmarkEdit is the work of an entry instance for an operator's edit.
+func BenchmarkEdit(b *testing.B) {
+	s := newFakeStore()
+	c := scaled(scaleServers, scaleCallers)
+	if _, err := run(b, s, EditorConfig{}, Edit{ID: "init", Operator: "o", Callers: c.Callers, Plans: c.Plans}, atOnce); err != nil {
+		b.Fatal(err)
+	}
+	for n := 0; b.Loop(); n++ {
+		c.Callers.Callers[n].Prefixes = []string{fmt.Sprintf("101.0.%d.0/24", n)}
+		if _, err := run(b, s, EditorConfig{}, Edit{ID: fmt.Sprint(n), Operator: "o", BaseVersion: uint64(n + 1), Callers: c.Callers}, atOnce); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/lists/lists_test.go
+++ b/internal/lists/lists_test.go
@@ -1,7 +1,6 @@
 package lists
 
 import (
-	"fmt"
 	"net/netip"
 	"slices"
 	"strings"
@@ -118,38 +117,3 @@
 		t.Errorf("got\n%s", strings.Join(got, "\n"))
 	}
 }
-
-// Guards against a quadratic check: operators wait for validate and for each
-// edit at the two-year scale.
-func BenchmarkBuildCatalog(b *testing.B) {
-	c := Scale(82_000, 100_000)
-	b.ResetTimer()
-	for b.Loop() {
-		if _, found := BuildCatalog(1, c.Callers, c.Plans, c.Marks); len(found) > 0 {
-			b.Fatal(found[0])
-		}
-	}
-}
-
-// Scale returns valid content with the given numbers of servers and callers,
-// 41 servers a service in 16 data centres.
-func Scale(servers, callers int) Content {
-	c := Content{}.withDefaults()
-	c.Plans.Plans = []*pb.PlanEntry{{Name: "gold"}}
-	for i := range servers {
-		if i%41 == 0 {
-			n := i / 41
-			c.Plans.Services = append(c.Plans.Services, &pb.ServiceEntry{Name: fmt.Sprintf("service-%05d", n), Sites: []*pb.ServiceSite{{
-				DataCentre: fmt.Sprintf("dc-%02d", n%16), Address: fmt.Sprintf("172.16.%d.%d:9000", n/256, n%256)}}})
-		}
-		site := c.Plans.Services[i/41].Sites[0]
-		site.Servers = append(site.Servers, &pb.ServerEntry{Name: fmt.Sprintf("server-%02d", i%41),
-			Address: fmt.Sprintf("10.%d.%d.%d:9000", i>>16, i>>8&255, i&255), Health: fmt.Sprintf("10.%d.%d.%d:9001", i>>16, i>>8&255, i&255),
-			Slots: 3, Connections: 2000, ColdSlots: 1, ColdOpeningsPerSecond: 10})
-	}
-	for i := range callers {
-		c.Callers.Callers = append(c.Callers.Callers, &pb.CallerEntry{Name: fmt.Sprintf("caller-%06d", i), Plan: "gold",
-			Prefixes: []string{fmt.Sprintf("100.%d.%d.%d/32", i>>16, i>>8&255, i&255)}})
-	}
-	return c
-}
