Bound the cost of state changes and of limits with many instances

Admission looked at each server on each published state, and a share of a limit ranked all instances in quadratic time, on the packet path. At 750 instances and 5,000 servers either would take milliseconds. A state with the same members is now passed over, and rendezvous.Rank finds the rank of one instance in one pass; Ranked sorts once.

A new admitter also learns from GrantReport.conditions that a member knows the server to be cold, and serverhealth.Recent does not call a server healthy on evidence older than 10 s, because admission would then grant all slots of a server that may have restarted since.

--- a/internal/admission/report.go
+++ b/internal/admission/report.go
@@ -20,7 +20,7 @@
 	return &reportSet{generation, map[reportKey]*pb.GrantReport{}}
 }
 
-func (r *reportSet) add(to, former model.InstanceID, server model.ServerID, held []*pb.OutstandingGrant) {
+func (r *reportSet) add(to, former model.InstanceID, server model.ServerID, c pb.ServerCondition, held []*pb.OutstandingGrant) {
 	if to == "" {
 		return
 	}
@@ -29,6 +29,7 @@
 		r.reports[k] = &pb.GrantReport{Generation: r.generation, Former: string(former)}
 	}
 	r.reports[k].Servers = append(r.reports[k].Servers, uint64(server))
+	r.reports[k].Conditions = append(r.reports[k].Conditions, c)
 	r.reports[k].Outstanding = append(r.reports[k].Outstanding, held...)
 }
 
--- a/internal/admission/takeover.go
+++ b/internal/admission/takeover.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"time"
 
 	"cuminshift/internal/dcstate"
@@ -39,12 +40,15 @@
 func (a *Admitter) StateChanged(now time.Time, old, new *dcstate.State, held Held) []peer.Message {
 	a.state = new
 	var out []peer.Message
+	if old != nil && slices.Equal(old.Members, new.Members) {
+		return append(a.replayEarly(now), a.pumpAll(now)...)
+	}
 	reports := newReportSet(new.Version.Generation)
 	for _, id := range sortedServers(a.infos) {
 		was, changed := formerAdmitter(old, new, id)
 		admitter := new.Admitter(id)
 		if changed {
-			reports.add(admitter, was, id, held(id))
+			reports.add(admitter, was, id, a.conditions[id], held(id))
 		}
 		s := a.servers[id]
 		switch {
@@ -263,11 +267,14 @@
 		return nil
 	}
 	var out []peer.Message
-	for _, number := range r.GetServers() {
+	for i, number := range r.GetServers() {
 		s := a.servers[model.ServerID(number)]
 		if s == nil {
 			continue
 		}
+		if i < len(r.GetConditions()) && r.GetConditions()[i] != pb.ServerCondition_SERVER_CONDITION_HEALTHY {
+			s.ramp.observe(now, s.info, r.GetConditions()[i])
+		}
 		s.reported(now, from, r, &a.cfg)
 		if s.phase == awaiting && !s.formerSure {
 			a.learnFormer(now, s, model.InstanceID(r.GetFormer()))
--- a/internal/limits/ask.go
+++ b/internal/limits/ask.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -212,7 +213,7 @@
 // what was borrowed from them.
 func (l *Limits) dropLent(ids []model.InstanceID) {
 	for holder, units := range l.lent {
-		if contains(ids, holder) {
+		if slices.Contains(ids, holder) {
 			continue
 		}
 		for _, k := range units {
@@ -223,7 +224,7 @@
 		delete(l.lent, holder)
 	}
 	for id, r := range l.releases {
-		if !contains(ids, r.holder) {
+		if !slices.Contains(ids, r.holder) {
 			delete(l.releases, id)
 		}
 	}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -4,6 +4,7 @@
 package limits
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -118,7 +119,10 @@
 // instanceList is a list of instances with the time at which it came.
 type instanceList struct {
 	ids   []model.InstanceID
-	since time.Time
+	seeds []uint64
+	// member is set when this instance is in the list.
+	member bool
+	since  time.Time
 }
 
 // Limits holds the limits of one instance. It is not safe for concurrent use.
@@ -153,14 +157,18 @@
 // after HoldBack, so that the sum of the shares never exceeds the limit while
 // instances have different lists.
 func (l *Limits) SetInstances(now time.Time, ids []model.InstanceID) {
-	if n := len(l.lists); n > 0 && equal(l.lists[n-1].ids, ids) {
+	if n := len(l.lists); n > 0 && slices.Equal(l.lists[n-1].ids, ids) {
 		return
 	}
 	if len(l.lists) == 0 {
 		// An instance that starts had no share before.
 		l.lists = append(l.lists, instanceList{since: now})
 	}
-	l.lists = append(l.lists, instanceList{append([]model.InstanceID(nil), ids...), now})
+	list := instanceList{ids: slices.Clone(ids), member: slices.Contains(ids, l.cfg.Self), since: now}
+	for _, id := range ids {
+		list.seeds = append(list.seeds, rendezvous.Seed(id))
+	}
+	l.lists = append(l.lists, list)
 	l.epoch++
 	l.dropLent(ids)
 }
@@ -264,8 +272,8 @@
 // share sets the shares of an entry: the smallest under any list in force
 // within HoldBack.
 func (l *Limits) share(now time.Time, k key, e *entry) {
-	for i, list := range l.lists {
-		r, c := l.sharesUnder(list.ids, k, e)
+	for i := range l.lists {
+		r, c := l.sharesUnder(&l.lists[i], k, e)
 		if i == 0 {
 			e.rateShare, e.countShare = r, c
 		}
@@ -292,47 +300,31 @@
 // limit smaller than the list, go to the instances of the highest rank. Both
 // grow with the limit, so during a plan edit the sum stays below the larger
 // of the two limits.
-func (l *Limits) sharesUnder(ids []model.InstanceID, k key, e *entry) (float64, int) {
-	n := len(ids)
-	if !contains(ids, l.cfg.Self) {
+func (l *Limits) sharesUnder(list *instanceList, k key, e *entry) (float64, int) {
+	n := len(list.ids)
+	if !list.member {
 		return 0, 0
 	}
+	rank := rendezvous.Rank(k.rendezvous(), list.ids, list.seeds, l.cfg.Self)
 	rateShare := float64(e.perSecond) / float64(n)
 	if e.perSecond < n {
 		rateShare = 0
-		if contains(holders(ids, k, e.perSecond), l.cfg.Self) {
+		if rank < e.perSecond {
 			rateShare = 1
 		}
 	}
 	countShare := e.concurrent / n
-	if rest := e.concurrent % n; rest > 0 && contains(holders(ids, k, rest), l.cfg.Self) {
+	if rank < e.concurrent%n {
 		countShare++
 	}
 	return rateShare, countShare
 }
 
-func holders(ids []model.InstanceID, k key, n int) []model.InstanceID {
-	number := xxhash.Sum64String(k.caller) ^ uint64(k.service) + uint64(k.kind)
-	return rendezvous.Ranked(rendezvous.NewKey("limit", number), ids, n)
-}
-
-func equal(a, b []model.InstanceID) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
+// rendezvous returns the key under which the instances are ranked.
+func (k key) rendezvous() rendezvous.Key {
+	return rendezvous.NewKey("limit", xxhash.Sum64String(k.caller)^uint64(k.service)+uint64(k.kind))
 }
 
-func contains(ids []model.InstanceID, id model.InstanceID) bool {
-	for _, other := range ids {
-		if other == id {
-			return true
-		}
-	}
-	return false
+func holders(ids []model.InstanceID, k key, n int) []model.InstanceID {
+	return rendezvous.Ranked(k.rendezvous(), ids, n)
 }
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -157,7 +158,7 @@
 			for ms := 0; ms < 3000; ms += 100 {
 				sum, count := 0.0, 0
 				for _, id := range all {
-					if len(live) > 0 && !contains(live, id) {
+					if len(live) > 0 && !slices.Contains(live, id) {
 						delete(f.members, id)
 						continue
 					}
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -4,6 +4,9 @@
 package rendezvous
 
 import (
+	"cmp"
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"cuminshift/internal/model"
@@ -37,22 +40,39 @@
 
 // Ranked returns the n highest-ranked instances for the key.
 func Ranked(key Key, ids []model.InstanceID, n int) []model.InstanceID {
-	rest := append([]model.InstanceID(nil), ids...)
-	var out []model.InstanceID
-	for len(out) < n && len(rest) > 0 {
-		best, bestW := 0, uint64(0)
-		for i, id := range rest {
-			w := mix(uint64(key) ^ Seed(id))
-			if i == 0 || w > bestW || (w == bestW && id < rest[best]) {
-				best, bestW = i, w
-			}
+	type weighted struct {
+		id model.InstanceID
+		w  uint64
+	}
+	all := make([]weighted, len(ids))
+	for i, id := range ids {
+		all[i] = weighted{id, mix(uint64(key) ^ Seed(id))}
+	}
+	slices.SortFunc(all, func(a, b weighted) int {
+		if a.w != b.w {
+			return cmp.Compare(b.w, a.w)
 		}
-		out = append(out, rest[best])
-		rest = append(rest[:best], rest[best+1:]...)
+		return cmp.Compare(a.id, b.id)
+	})
+	out := make([]model.InstanceID, 0, max(0, min(n, len(all))))
+	for i := 0; i < n && i < len(all); i++ {
+		out = append(out, all[i].id)
 	}
 	return out
 }
 
+// Rank returns the rank of an instance among ids for the key, from 0; the
+// instance need not be among them. It does not allocate. Seeds come from Seed.
+func Rank(key Key, ids []model.InstanceID, seeds []uint64, id model.InstanceID) int {
+	own, rank := mix(uint64(key)^Seed(id)), 0
+	for i, other := range ids {
+		if w := mix(uint64(key) ^ seeds[i]); w > own || (w == own && other < id) {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Seed returns the hash that represents an instance in Top2.
 func Seed(id model.InstanceID) uint64 {
 	return xxhash.Sum64String(string(id))
--- a/internal/requests/requests.go
+++ b/internal/requests/requests.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"cuminshift/internal/dcstate"
@@ -353,6 +354,9 @@
 // former admitter is never used.
 func (c *Coordinator) StateChanged(now time.Time, old, new *dcstate.State) []Action {
 	var actions []Action
+	if old != nil && slices.Equal(old.Members, new.Members) {
+		return nil
+	}
 	for _, id := range sortedKeys(c.asks) {
 		r := c.asks[id]
 		if !admitterChanged(old, new, r.Server) {
--- a/internal/requests/sim_test.go
+++ b/internal/requests/sim_test.go
@@ -269,7 +269,7 @@
 
 func (in *instance) observeConditions() {
 	for id := range in.sim.infos {
-		if c := in.health.Condition(id); c != in.lastSaw[id] {
+		if c := in.health.Recent(in.sim.now, id); c != in.lastSaw[id] {
 			in.lastSaw[id] = c
 			in.send(in.admit.Observe(in.sim.now, id, c))
 		}
--- a/internal/serverhealth/serverhealth.go
+++ b/internal/serverhealth/serverhealth.go
@@ -78,6 +78,9 @@
 	// EndpointMaxAge is the age at which an endpoint status is no longer
 	// used; default 5 s.
 	EndpointMaxAge time.Duration
+	// EvidenceMaxAge is the age at which answers no longer show that a server
+	// is healthy now; default 10 s.
+	EvidenceMaxAge time.Duration
 	// ReplaceInterval is the shortest time between replacements of one path;
 	// default 1 s.
 	ReplaceInterval time.Duration
@@ -93,6 +96,7 @@
 	setDefault(&c.RecoverAnswers, 4)
 	setDefault(&c.SlowFactor, 3)
 	setDefault(&c.EndpointMaxAge, 5*time.Second)
+	setDefault(&c.EvidenceMaxAge, 10*time.Second)
 	setDefault(&c.ReplaceInterval, time.Second)
 	setDefault(&c.MaxReports, 8)
 }
@@ -155,7 +159,8 @@
 	h.refreshAll(now)
 }
 
-// Observe adds an observation made on a path (local socket) to a server.
+// Observe adds an observation made on a path to a server. Paths are numbered
+// from 0; the socket that replaces a silent one takes over its number.
 // Observations of unknown servers are ignored.
 func (h *Health) Observe(now time.Time, id model.ServerID, pathID int, o Observation) {
 	s := h.servers[id]
@@ -217,6 +222,17 @@
 	return Unknown
 }
 
+// Recent returns the condition as far as it rests on recent evidence, for
+// admission: a server that has not answered here for EvidenceMaxAge may have
+// restarted, so that it is not called healthy.
+func (h *Health) Recent(now time.Time, id model.ServerID) Condition {
+	s := h.servers[id]
+	if s == nil || (s.condition == Healthy && now.Sub(s.lastAnswer) > h.cfg.EvidenceMaxAge) {
+		return Unknown
+	}
+	return s.condition
+}
+
 // EndpointsDistrusted reports whether the endpoints of a service are ignored
 // because more than half of its servers look dead by endpoint alone.
 func (h *Health) EndpointsDistrusted(service model.ServiceID) bool {
