--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"cuminshift/internal/dcstate"
+	"pgregory.net/rapid"
+
 	pb "cuminshift/internal/gen/cuminshift/v1"
 	"cuminshift/internal/model"
 	"cuminshift/internal/peer"
@@ -383,3 +385,62 @@
 		t.Errorf("%d grants on the two sides together, want 1", grants)
 	}
 }
+
+// Guards against a lower priority that is served or kept before a higher one,
+// against more grants than the ramp allows, and against a waiter without an
+// answer.
+func TestPriorityUnderLoad(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		condition := rapid.SampledFrom([]pb.ServerCondition{cold, healthy}).Draw(t, "condition")
+		a := alone(Config{QueueLength: 5}, condition)
+		waiting, held := map[uint64]*pb.GrantRequest{}, []uint64{}
+		settle := func(ms int, messages []peer.Message) {
+			for _, m := range messages {
+				r := m.Body.GetGrantReply()
+				served := waiting[r.GetGrant()]
+				delete(waiting, r.GetGrant())
+				for _, w := range waiting {
+					before := w.Priority < served.Priority || (w.Priority == served.Priority && w.Grant < served.Grant)
+					if r.Result == granted && before {
+						t.Fatalf("grant %d (priority %d) given before %d (priority %d)", served.Grant, served.Priority, w.Grant, w.Priority)
+					}
+					if r.Reason == pb.Reason_REASON_OVERLOAD && w.Priority > served.Priority {
+						t.Fatalf("priority %d refused for overload while %d waits", served.Priority, w.Priority)
+					}
+				}
+				if r.Result == granted {
+					held = append(held, r.GetGrant())
+				}
+			}
+			if s := a.Status(at(ms), 1); s.Outstanding > s.Allowed || s.Outstanding != len(held) || s.Queued != len(waiting) || s.Queued > 5 {
+				t.Fatalf("status %+v with %d held and %d waiting", s, len(held), len(waiting))
+			}
+		}
+		for grant := uint64(1); grant < 100; grant++ {
+			// Short enough that no grant expires.
+			ms := int(grant) * 3
+			settle(ms, a.Tick(at(ms)))
+			if n := len(held); n > 0 && rapid.Bool().Draw(t, "release") {
+				done := held[0]
+				held = held[1:]
+				settle(ms, a.HandlePeer(at(ms), "b", answered(done, healthy)))
+				continue
+			}
+			waiting[grant] = &pb.GrantRequest{
+				Grant: grant, Server: 1, RequestId: grant, Idempotent: true, DeadlineMs: uint32(rapid.IntRange(50, 5000).Draw(t, "deadline")),
+				Priority: uint32(rapid.IntRange(0, 3).Draw(t, "priority")),
+			}
+			settle(ms, a.HandlePeer(at(ms), "b", request(waiting[grant])))
+		}
+	})
+}
+
+func BenchmarkGrantRelease(b *testing.B) {
+	a := alone(Config{}, healthy)
+	b.ReportAllocs()
+	for i := 0; i < b.N; i++ {
+		grant := uint64(i + 1)
+		a.HandlePeer(at(0), "b", idempotent(grant))
+		a.HandlePeer(at(0), "b", answered(grant, healthy))
+	}
+}
--- a/internal/requests/requests_test.go
+++ b/internal/requests/requests_test.go
@@ -394,3 +394,15 @@
 		t.Errorf("observation %+v, want %+v", observe.Observation, want)
 	}
 }
+
+func BenchmarkRequest(b *testing.B) {
+	c := New(Config{Self: "a", Rand: rand.New(rand.NewPCG(1, 2))})
+	b.ReportAllocs()
+	for i := 0; i < b.N; i++ {
+		now := epoch.Add(time.Duration(i) * time.Millisecond)
+		ask := c.Start(now, Request{Key: key(uint64(i)), Server: 10, Idempotent: true, CallerAttempt: 1})[0].(AskGrant)
+		sent := c.GrantReply(now, &pb.GrantReply{Grant: ask.Request.Grant, Result: granted})[0].(SendToServer)
+		c.ServerPacket(now, ServerPacket{Key: sent.Key, Server: 10, Kind: pb.Kind_KIND_ANSWER, Attempt: sent.Attempt, Parts: 1})
+		c.Tick(now)
+	}
+}
--- a/internal/serverhealth/server.go
+++ b/internal/serverhealth/server.go
@@ -23,9 +23,11 @@
 )
 
 type server struct {
-	info      *model.BackendServer
-	paths     map[int]*path
-	condition Condition
+	info  *model.BackendServer
+	paths map[int]*path
+	// pathsMissing is set when a path may have something unanswered.
+	pathsMissing bool
+	condition    Condition
 
 	openFlows         int64
 	answers, refusals uint64
@@ -51,8 +53,7 @@
 
 	openings openings
 	// urgent is the number of heartbeats that report a change of condition.
-	urgent     int
-	reportedAt time.Time
+	urgent int
 }
 
 // silence counts what was not answered since the last answer.
@@ -228,9 +229,10 @@
 	}
 }
 
-func (s *server) report(id model.ServerID, now time.Time) *pb.ServerReport {
-	s.reportedAt = now
-	return &pb.ServerReport{Server: uint64(id), Condition: s.condition, OpenFlows: s.openFlows, Answers: s.answers, Refusals: s.refusals}
+func (s *server) report() *pb.ServerReport {
+	return &pb.ServerReport{
+		Server: uint64(s.info.ID), Condition: s.condition, OpenFlows: s.openFlows, Answers: s.answers, Refusals: s.refusals,
+	}
 }
 
 // path is one local socket to a server.
@@ -243,8 +245,13 @@
 // elsewhere, or whose endpoint answered, after their first unanswered packet.
 // It forgets what those paths have missed.
 func (s *server) silentPaths(now time.Time, cfg *Config) []int {
+	if !s.pathsMissing {
+		return nil
+	}
 	var out []int
+	s.pathsMissing = false
 	for id, p := range s.paths {
+		s.pathsMissing = s.pathsMissing || p.sent+p.misses > 0
 		if !p.lasting(now, cfg.SilentMisses, s.silentAfter(cfg)) || now.Sub(p.replacedAt) < cfg.ReplaceInterval {
 			continue
 		}
--- a/internal/serverhealth/serverhealth.go
+++ b/internal/serverhealth/serverhealth.go
@@ -120,9 +120,11 @@
 
 // Health is the evidence of one instance. It is not safe for concurrent use.
 type Health struct {
-	cfg        Config
-	servers    map[model.ServerID]*server
-	order      []model.ServerID
+	cfg     Config
+	servers map[model.ServerID]*server
+	// list holds the servers by ID; cursor is the next in turn to be reported.
+	list       []*server
+	cursor     int
 	services   map[model.ServiceID][]*server
 	distrusted map[model.ServiceID]bool
 }
@@ -141,19 +143,18 @@
 			delete(h.servers, id)
 		}
 	}
-	h.order = h.order[:0]
+	h.list, h.services, h.cursor = nil, map[model.ServiceID][]*server{}, 0
 	for id, info := range servers {
-		if s := h.servers[id]; s != nil {
-			s.info = info
-		} else {
-			h.servers[id] = &server{info: info, paths: map[int]*path{}}
+		s := h.servers[id]
+		if s == nil {
+			s = &server{paths: map[int]*path{}}
+			h.servers[id] = s
 		}
-		h.order = append(h.order, id)
+		s.info = info
+		h.list = append(h.list, s)
 	}
-	sort.Slice(h.order, func(i, j int) bool { return h.order[i] < h.order[j] })
-	h.services = map[model.ServiceID][]*server{}
-	for _, id := range h.order {
-		s := h.servers[id]
+	sort.Slice(h.list, func(i, j int) bool { return h.list[i].info.ID < h.list[j].info.ID })
+	for _, s := range h.list {
 		h.services[s.info.Service] = append(h.services[s.info.Service], s)
 	}
 	h.refreshAll(now)
@@ -174,10 +175,12 @@
 		s.openFlows--
 	case Sent:
 		s.path(pathID).unanswered(now)
+		s.pathsMissing = true
 		s.silence.unanswered(now)
 		return
 	case TimedOut:
 		s.path(pathID).missed(now.Add(-o.Latency))
+		s.pathsMissing = true
 		s.silence.missed(now.Add(-o.Latency))
 		s.clean = 0
 	case SendRefused:
@@ -243,10 +246,9 @@
 func (h *Health) Tick(now time.Time) []Action {
 	h.refreshAll(now)
 	var actions []Action
-	for _, id := range h.order {
-		s := h.servers[id]
+	for _, s := range h.list {
 		for _, p := range s.silentPaths(now, &h.cfg) {
-			actions = append(actions, ReplacePath{id, p})
+			actions = append(actions, ReplacePath{s.info.ID, p})
 		}
 	}
 	return actions
@@ -263,19 +265,20 @@
 // conditions change at once.
 func (h *Health) Reports(now time.Time) []*pb.ServerReport {
 	var out []*pb.ServerReport
-	var routine []*server
-	for _, id := range h.order {
-		s := h.servers[id]
+	for _, s := range h.list {
 		if s.urgent > 0 && len(out) < urgentFactor*h.cfg.MaxReports {
 			s.urgent--
-			out = append(out, s.report(id, now))
-		} else if s.condition != Unknown || s.openFlows != 0 {
-			routine = append(routine, s)
+			out = append(out, s.report())
 		}
 	}
-	sort.SliceStable(routine, func(i, j int) bool { return routine[i].reportedAt.Before(routine[j].reportedAt) })
-	for i := 0; i < len(routine) && i < h.cfg.MaxReports; i++ {
-		out = append(out, routine[i].report(routine[i].info.ID, now))
+	routine := 0
+	for i := 0; i < len(h.list) && routine < h.cfg.MaxReports; i++ {
+		s := h.list[h.cursor]
+		h.cursor = (h.cursor + 1) % len(h.list)
+		if s.condition != Unknown || s.openFlows != 0 {
+			routine++
+			out = append(out, s.report())
+		}
 	}
 	return out
 }
@@ -285,7 +288,7 @@
 	for service := range h.services {
 		h.judgeEndpoints(now, service)
 	}
-	for _, s := range h.servers {
+	for _, s := range h.list {
 		h.refresh(now, s)
 	}
 }
--- a/internal/serverhealth/serverhealth_test.go
+++ b/internal/serverhealth/serverhealth_test.go
@@ -234,3 +234,18 @@
 		t.Errorf("%d of 100 servers reported in 13 heartbeats", len(seen))
 	}
 }
+
+// BenchmarkHeartbeat is the periodic work between two heartbeats in a data
+// centre of the two-year scale: two ticks and one list of reports.
+func BenchmarkHeartbeat(b *testing.B) {
+	h := newHealth(5000)
+	for id := model.ServerID(1); id <= 5000; id++ {
+		answer(h, 0, id, Observation{})
+	}
+	b.ReportAllocs()
+	for i := 0; i < b.N; i++ {
+		h.Tick(at(i * 200))
+		h.Tick(at(i*200 + 100))
+		h.Reports(at(i*200 + 100))
+	}
+}
