--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -40,15 +40,37 @@
 
 // Ranked returns the n highest-ranked instances for the key, highest first.
 func Ranked(key Key, ids []model.InstanceID, n int) []model.InstanceID {
-	out := append([]model.InstanceID(nil), ids...)
-	weights := make(map[model.InstanceID]uint64, len(ids))
-	for _, id := range ids {
-		weights[id] = mix(uint64(key) ^ Seed(id))
+	type weighted struct {
+		id model.InstanceID
+		w  uint64
 	}
-	slices.SortFunc(out, func(a, b model.InstanceID) int {
-		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a, b))
+	all := make([]weighted, len(ids))
+	for i, id := range ids {
+		all[i] = weighted{id, mix(uint64(key) ^ Seed(id))}
+	}
+	slices.SortFunc(all, func(a, b weighted) int {
+		if a.w != b.w {
+			return cmp.Compare(b.w, a.w)
+		}
+		return cmp.Compare(a.id, b.id)
 	})
-	return out[:min(n, len(out))]
+	out := make([]model.InstanceID, 0, max(0, min(n, len(all))))
+	for i := 0; i < n && i < len(all); i++ {
+		out = append(out, all[i].id)
+	}
+	return out
+}
+
+// Rank returns the rank of an instance among ids for the key, from 0; the
+// instance need not be among them. It does not allocate. Seeds come from Seed.
+func Rank(key Key, ids []model.InstanceID, seeds []uint64, id model.InstanceID) int {
+	own, rank := mix(uint64(key)^Seed(id)), 0
+	for i, other := range ids {
+		if w := mix(uint64(key) ^ seeds[i]); w > own || (w == own && other < id) {
+			rank++
+		}
+	}
+	return rank
 }
 
 // Seed returns the hash that represents an instance in Top2.
