--- a/internal/measure/flows.go
+++ b/internal/measure/flows.go
@@ -34,7 +34,6 @@
 	at      time.Time
 	alert   bool
 	started bool
-	tries   int
 }
 
 // arrival is a request as it reached the fleet.
--- a/internal/measure/product.go
+++ b/internal/measure/product.go
@@ -33,7 +33,6 @@
 	core      *entry.Core
 	scratch   packet.Packet
 	nextList  time.Time
-	readAt    time.Time
 	rootSeen  uint64
 	storeDown bool
 	// cut names the data centres that cannot be reached.
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -74,11 +74,9 @@
 	usable    bool
 	cause     string
 	condition pb.ServerCondition
-	// held is set while the server's address may still be in use elsewhere.
-	held    bool
-	desired float64
-	bias    float64
-	ramp    rampState
+	desired   float64
+	bias      float64
+	ramp      rampState
 }
 
 // destination returns the server that takes the openings of a bucket now or
