Ask the owner once per bucket, gather reports, remember ended flows

Cause: a MIXED bucket stays so for as long as its sessions last, and each new flow in it cost a query at every other instance; keep-alive reports left one flow at a time; a report from a pin re-added a record that had ended. The owner now sends the bucket's exceptions with its reply.

--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -251,3 +251,10 @@
 	}
 	return text
 }
+
+// State returns the published state that this instance has applied.
+func (c *Core) State() *dcstate.State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state
+}
--- a/internal/measure/flows.go
+++ b/internal/measure/flows.go
@@ -146,7 +146,9 @@
 }
 
 func (fl *flow) scheduleData() {
-	fl.f.after(fl.f.exp(fl.f.size.data), func() {
+	// Keep-alive intervals vary by half; none comes near the idle timeout.
+	interval := fl.f.size.data/2 + time.Duration(fl.f.rng.Int64N(int64(fl.f.size.data)))
+	fl.f.after(interval, func() {
 		fl.sequence++
 		fl.sendData(fl.sequence)
 	})
--- /dev/null
+++ b/internal/shell/peers_test.go
@@ -0,0 +1,62 @@
+package shell
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+)
+
+// maxCallOverhead is what net/rpc and gob may add to a batch, in bytes, call
+// and answer together; internal/measure counts with it.
+const maxCallOverhead = 64
+
+// Guards against a change of the peer protocol that makes each batch dearer:
+// most batches carry a few dozen bytes.
+func TestPeerCallOverhead(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := make(chan *pb.PeerBatch, 1)
+	var received, sent ControlCounters
+	go servePeers(ctx, listener, func(b *pb.PeerBatch) { got <- b }, &received)
+	peers := newPeerSet(ctx, zap.NewNop(), &sent, func(ctx context.Context, address string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	})
+	send := func() {
+		peers.send("peer", listener.Addr().String(), &pb.PeerBatch{From: "self"})
+		select {
+		case <-got:
+		case <-time.After(10 * time.Second):
+			t.Fatal("batch did not arrive")
+		}
+		// The answer is counted before the next call is sent.
+		for deadline := time.Now().Add(10 * time.Second); sent.Received.Load() < received.Sent.Load() || received.Sent.Load() == 0; {
+			if time.Now().After(deadline) {
+				t.Fatal("no answer")
+			}
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	// The first call describes the types.
+	send()
+	const calls = 20
+	before := sent.Sent.Load() + sent.Received.Load()
+	for range calls {
+		send()
+	}
+	each := float64(sent.Sent.Load()+sent.Received.Load()-before) / calls
+	const payload = 6
+	t.Logf("%.0f bytes a call, payload %d", each, payload)
+	if each-payload > maxCallOverhead {
+		t.Errorf("%.0f bytes a call without payload, want at most %d", each-payload, maxCallOverhead)
+	}
+}
--- a/internal/steering/change.go
+++ b/internal/steering/change.go
@@ -32,6 +32,7 @@
 	}
 	gone := s.membersChanged(now, old, died)
 	changed := s.bucketsChanged(now, old)
+	s.dropFilters(old, changed)
 	moved := s.retarget(gone)
 	moved = append(moved, s.resized(old)...)
 	s.assignRoles(now, old, changed, gone)
--- a/internal/steering/hold.go
+++ b/internal/steering/hold.go
@@ -84,7 +84,7 @@
 			s.finish(now, w, server, true)
 			return
 		}
-		if !b.Questionable() || w.opening() && b.OpensDirectly() && !s.newlyMoved(now, id) {
+		if !b.Questionable() || w.opening() && b.OpensDirectly() && !s.newlyMoved(now, id) || !w.opening() && s.atBase(id, w.key.Flow) {
 			s.finish(now, w, b.Base, false)
 			return
 		}
@@ -160,6 +160,7 @@
 	if s.fenced(now) {
 		return
 	}
+	s.takeFilters(r)
 	for _, item := range r.GetItems() {
 		w := s.waits[key{Service: model.ServiceID(item.GetService()), Flow: model.FlowHash(item.GetFlow())}]
 		if w != nil && w.target == from {
--- a/internal/steering/links.go
+++ b/internal/steering/links.go
@@ -103,11 +103,24 @@
 	}
 }
 
+// reportPace is the time over which reports are gathered into one message.
+// Flows are found a few at a time, and a message of one flow costs ten times
+// the bytes of the flow.
+const reportPace = 250 * time.Millisecond
+
+// urgent reports whether something waits for the acknowledgement of an op: a
+// collection, a handover, or the acknowledgement of another message.
+func (l *link) urgent() bool {
+	return len(l.queue) >= maxBatch || slices.ContainsFunc(l.queue, func(o op) bool { return o.kind != opReport || o.receipt != nil })
+}
+
 func (s *Steering) sendLink(now time.Time, id linkID, l *link) {
 	switch {
 	case l.message == nil && len(l.queue) == 0:
 		delete(s.links, id)
 		return
+	case l.message == nil && !s.leaving && now.Sub(l.sent) < reportPace && !l.urgent():
+		return
 	case l.message == nil:
 		s.sequence++
 		l.sequence = s.sequence
--- a/internal/steering/records.go
+++ b/internal/steering/records.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"maps"
 	"time"
 
 	"cuminshift/internal/dcstate"
@@ -23,6 +24,11 @@
 	complete bool
 	// since is the time at which this instance became the owner.
 	since time.Time
+	// ended holds the flows that were closed, for as long as an instance that
+	// did not see the end may still report them from its pin.
+	ended map[model.FlowHash]time.Time
+	// shared is set once another instance may hold a filter of the bucket.
+	shared bool
 	// handing is the instance to which the copy is being handed over.
 	handing model.InstanceID
 	// handedAt is the state under which a former owner handed the copy over;
@@ -49,6 +55,12 @@
 	return ok
 }
 
+// hasEnded reports whether the flow was closed within a time.
+func (c *bucketCopy) hasEnded(now time.Time, f model.FlowHash, within time.Duration) bool {
+	at, ok := c.ended[f]
+	return ok && now.Sub(at) < within
+}
+
 // receipt counts what must be acknowledged before a message is acknowledged,
 // or before a state is confirmed.
 type receipt struct {
@@ -174,11 +186,18 @@
 		return
 	}
 	c := s.copyOf(now, id)
+	if from != s.cfg.Self && c.hasEnded(now, k.Flow, s.cfg.recordLife()) {
+		return
+	}
+	delete(c.ended, k.Flow)
 	have, exists := c.flows[k.Flow]
 	if exists && have.server != server && s.belongs(k.Service, have.server) {
 		return // the earlier record stands; a report may be out of date
 	}
 	c.flows[k.Flow] = record{server, now}
+	if !exists && c.shared {
+		s.shareFilter(id, c)
+	}
 	if exists && have.server == server && !s.renew(have.seen, now) {
 		return
 	}
@@ -202,6 +221,12 @@
 		return
 	}
 	delete(c.flows, k.Flow)
+	if server != 0 {
+		if c.ended == nil {
+			c.ended = map[model.FlowHash]time.Time{}
+		}
+		c.ended[k.Flow] = now
+	}
 	if c.backup != "" {
 		s.enqueue(c.backup, op{kind: opBackup, key: k, server: server, end: true, receipt: r})
 	}
@@ -347,6 +372,7 @@
 		if now.Sub(c.since) >= s.cfg.recordLife() {
 			c.complete = true
 		}
+		maps.DeleteFunc(c.ended, func(f model.FlowHash, _ time.Time) bool { return !c.hasEnded(now, f, s.cfg.recordLife()) })
 		var idle []key
 		for f, r := range c.flows {
 			if now.Sub(r.seen) >= s.cfg.recordLife() || !s.belongs(id.service, r.server) {
--- a/internal/steering/resolve.go
+++ b/internal/steering/resolve.go
@@ -321,6 +321,13 @@
 		}
 		return
 	}
+	r := s.replyTo(to)
+	s.attachFilter(now, r, k, server)
+	r.Items = append(r.Items, &pb.ResolveReply_Item{Service: uint64(k.Service), Flow: uint64(k.Flow), Server: uint64(server), Recorded: recorded})
+}
+
+// replyTo returns the reply of this call to an instance.
+func (s *Steering) replyTo(to model.InstanceID) *pb.ResolveReply {
 	r := s.out.replies[to]
 	if r == nil {
 		if s.out.replies == nil {
@@ -329,7 +336,7 @@
 		r = &pb.ResolveReply{}
 		s.out.replies[to] = r
 	}
-	r.Items = append(r.Items, &pb.ResolveReply_Item{Service: uint64(k.Service), Flow: uint64(k.Flow), Server: uint64(server), Recorded: recorded})
+	return r
 }
 
 // tickAsks repeats unanswered pin queries and refuses flows whose peers did
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -173,6 +173,7 @@
 	claims      map[key]claim
 
 	copies   map[bucketID]*bucketCopy
+	filters  map[bucketID]filter
 	links    map[linkID]*link
 	received map[linkID]*receipt
 	// sequence numbers RecordBatch, OwnershipHandover and PinQuery messages.
@@ -204,7 +205,7 @@
 	return &Steering{
 		cfg: cfg.withDefaults(), table: table, sequence: cfg.Incarnation,
 		waits: map[key]*wait{}, resolutions: map[key]*resolution{}, asks: map[uint64]*ask{}, claims: map[key]claim{},
-		copies: map[bucketID]*bucketCopy{}, links: map[linkID]*link{}, received: map[linkID]*receipt{},
+		copies: map[bucketID]*bucketCopy{}, filters: map[bucketID]filter{}, links: map[linkID]*link{}, received: map[linkID]*receipt{},
 		changed: map[bucketID]time.Time{}, openingChanged: map[bucketID]time.Time{},
 	}
 }
