--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -24,17 +24,28 @@
 // Top2 returns the instances of rank 0 and 1 for the key; an empty ID stands
 // for a missing one. It does not allocate. Seeds come from Seed.
 func Top2(key Key, ids []model.InstanceID, seeds []uint64) (first, second model.InstanceID) {
+	i0, i1 := -1, -1
 	var w0, w1 uint64
-	for i, id := range ids {
-		w := mix(uint64(key) ^ seeds[i])
+	for i, seed := range seeds {
+		w := mix(uint64(key) ^ seed)
+		// Most instances fall below rank 1 and need this comparison only.
+		if w < w1 {
+			continue
+		}
 		switch {
-		case first == "" || w > w0 || (w == w0 && id < first):
-			second, w1 = first, w0
-			first, w0 = id, w
-		case second == "" || w > w1 || (w == w1 && id < second):
-			second, w1 = id, w
+		case i0 < 0 || w > w0 || (w == w0 && ids[i] < ids[i0]):
+			i1, w1 = i0, w0
+			i0, w0 = i, w
+		case i1 < 0 || w > w1 || ids[i] < ids[i1]:
+			i1, w1 = i, w
 		}
 	}
+	if i0 >= 0 {
+		first = ids[i0]
+	}
+	if i1 >= 0 {
+		second = ids[i1]
+	}
 	return first, second
 }
 
