Let a woken former publisher offer its role

Cause: generated faults led to two live instances without publisher: the former publisher, woken, deferred to a higher rank that waited for it to yield. Change: it offers the role in answers that extend no lease; without any acknowledgement for 5 x DeadAfter the former publisher counts as stopped.

--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -31,16 +31,19 @@
 	if m.headsRanking(now) || m.publishing || m.yieldedTo != "" {
 		out = m.requestState(now, from, p.applied, true)
 	}
-	if m.acknowledges(now, from) {
-		out = append(out, peer.Message{To: from, Body: &pb.PeerMessage{Body: &pb.PeerMessage_HeartbeatAck{HeartbeatAck: &pb.HeartbeatAck{
-			SentMs:      h.GetSentMs(),
-			Generation:  m.state.Version.Generation,
-			Publisher:   string(m.state.Version.Publisher),
-			Incarnation: incarnation,
-			Yields:      m.yieldedTo == from,
-		}}}})
+	ack := &pb.HeartbeatAck{
+		Generation:  m.state.Version.Generation,
+		Publisher:   string(m.state.Version.Publisher),
+		Incarnation: incarnation,
+		Yields:      m.yieldedTo == from || m.offersRole(now, from),
 	}
-	return out
+	switch {
+	case m.acknowledges(now, from):
+		ack.SentMs = h.GetSentMs()
+	case !ack.Yields:
+		return out
+	}
+	return append(out, peer.Message{To: from, Body: &pb.PeerMessage{Body: &pb.PeerMessage_HeartbeatAck{HeartbeatAck: ack}}})
 }
 
 // admit returns the entry of the sender, or nil when the heartbeat is from an
@@ -91,7 +94,8 @@
 
 // HeartbeatAck handles an acknowledgement, which extends the lease from the
 // time at which the acknowledged heartbeat was sent. It may return a request
-// for the state that the acknowledgement names.
+// for the state that the acknowledgement names. Without a sending time it only
+// offers the publisher's role.
 func (m *Membership) HeartbeatAck(now time.Time, from model.InstanceID, a *pb.HeartbeatAck) []peer.Message {
 	m.observeTime(now)
 	sent := m.cfg.Started.Add(time.Duration(a.GetSentMs()) * time.Millisecond)
@@ -106,14 +110,9 @@
 		// The sender has not noticed that another instance publishes.
 		return nil
 	}
-	renewed := m.leaseOver(now)
-	if renewed && m.required.Less(v) {
-		m.required = v
-	}
-	if sent.After(m.leaseFrom) {
-		m.leaseFrom = sent
+	if a.GetSentMs() != 0 {
+		m.extendLease(now, sent, v)
 	}
-	m.lastAck = now
 	if a.GetYields() {
 		m.offer = yieldOffer{from, v, now}
 	}
@@ -121,6 +120,18 @@
 	return m.requestState(now, from, v, m.Fenced(now))
 }
 
+// extendLease extends the lease. One that was over has to be earned anew by
+// catching up with the state that the publisher had then.
+func (m *Membership) extendLease(now, sent time.Time, v dcstate.Version) {
+	if m.leaseOver(now) && m.required.Less(v) {
+		m.required = v
+	}
+	if sent.After(m.leaseFrom) {
+		m.leaseFrom = sent
+	}
+	m.lastAck = now
+}
+
 // requestState asks for a state newer than the applied one. Unless it is
 // urgent it waits for two heartbeat intervals, in which the publisher's own
 // update normally arrives: a full state is large (some MB with 5,000 servers).
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -106,6 +106,27 @@
 	}
 }
 
+// Guards against two woken instances that each wait for the other to publish:
+// the higher in rank for a yield, the former publisher for its rival.
+func TestPublisherFreezesAfterTakeover(t *testing.T) {
+	c := newCluster(2)
+	c.run(4 * time.Second)
+	first := c.nodes[c.settled(t, 2)]
+	second := c.nodes[first.m.Ranking()[1]]
+	first.frozen = true
+	c.run(4 * time.Second)
+	first.wake(c.now)
+	for len(second.m.State().Members) < 2 {
+		c.run(step)
+	}
+	first.frozen, second.frozen = true, true
+	c.run(3 * time.Second)
+	first.wake(c.now)
+	second.wake(c.now)
+	c.run(4 * time.Second)
+	c.settled(t, 2)
+}
+
 // Guards against a restarted instance that is taken for its former run: it
 // must count as dead, be fenced, and return under its new incarnation.
 func TestRestart(t *testing.T) {
--- a/internal/membership/role.go
+++ b/internal/membership/role.go
@@ -28,6 +28,10 @@
 	// offer expire.
 	offerFactor  = 3
 	resumeFactor = 5
+	// stalledFactor times DeadAfter is the time without acknowledgement after
+	// which the publisher of the applied state, though alive, is taken to have
+	// stopped publishing.
+	stalledFactor = 5
 	// blindFactor times DeadAfter is the time for which a new instance waits
 	// for the instance list before it concludes that it is alone.
 	blindFactor = 10
@@ -163,7 +167,7 @@
 }
 
 // formerGone reports whether the publisher of the applied state has yielded,
-// is silent, or runs in another incarnation.
+// is silent, has stopped publishing, or runs in another incarnation.
 func (m *Membership) formerGone(now time.Time) bool {
 	former := m.state.Version.Publisher
 	p := m.peers[former]
@@ -173,6 +177,9 @@
 	if member, ok := m.members[former]; ok && member.Incarnation != p.incarnation {
 		return true
 	}
+	if now.Sub(m.silenceSince()) >= stalledFactor*m.cfg.DeadAfter {
+		return true
+	}
 	return m.offer.from == former && now.Sub(m.offer.at) <= m.cfg.DeadAfter && !m.state.Version.Less(m.offer.version)
 }
 
@@ -306,6 +313,13 @@
 	return now.Sub(m.yieldedAt) <= m.cfg.DeadAfter-m.cfg.Lease
 }
 
+// offersRole reports whether this instance, the publisher of its state before
+// it froze, leaves the role to the sender. Such an offer extends no lease: the
+// state may be old.
+func (m *Membership) offersRole(now time.Time, to model.InstanceID) bool {
+	return !m.publishing && m.yieldedTo == "" && m.state.Version.Publisher == m.cfg.Self && m.rival(now) == to
+}
+
 // targets returns the instances to which heartbeats go: all of a small data
 // centre, else the publisher and the next in its ranking. The window doubles
 // with each DeadAfter without acknowledgement, so that a lower rank hears all
