Compare shards by hash in edits; keep an unknown outcome unknown

An edit at the two-year scale decoded and compared every entry. It now decodes the shards that differ, and checks only the parts that the edit sets.

A repeated edit that met a store outage was reported as "nothing was changed", although a lost write of its first attempt could still arrive; cuminctl now reports the outcome as unknown. Found by TestEditsUnderStoreFaults.

--- a/internal/config/merge.go
+++ b/internal/config/merge.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
+	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -14,77 +16,243 @@
 
 // merged is an edit applied to the current version.
 type merged struct {
-	// asked are the changes that the operator asked for.
-	asked          []lists.Change
-	current, items lists.Items
+	// asked are the changes that the operator asked for; changes are those that
+	// remain to be made to the current version.
+	asked, changes []lists.Change
+	// items and set are the result, without the parts that the edit leaves as
+	// they are.
+	items lists.Items
+	set   *Set
 }
 
-// merge applies the edit to the current version. versions comes from
-// Editor.versions. It fails with *Conflict or *findings.Error.
+// merge applies the edit to the current version. It compares shards by hash and
+// decodes those that differ, so its work does not grow with the parts that the
+// edit leaves as they are. versions comes from Editor.versions. It fails with
+// *Conflict or *findings.Error.
 func (e *Editor) merge(versions []uint64) (*merged, error) {
-	at := make([]lists.Items, len(versions))
+	refs := make([][]*pb.ShardRef, len(versions))
 	for i, v := range versions {
-		var err error
-		if i > 0 && v == versions[i-1] {
-			at[i] = at[i-1]
-		} else if at[i], err = e.itemsAt(v); err != nil {
-			return nil, err
+		all, _ := RefsAt(e.root, v)
+		refs[i] = slices.DeleteFunc(all, func(r *pb.ShardRef) bool { return !e.touches(r.GetName()) })
+	}
+	base, current := refs[0], refs[len(refs)-1]
+	parts := lists.Content{Callers: e.edit.Callers, Plans: e.edit.Plans, Marks: e.edit.Marks}
+	m := &merged{items: lists.Flatten(parts)}
+	var err error
+	if m.set, err = splitItems(m.items); err != nil {
+		return nil, err
+	}
+	shard := func(hash string) ([]byte, bool) {
+		if data, ok := m.set.Shards[hash]; ok {
+			return data, true
 		}
+		return e.shard(hash)
+	}
+	if m.asked, err = diffRefs(base, m.set.Refs, shard); err != nil {
+		return nil, err
 	}
-	base, current := at[0], at[len(at)-1]
-	wanted := e.wanted(base)
-	target, found := lists.Flatten(wanted), lists.CheckContent(wanted)
-	m := &merged{asked: lists.Changes(base, target), current: current}
-	if found = append(found, unknownCentres(m.asked, target)...); len(found) > 0 {
-		return nil, found.Err()
+	if found, err := e.check(parts, m.asked, versions[0]); err != nil || len(found) > 0 {
+		return nil, cmpErr(err, found)
 	}
 	from, remaining := base, m.asked
-	if len(at) == 4 {
-		// Step one is in the root: what remains is the difference between its
-		// content and the full edit as it was merged then.
-		full, conflict := e.rebase(base, at[1], m.asked)
-		if conflict != nil {
-			return nil, conflict
+	if len(refs) == 4 {
+		if from, remaining, err = e.afterStepOne(refs, m.asked); err != nil {
+			return nil, err
 		}
-		from, remaining = at[2], lists.Changes(at[2], full)
 	}
-	items, conflict := e.rebase(from, current, remaining)
-	if conflict != nil {
+	theirs, err := diffRefs(from, current, e.shard)
+	if err != nil {
+		return nil, err
+	}
+	var conflict *Conflict
+	if m.changes, conflict = e.rebase(theirs, remaining); conflict != nil {
 		return nil, conflict
 	}
-	m.items = items
-	if versions[0] == e.root.GetVersion() {
+	if len(theirs) == 0 && len(refs) == 2 {
 		return m, nil
 	}
-	if found := lists.CheckContent(lists.Join(items)); len(found) > 0 {
-		conflict := e.conflict(from, current, remaining, nil)
+	return m, e.applyTo(current, m, theirs)
+}
+
+func cmpErr(err error, found findings.Findings) error {
+	if err != nil {
+		return err
+	}
+	return found.Err()
+}
+
+// applyTo replaces the items and set by the current ones with the changes.
+func (e *Editor) applyTo(current []*pb.ShardRef, m *merged, theirs []lists.Change) error {
+	items, err := assembleItems(current, e.shard)
+	if err != nil {
+		return err
+	}
+	m.items = apply(items, m.changes)
+	if m.set, err = splitItems(m.items); err != nil {
+		return err
+	}
+	parts := e.only(lists.Join(m.items))
+	found, err := e.check(parts, m.changes, e.root.GetVersion())
+	if err != nil {
+		return err
+	}
+	if len(found) > 0 {
+		conflict := e.conflict(theirs, m.changes, nil)
 		conflict.Findings = found
-		return nil, conflict
+		return conflict
+	}
+	return nil
+}
+
+// touches says whether the edit may change the shard.
+func (e *Editor) touches(name string) bool {
+	switch family, _, _ := strings.Cut(name, "/"); family {
+	case familyCallers:
+		return e.edit.Callers != nil
+	case familyPlans, familyServices:
+		return e.edit.Plans != nil
 	}
-	return m, nil
+	return e.edit.Marks != nil
 }
 
-// wanted returns the content that the operator wants, given the base version.
-func (e *Editor) wanted(base lists.Items) lists.Content {
-	c := lists.Join(base)
-	if e.edit.Callers != nil {
-		c.Callers = e.edit.Callers
+// only unsets the parts that the edit does not set.
+func (e *Editor) only(c lists.Content) lists.Content {
+	if e.edit.Callers == nil {
+		c.Callers = nil
 	}
-	if e.edit.Plans != nil {
-		c.Plans = e.edit.Plans
+	if e.edit.Plans == nil {
+		c.Plans = nil
 	}
-	if e.edit.Marks != nil {
-		c.Marks = e.edit.Marks
+	if e.edit.Marks == nil {
+		c.Marks = nil
 	}
 	return c
 }
 
+// afterStepOne returns the references of step one and what remains of the edit:
+// the difference between step one and the full edit as it was merged then.
+func (e *Editor) afterStepOne(refs [][]*pb.ShardRef, asked []lists.Change) ([]*pb.ShardRef, []lists.Change, error) {
+	base, before, step := refs[0], refs[1], refs[2]
+	theirs, err := diffRefs(base, before, e.shard)
+	if err != nil {
+		return nil, nil, err
+	}
+	full, conflict := e.rebase(theirs, asked)
+	if conflict != nil {
+		return nil, nil, conflict
+	}
+	undo, err := diffRefs(step, before, e.shard)
+	if err != nil {
+		return nil, nil, err
+	}
+	remaining := map[lists.Key]lists.Change{}
+	for _, c := range undo {
+		remaining[c.Key] = c
+	}
+	for _, c := range full {
+		if u, ok := remaining[c.Key]; ok {
+			c.From = u.From
+		}
+		remaining[c.Key] = c
+	}
+	out := slices.Collect(maps.Values(remaining))
+	out = slices.DeleteFunc(out, func(c lists.Change) bool { return same(c.From, c.To) })
+	slices.SortFunc(out, func(a, b lists.Change) int { return a.Key.Compare(b.Key) })
+	return step, out, nil
+}
+
+// rebase returns what changes when the changes, made to some version, are made
+// to the one that differs from it by theirs. An entry that both changed
+// differently is a conflict.
+func (e *Editor) rebase(theirs, changes []lists.Change) ([]lists.Change, *Conflict) {
+	current := make(map[lists.Key]proto.Message, len(theirs))
+	for _, c := range theirs {
+		current[c.Key] = c.To
+	}
+	clash := map[lists.Key]bool{}
+	var out []lists.Change
+	for _, c := range changes {
+		if now, ok := current[c.Key]; ok && !same(now, c.From) {
+			clash[c.Key] = !same(now, c.To)
+			c.From = now
+		}
+		if !same(c.From, c.To) {
+			out = append(out, c)
+		}
+	}
+	maps.DeleteFunc(clash, func(_ lists.Key, is bool) bool { return !is })
+	if len(clash) > 0 {
+		return nil, e.conflict(theirs, changes, clash)
+	}
+	return out, nil
+}
+
+func apply(items lists.Items, changes []lists.Change) lists.Items {
+	for _, c := range changes {
+		if c.To == nil {
+			delete(items, c.Key)
+		} else {
+			items[c.Key] = c.To
+		}
+	}
+	return items
+}
+
+// check returns the faults of the parts that the edit sets, given the other
+// parts of the version.
+func (e *Editor) check(parts lists.Content, changes []lists.Change, version uint64) (findings.Findings, error) {
+	refs, _ := RefsAt(e.root, version)
+	family := func(name string) (lists.Items, error) {
+		return assembleItems(slices.DeleteFunc(slices.Clone(refs), func(r *pb.ShardRef) bool {
+			return !strings.HasPrefix(r.GetName(), name+"/")
+		}), e.shard)
+	}
+	var planNames []string
+	checked := parts
+	if parts.Callers != nil && parts.Plans == nil {
+		plans, err := family(familyPlans)
+		if err != nil {
+			return nil, err
+		}
+		for k := range plans {
+			planNames = append(planNames, k.Name)
+		}
+	}
+	if parts.Callers == nil && removes(changes, lists.KindPlan) {
+		callers, err := family(familyCallers)
+		if err != nil {
+			return nil, err
+		}
+		checked.Callers = lists.Join(callers).Callers
+	}
+	found := lists.CheckParts(checked, planNames)
+	if !adds(changes, lists.KindDataCentreOut) {
+		return found, nil
+	}
+	services := lists.Flatten(lists.Content{Plans: parts.Plans})
+	if parts.Plans == nil {
+		var err error
+		if services, err = family(familyServices); err != nil {
+			return nil, err
+		}
+	}
+	return append(found, unknownCentres(changes, services)...), nil
+}
+
+func removes(changes []lists.Change, kind lists.Kind) bool {
+	return slices.ContainsFunc(changes, func(c lists.Change) bool { return c.Key.Kind == kind && c.To == nil })
+}
+
+func adds(changes []lists.Change, kind lists.Kind) bool {
+	return slices.ContainsFunc(changes, func(c lists.Change) bool { return c.Key.Kind == kind && c.From == nil })
+}
+
 // unknownCentres reports new marks on data centres that have no site. Such a
 // mark has no effect, and the operator would believe the data centre is out.
 // Older marks may stay when the last site of a marked data centre goes.
-func unknownCentres(changes []lists.Change, target lists.Items) findings.Findings {
+func unknownCentres(changes []lists.Change, services lists.Items) findings.Findings {
 	known := map[string]bool{}
-	for k := range target {
+	for k := range services {
 		if k.Kind == lists.KindSite {
 			known[k.Sub] = true
 		}
@@ -99,33 +267,9 @@
 	return found
 }
 
-// rebase applies changes made to the base version to the current one. An entry
-// that both edits changed differently is a conflict.
-func (e *Editor) rebase(base, current lists.Items, changes []lists.Change) (lists.Items, *Conflict) {
-	if len(changes) == 0 {
-		return current, nil
-	}
-	clash := map[lists.Key]bool{}
-	out := maps.Clone(current)
-	for _, c := range changes {
-		if !same(current[c.Key], c.From) && !same(current[c.Key], c.To) {
-			clash[c.Key] = true
-		}
-		if c.To == nil {
-			delete(out, c.Key)
-		} else {
-			out[c.Key] = c.To
-		}
-	}
-	if len(clash) > 0 {
-		return nil, e.conflict(base, current, changes, clash)
-	}
-	return out, nil
-}
-
 // conflict describes both edits of the given entries, or of all when only is
 // nil.
-func (e *Editor) conflict(base, current lists.Items, yours []lists.Change, only map[lists.Key]bool) *Conflict {
+func (e *Editor) conflict(theirs, yours []lists.Change, only map[lists.Key]bool) *Conflict {
 	pick := func(changes []lists.Change) []string {
 		var out []lists.Change
 		for _, c := range changes {
@@ -135,7 +279,7 @@
 		}
 		return lists.Describe(out)
 	}
-	conflict := &Conflict{Published: e.stepOne, Yours: pick(yours), Theirs: pick(lists.Changes(base, current))}
+	conflict := &Conflict{Published: e.stepOne, Yours: pick(yours), Theirs: pick(theirs)}
 	for _, r := range e.root.GetEdits() {
 		if r.GetVersion() > e.edit.BaseVersion && r.GetId() != stepOneID(e.edit.ID) {
 			conflict.TheirEdits = append(conflict.TheirEdits, &pb.EditRecord{Id: r.GetId(), Operator: r.GetOperator(),
@@ -149,7 +293,7 @@
 	if a == nil || b == nil {
 		return a == nil && b == nil
 	}
-	return proto.Equal(a, b)
+	return a == b || proto.Equal(a, b)
 }
 
 func buildCatalog(version uint64, c lists.Content) (*model.Catalog, findings.Findings) {
--- a/internal/config/publish.go
+++ b/internal/config/publish.go
@@ -11,15 +11,20 @@
 	"cuminshift/internal/lists"
 )
 
-// owners maps each service and server address to <service>@<data centre>.
-func owners(items lists.Items) map[string]string {
-	m := map[string]string{}
-	for k, v := range items {
-		if address, owner := ownership(k, v); address != "" {
-			m[address] = owner
+// owners returns the addresses that the changed items held and will hold, with
+// their owner <service>@<data centre>. An address that moves is in both: each
+// address has one owner, so the former one has changed too.
+func owners(changes []lists.Change) (before, after map[string]string) {
+	before, after = map[string]string{}, map[string]string{}
+	for _, c := range changes {
+		if address, owner := ownership(c.Key, c.From); address != "" {
+			before[address] = owner
+		}
+		if address, owner := ownership(c.Key, c.To); address != "" {
+			after[address] = owner
 		}
 	}
-	return m
+	return before, after
 }
 
 // ownership returns the address that an item holds and the item's owner. The
@@ -40,13 +45,13 @@
 	return address, e.GetName() + "@" + site.GetDataCentre()
 }
 
-// blockedAddresses returns the addresses of next that cannot be published yet:
-// each belongs to another owner in the current version, or was released by
-// another owner in a version that is not known to be in force. awaited is the
-// highest such version.
-func blockedAddresses(current, next lists.Items, released []*pb.ReleasedAddress, inForce uint64) (blocked map[string]bool, awaited uint64) {
+// blockedAddresses returns the addresses that the changes cannot give to their
+// new owner yet: each belongs to another owner in the current version, or was
+// released by another owner in a version that is not known to be in force.
+// awaited is the highest such version.
+func blockedAddresses(changes []lists.Change, released []*pb.ReleasedAddress, inForce uint64) (blocked map[string]bool, awaited uint64) {
 	blocked = map[string]bool{}
-	before, after := owners(current), owners(next)
+	before, after := owners(changes)
 	for address, owner := range after {
 		if old, ok := before[address]; ok && old != owner {
 			blocked[address] = true
@@ -54,7 +59,7 @@
 	}
 	for _, r := range released {
 		owner, ok := after[r.GetAddress()]
-		if ok && owner != r.GetOwner() && before[r.GetAddress()] != owner && r.GetVersion() > inForce {
+		if ok && owner != r.GetOwner() && r.GetVersion() > inForce {
 			blocked[r.GetAddress()] = true
 			awaited = max(awaited, r.GetVersion())
 		}
@@ -62,36 +67,54 @@
 	return blocked, awaited
 }
 
-// stepOne returns next without its blocked addresses. A site whose new address
-// is blocked keeps its former one when that is free; else it is left out with
-// its servers.
-func stepOne(current, next lists.Items, blocked map[string]bool) lists.Items {
-	out, taken := maps.Clone(next), owners(next)
-	for _, k := range next.Keys() {
-		address, _ := ownership(k, next[k])
-		if !blocked[address] || address == "" {
+// stepOne returns the changes without the blocked addresses. A site whose new
+// address is blocked keeps its former one when that is free; else it is left
+// out with its servers, which are found in next, the content after all changes.
+func stepOne(next lists.Items, changes []lists.Change, blocked map[string]bool) []lists.Change {
+	_, taken := owners(changes)
+	out := make(map[lists.Key]lists.Change, len(changes))
+	for _, c := range changes {
+		out[c.Key] = c
+	}
+	for _, c := range changes {
+		if address, _ := ownership(c.Key, c.To); !blocked[address] {
 			continue
 		}
-		delete(out, k)
-		if k.Kind != lists.KindSite {
-			continue
+		kept := lists.Change{Key: c.Key, From: c.From}
+		former, _ := ownership(c.Key, c.From)
+		if c.Key.Kind == lists.KindSite {
+			if _, used := taken[former]; former != "" && !used {
+				kept.To = c.From
+			} else {
+				leaveOutServers(out, next, c.Key)
+			}
 		}
-		former, owner := ownership(k, current[k])
-		if _, used := taken[former]; former != "" && !used && !blocked[former] {
-			out[k], taken[former] = current[k], owner
+		out[c.Key] = kept
+	}
+	list := slices.Collect(maps.Values(out))
+	list = slices.DeleteFunc(list, func(c lists.Change) bool { return same(c.From, c.To) })
+	slices.SortFunc(list, func(a, b lists.Change) int { return a.Key.Compare(b.Key) })
+	return list
+}
+
+// leaveOutServers turns the changes so that the site has no servers.
+func leaveOutServers(out map[lists.Key]lists.Change, next lists.Items, site lists.Key) {
+	for k, v := range next {
+		if k.Kind != lists.KindServer || k.Name != site.Name || v.(*pb.ServiceEntry).GetSites()[0].GetDataCentre() != site.Sub {
 			continue
 		}
-		maps.DeleteFunc(out, func(o lists.Key, v proto.Message) bool {
-			return o.Kind == lists.KindServer && o.Name == k.Name &&
-				v.(*pb.ServiceEntry).GetSites()[0].GetDataCentre() == k.Sub
-		})
+		change, changed := out[k]
+		if !changed {
+			change = lists.Change{Key: k, From: v}
+		}
+		change.To = nil
+		out[k] = change
 	}
-	return out
 }
 
 // releases returns the releases that the next version has to remember.
-func releases(current, next lists.Items, released []*pb.ReleasedAddress, inForce, version uint64) []*pb.ReleasedAddress {
-	before, after := owners(current), owners(next)
+func releases(changes []lists.Change, released []*pb.ReleasedAddress, inForce, version uint64) []*pb.ReleasedAddress {
+	before, after := owners(changes)
 	keep := map[string]*pb.ReleasedAddress{}
 	for _, r := range released {
 		if _, owned := after[r.GetAddress()]; !owned && r.GetVersion() > inForce {
--- a/internal/config/shards.go
+++ b/internal/config/shards.go
@@ -213,6 +213,26 @@
 	return items, nil
 }
 
+// diffRefs returns the differences between the contents of two sets of shards.
+// It decodes only the shards that are in one of them.
+func diffRefs(from, to []*pb.ShardRef, shard func(hash string) ([]byte, bool)) ([]lists.Change, error) {
+	inFrom, inTo := refMap(from), refMap(to)
+	only := func(refs []*pb.ShardRef, others map[string]string) (lists.Items, error) {
+		return assembleItems(slices.DeleteFunc(slices.Clone(refs), func(r *pb.ShardRef) bool {
+			return others[r.GetName()] == r.GetHash()
+		}), shard)
+	}
+	before, err := only(from, inTo)
+	if err != nil {
+		return nil, err
+	}
+	after, err := only(to, inFrom)
+	if err != nil {
+		return nil, err
+	}
+	return lists.Changes(before, after), nil
+}
+
 func addShard(items lists.Items, name string, data []byte) error {
 	content := &pb.ShardContent{}
 	if err := proto.Unmarshal(data, content); err != nil {
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -107,14 +107,14 @@
 
 // edit repeats the edit at the next instance when one does not answer: the
 // edit id makes that safe.
-func (c *client) edit(ctx context.Context, req *pb.EditRequest) (*pb.EditResponse, error) {
+func (c *client) edit(ctx context.Context, req *pb.EditRequest, repeated bool) (*pb.EditResponse, error) {
 	resp, err := call(ctx, c, editTimeout, req, cuminshiftv1connect.OperatorClient.Edit)
 	var none *noEntry
 	switch {
 	case errors.As(err, &none):
-		return nil, editError(req.GetEditId(), none.worst())
+		return nil, editError(req.GetEditId(), repeated, none.worst())
 	case err != nil:
-		return nil, editError(req.GetEditId(), err)
+		return nil, editError(req.GetEditId(), repeated, err)
 	}
 	return resp, nil
 }
--- a/internal/ctl/edit.go
+++ b/internal/ctl/edit.go
@@ -79,7 +79,7 @@
 	if req.EditId == "" {
 		req.EditId = rand.Text()
 	}
-	resp, err := e.client.edit(ctx, req)
+	resp, err := e.client.edit(ctx, req, e.editID != "")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/ctl/errors.go
+++ b/internal/ctl/errors.go
@@ -18,12 +18,18 @@
 	pb.EditFailure_KIND_NOT_IN_FORCE:      ExitNotInForce,
 }
 
-// editError explains a refused edit to the operator.
-func editError(id string, err error) error {
+// editError explains a refused edit to the operator. repeated says that the
+// edit id was tried before this command.
+func editError(id string, repeated bool, err error) error {
 	failure := editerr.Decode(err)
 	if failure == nil {
 		return err
 	}
+	if repeated && (failure.GetKind() == pb.EditFailure_KIND_STORE_UNAVAILABLE || failure.GetKind() == pb.EditFailure_KIND_CONTENTION) {
+		// The instance speaks of the repetition. A write of the first attempt may
+		// still take effect.
+		failure = &pb.EditFailure{Kind: pb.EditFailure_KIND_OUTCOME_UNKNOWN, StepOne: failure.GetStepOne()}
+	}
 	var b strings.Builder
 	switch failure.GetKind() {
 	case pb.EditFailure_KIND_INVALID:
--- a/internal/lists/lists.go
+++ b/internal/lists/lists.go
@@ -74,3 +74,17 @@
 	c.found.Sort()
 	return c.found
 }
+
+// CheckParts is CheckContent for the parts that are set. planNames names the
+// plans when Plans is not set.
+func CheckParts(content Content, planNames []string) findings.Findings {
+	c := newChecker(Callers{List: content.Callers}, Plans{List: content.Plans}, content.Marks)
+	if content.Plans == nil {
+		for _, name := range planNames {
+			c.planNames[name] = true
+		}
+	}
+	c.checkAll()
+	c.found.Sort()
+	return c.found
+}
