--- a/internal/config/holder_test.go
+++ b/internal/config/holder_test.go
@@ -22,7 +22,11 @@
 
 // load gives a holder the newest version of the store, as a reader does.
 func (s *fakeStore) load(h *Holder, now time.Time) (changed bool, out []peer.Message) {
-	changed, out = h.StoreRoot(now, s.latest(RootKey).value)
+	return s.loadRoot(h, now, s.latest(RootKey).value)
+}
+
+func (s *fakeStore) loadRoot(h *Holder, now time.Time, root []byte) (changed bool, out []peer.Message) {
+	changed, out = h.StoreRoot(now, root)
 	if missing := h.Missing(); len(missing) > 0 {
 		shards := map[string][]byte{}
 		for _, hash := range missing {
@@ -56,7 +60,7 @@
 	if changed, _ := s.load(h, epoch); !changed || h.Current().Version != 2 || len(h.Current().Catalog.Callers) != 3 {
 		t.Fatalf("holds version %d", h.Current().Version)
 	}
-	if changed, _ := h.StoreRoot(epoch, old); changed || h.Current().Version != 2 {
+	if changed, _ := s.loadRoot(h, epoch, old); changed || h.Current().Version != 2 {
 		t.Errorf("an older root makes version %d", h.Current().Version)
 	}
 	s.edits(t, 1)
--- a/internal/config/race_test.go
+++ b/internal/config/race_test.go
@@ -34,14 +34,16 @@
 	// inStepOne are the changes that step one of an edit made. An edit accepted
 	// between the steps may change these entries again.
 	inStepOne map[string]map[lists.Key]bool
-	previous  lists.Items
-	seen      int
-	versionOf map[string]uint64
+	// stepValues are the values of the named entries after step one of an edit.
+	stepValues map[string]map[lists.Key]proto.Message
+	previous   lists.Items
+	seen       int
+	versionOf  map[string]uint64
 }
 
 func newWorld(t *rapid.T) *world {
 	w := &world{t: t, store: newFakeStore(), now: epoch, asked: map[string][]lists.Change{},
-		lastOwner: map[string]string{}, released: map[string]uint64{}, dropped: map[string]map[lists.Key]proto.Message{}, inStepOne: map[string]map[lists.Key]bool{}, previous: lists.Items{}, versionOf: map[string]uint64{}}
+		lastOwner: map[string]string{}, released: map[string]uint64{}, dropped: map[string]map[lists.Key]proto.Message{}, inStepOne: map[string]map[lists.Key]bool{}, stepValues: map[string]map[lists.Key]proto.Message{}, previous: lists.Items{}, versionOf: map[string]uint64{}}
 	w.asked["init"] = nil
 	if _, err := run(t, w.store, EditorConfig{}, Edit{ID: "init", Operator: "o", Callers: sampleCallers(2), Plans: samplePlans()}, atOnce); err != nil {
 		t.Fatal(err)
@@ -117,6 +119,19 @@
 	for _, c := range w.asked[name] {
 		wanted[c.Key] = c.To
 	}
+	for _, c := range w.asked[name] {
+		was, stepped := w.previous[c.Key], w.stepValues[name]
+		value, known := stepped[c.Key]
+		if !same(was, c.From) && !same(was, c.To) && !(known && same(was, value)) && !w.inStepOne[name][c.Key] {
+			w.fail("edit %s overwrites an accepted change of %s", id, c.Key)
+		}
+		if isStep {
+			if stepped == nil {
+				w.stepValues[name] = map[lists.Key]proto.Message{}
+			}
+			w.stepValues[name][c.Key] = items[c.Key]
+		}
+	}
 	for key, value := range w.dropped[name] {
 		if _, ok := wanted[key]; !ok {
 			wanted[key] = value
