Keep grants of restarted instances and judge latency by runs of answers

- A coordinator that restarted reports no grants; its report freed inherited grants that the server still worked on.
Reports of an instance that knew no former admitter now only add grants.
- A handover that was meant for a former incarnation of the admitter counted as complete, although that incarnation may have granted since.
It is now merged into an unplanned takeover, and a repeated handover keeps the generation in which it was made.
- A refused waiter of which a copy was granted gets DUPLICATE, not REFUSED.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -108,9 +108,11 @@
 	conditions map[model.ServerID]pb.ServerCondition
 	known      []model.InstanceID
 	state      *dcstate.State
-	servers    map[model.ServerID]*server
-	handovers  map[uint64]*handover
-	sequence   uint64
+	// firstGeneration is that of the first state that this incarnation saw.
+	firstGeneration uint64
+	servers         map[model.ServerID]*server
+	handovers       map[uint64]*handover
+	sequence        uint64
 	// early holds reports that came before the state that they belong to.
 	early []earlyReport
 	// applied are the latest handovers that were applied; a repeated one is
@@ -141,7 +143,9 @@
 			s.ramp.resize(info)
 			continue
 		}
-		out = append(out, s.refuseAll(pb.GrantResult_GRANT_RESULT_REFUSED, pb.Reason_REASON_NO_SERVER)...)
+		for s.queue.Len() > 0 {
+			out = append(out, s.refuse(now, s.queue.removeLast(), pb.Reason_REASON_NO_SERVER))
+		}
 		delete(a.servers, id)
 	}
 	added := addedServers(a.infos, servers)
@@ -253,14 +257,14 @@
 		left = a.cfg.MaxGrant
 	}
 	w := &waiter{key: key, request: r, deadline: now.Add(left), arrivedAt: now, arrival: s.nextArrival()}
-	if result, reason := s.check(now, w, &a.cfg); result != pb.GrantResult_GRANT_RESULT_GRANTED && s.phase == owned {
+	if result, reason := s.check(now, w); result != pb.GrantResult_GRANT_RESULT_GRANTED && s.phase == owned {
 		return []peer.Message{reply(from, r.GetGrant(), result, reason)}
 	}
 	s.queue.add(w)
 	out := a.pump(now, s)
 	for s.queue.Len() > a.cfg.QueueLength {
 		last := s.queue.removeLast()
-		out = append(out, refuse(last, pb.Reason_REASON_OVERLOAD))
+		out = append(out, s.refuse(now, last, pb.Reason_REASON_OVERLOAD))
 	}
 	return out
 }
@@ -293,10 +297,10 @@
 		w := s.queue.first()
 		s.queue.remove(w.key)
 		if !now.Before(w.deadline) {
-			out = append(out, refuse(w, pb.Reason_REASON_DEADLINE))
+			out = append(out, s.refuse(now, w, pb.Reason_REASON_DEADLINE))
 			continue
 		}
-		result, reason := s.check(now, w, &a.cfg)
+		result, reason := s.check(now, w)
 		if result == pb.GrantResult_GRANT_RESULT_GRANTED {
 			s.grant(now, w, &a.cfg)
 		}
@@ -341,10 +345,6 @@
 	return ok
 }
 
-func refuse(w *waiter, reason pb.Reason) peer.Message {
-	return reply(w.key.holder, w.key.id, pb.GrantResult_GRANT_RESULT_REFUSED, reason)
-}
-
 func reply(to model.InstanceID, grant uint64, result pb.GrantResult, reason pb.Reason) peer.Message {
 	r := &pb.GrantReply{Grant: grant, Result: result, Reason: reason}
 	return peer.Message{To: to, Body: &pb.PeerMessage{Body: &pb.PeerMessage_GrantReply{GrantReply: r}}}
--- a/internal/admission/ramp.go
+++ b/internal/admission/ramp.go
@@ -5,13 +5,7 @@
 
 	pb "cuminshift/internal/gen/cuminshift/v1"
 	"cuminshift/internal/model"
-)
-
-const (
-	// minSlowdown keeps the noise of fast answers from counting as slowness.
-	minSlowdown = 20 * time.Millisecond
-	// minLatencySamples must be seen before latency is judged.
-	minLatencySamples = 8
+	"cuminshift/internal/serverhealth"
 )
 
 // ramp is the number of slots of a server that may be busy. It starts at
@@ -22,8 +16,7 @@
 	// clean counts answers without a sign of trouble since the last step.
 	clean              int
 	steppedAt, resetAt time.Time
-	fastLatency, usual float64
-	samples            int
+	latency            serverhealth.LatencyWatch
 }
 
 func coldSlots(info *model.BackendServer) int { return min(info.ColdSlots, info.Slots) }
@@ -83,7 +76,7 @@
 	if !m.GetAnswered() || grantedAt.Before(r.resetAt) {
 		return
 	}
-	if r.slow(time.Duration(m.GetLatencyMs())*time.Millisecond, cfg) {
+	if r.latency.Observe(time.Duration(m.GetLatencyMs())*time.Millisecond, cfg.SlowFactor) {
 		r.reset(now, info)
 		r.cold = true
 		return
@@ -95,17 +88,3 @@
 		r.clean, r.steppedAt = 0, now
 	}
 }
-
-// slow reports whether recent answers take much longer than usual. The usual
-// latency follows slowly, so that lasting slowness becomes usual.
-func (r *ramp) slow(d time.Duration, cfg *Config) bool {
-	x := float64(d)
-	r.samples++
-	if r.samples == 1 {
-		r.fastLatency, r.usual = x, x
-		return false
-	}
-	r.fastLatency += (x - r.fastLatency) / 4
-	r.usual += (x - r.usual) / 64
-	return r.samples >= minLatencySamples && r.fastLatency > cfg.SlowFactor*r.usual && r.fastLatency > r.usual+float64(minSlowdown)
-}
--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -90,7 +90,7 @@
 }
 
 // check says whether the request may be sent at all.
-func (s *server) check(now time.Time, w *waiter, cfg *Config) (pb.GrantResult, pb.Reason) {
+func (s *server) check(now time.Time, w *waiter) (pb.GrantResult, pb.Reason) {
 	r := w.request
 	if r.GetIdempotent() {
 		return pb.GrantResult_GRANT_RESULT_GRANTED, 0
@@ -144,18 +144,26 @@
 	var out []peer.Message
 	for _, w := range s.queue.expired(now) {
 		s.queue.remove(w.key)
-		out = append(out, refuse(w, pb.Reason_REASON_DEADLINE))
+		out = append(out, s.refuse(now, w, pb.Reason_REASON_DEADLINE))
 	}
 	return out
 }
 
-// refuseAll empties the queue with one reply.
-func (s *server) refuseAll(result pb.GrantResult, reason pb.Reason) []peer.Message {
+// refuse refuses a waiter; not as one that did not run if a copy may have.
+func (s *server) refuse(now time.Time, w *waiter, reason pb.Reason) peer.Message {
+	if result, why := s.check(now, w); result == pb.GrantResult_GRANT_RESULT_DUPLICATE {
+		return reply(w.key.holder, w.key.id, result, why)
+	}
+	return reply(w.key.holder, w.key.id, pb.GrantResult_GRANT_RESULT_REFUSED, reason)
+}
+
+// rejectAll empties the queue without a decision about its requests.
+func (s *server) rejectAll() []peer.Message {
 	var out []peer.Message
 	for s.queue.Len() > 0 {
 		w := s.queue.first()
 		s.queue.remove(w.key)
-		out = append(out, reply(w.key.holder, w.key.id, result, reason))
+		out = append(out, reply(w.key.holder, w.key.id, pb.GrantResult_GRANT_RESULT_NOT_ADMITTER, pb.Reason_REASON_INSTANCE_NOT_READY))
 	}
 	return out
 }
--- a/internal/admission/takeover.go
+++ b/internal/admission/takeover.go
@@ -23,9 +23,10 @@
 
 // handover is the state of a server on its way to another instance.
 type handover struct {
-	to     model.InstanceID
-	server *pb.AdmitterHandover_Server
-	sentAt time.Time
+	to         model.InstanceID
+	generation uint64
+	server     *pb.AdmitterHandover_Server
+	sentAt     time.Time
 }
 
 // handoverID identifies a handover at its receiver.
@@ -38,6 +39,9 @@
 // have another admitter now, takes over those that have this one, and reports
 // the grants that the instance's own coordinator holds to each new admitter.
 func (a *Admitter) StateChanged(now time.Time, old, new *dcstate.State, held Held) []peer.Message {
+	if a.state == nil {
+		a.firstGeneration = new.Version.Generation
+	}
 	a.state = new
 	var out []peer.Message
 	if old != nil && slices.Equal(old.Members, new.Members) {
@@ -119,7 +123,7 @@
 	// within DeadAfter of the change that replaced it.
 	s.unreportedUntil = now.Add(a.cfg.MaxGrant + a.cfg.Margin + a.cfg.DeadAfter)
 	s.openAt = now.Add(a.cfg.ReportWait)
-	if _, ok := a.state.Member(s.former); ok {
+	if _, ok := a.state.Member(s.former); ok || !s.formerSure {
 		s.blindUntil = now.Add(a.cfg.Margin)
 	}
 }
@@ -135,12 +139,12 @@
 // their coordinators. A server whose own handover is still awaited is passed
 // on when that arrives.
 func (a *Admitter) lose(now time.Time, s *server, to model.InstanceID) []peer.Message {
-	out := s.refuseAll(pb.GrantResult_GRANT_RESULT_NOT_ADMITTER, pb.Reason_REASON_INSTANCE_NOT_READY)
+	out := s.rejectAll()
 	if s.phase == awaiting {
 		return out
 	}
 	s.expireGrants(now)
-	h := &handover{to: to, server: &pb.AdmitterHandover_Server{
+	h := &handover{to: to, generation: a.state.Version.Generation, server: &pb.AdmitterHandover_Server{
 		Server: uint64(s.id), Outstanding: s.outstanding(now), Remembered: s.memory.proto(now),
 		RampSlots: uint32(s.ramp.slots), MemoryLostMs: milliseconds(s.memory.lossyUntil.Sub(now)),
 	}}
@@ -153,7 +157,7 @@
 func (a *Admitter) sendHandover(now time.Time, sequence uint64, h *handover) peer.Message {
 	h.sentAt = now
 	m := &pb.AdmitterHandover{
-		Generation: a.state.Version.Generation, Servers: []*pb.AdmitterHandover_Server{h.server}, Sequence: sequence,
+		Generation: h.generation, Servers: []*pb.AdmitterHandover_Server{h.server}, Sequence: sequence,
 	}
 	return peer.Message{To: h.to, Body: &pb.PeerMessage{Body: &pb.PeerMessage_AdmitterHandover{AdmitterHandover: m}}}
 }
@@ -183,7 +187,7 @@
 			a.merge(now, s, h.server)
 			delete(a.handovers, sequence)
 		} else if admitter != "" && admitter != a.cfg.Self {
-			h.to = admitter
+			h.to, h.generation = admitter, a.state.Version.Generation
 			out = append(out, a.sendHandover(now, sequence, h))
 		}
 	}
@@ -204,12 +208,14 @@
 	}
 	a.markApplied(id)
 	for _, h := range m.GetServers() {
-		out = append(out, a.apply(now, h)...)
+		out = append(out, a.apply(now, h, m.GetGeneration() < a.firstGeneration)...)
 	}
 	return out
 }
 
-func (a *Admitter) apply(now time.Time, h *pb.AdmitterHandover_Server) []peer.Message {
+// apply applies the handover of one server. A stale one was meant for a
+// former incarnation of this instance, which may have granted since.
+func (a *Admitter) apply(now time.Time, h *pb.AdmitterHandover_Server, stale bool) []peer.Message {
 	id := model.ServerID(h.GetServer())
 	if a.infos[id] == nil {
 		return nil
@@ -220,6 +226,9 @@
 		s.phase = awaiting
 		a.servers[id] = s
 	}
+	if s.phase == awaiting && stale {
+		a.takeOver(now, s)
+	}
 	if s.phase == awaiting {
 		a.adopt(now, s, h)
 	} else {
@@ -330,7 +339,6 @@
 // not hold any more are free.
 func (s *server) reported(now time.Time, from model.InstanceID, r *pb.GrantReport, cfg *Config) {
 	ids := map[uint64]bool{}
-	s.reports[from] = ids
 	delete(s.unheard, from)
 	for _, o := range r.GetOutstanding() {
 		if model.ServerID(o.GetServer()) == s.id && model.InstanceID(o.GetHolder()) == from {
@@ -338,6 +346,12 @@
 			s.inheritReported(now, o, cfg)
 		}
 	}
+	// A member that knew no former admitter has just started: grants of its
+	// former incarnation may still be in use.
+	if r.GetFormer() == "" {
+		return
+	}
+	s.reports[from] = ids
 	for k, g := range s.grants {
 		if g.inherited && k.holder == from && !ids[k.id] {
 			delete(s.grants, k)
--- a/internal/requests/answer.go
+++ b/internal/requests/answer.go
@@ -7,6 +7,9 @@
 	"cuminshift/internal/serverhealth"
 )
 
+// partOverhead is the memory of a part without its payload.
+const partOverhead = 24
+
 // answerPart adds a part to the answer of its attempt. The first answer that
 // is whole is passed on, even if it is that of an earlier attempt.
 func (c *Coordinator) answerPart(now time.Time, r *request, a *attempt, p ServerPacket) []Action {
@@ -16,6 +19,7 @@
 	}
 	if a.parts == nil {
 		a.parts, a.missing = make([][]byte, n), int(n)
+		a.bytes, c.bytes = a.bytes+partOverhead*int(n), c.bytes+partOverhead*int(n)
 	}
 	if len(a.parts) != int(n) || a.parts[p.Part] != nil {
 		return nil
--- a/internal/serverhealth/server.go
+++ b/internal/serverhealth/server.go
@@ -9,10 +9,6 @@
 )
 
 const (
-	// minSlowdown keeps the noise of fast answers from counting as slowness.
-	minSlowdown = 20 * time.Millisecond
-	// minLatencySamples must be seen before latency is judged.
-	minLatencySamples = 8
 	// maxProbeAfter bounds the growing time after which a silent server is
 	// tried again.
 	maxProbeAfter = 30 * time.Second
@@ -45,8 +41,7 @@
 	silentAt   time.Time
 	probeAfter time.Duration
 
-	fastLatency, usualLatency float64
-	samples                   int
+	latency LatencyWatch
 
 	endpoint   pb.BackendStatusResponse_State
 	endpointAt time.Time
@@ -105,7 +100,7 @@
 }
 
 func (s *server) observeAnswer(now time.Time, o Observation, cfg *Config) {
-	slow := s.observeLatency(o.Latency, cfg)
+	slow := o.Latency > 0 && s.latency.Observe(o.Latency, cfg.SlowFactor)
 	if o.Cold || slow {
 		s.markCold(now)
 		return
@@ -134,27 +129,9 @@
 	s.cold, s.lastCold, s.clean = true, now, 0
 }
 
-// observeLatency reports whether recent answers are much slower than usual.
-// The usual latency follows slowly, so that lasting slowness becomes usual.
-func (s *server) observeLatency(d time.Duration, cfg *Config) bool {
-	if d <= 0 {
-		return false
-	}
-	x := float64(d)
-	s.samples++
-	if s.samples == 1 {
-		s.fastLatency, s.usualLatency = x, x
-		return false
-	}
-	s.fastLatency += (x - s.fastLatency) / 4
-	s.usualLatency += (x - s.usualLatency) / 64
-	return s.samples >= minLatencySamples && s.fastLatency > cfg.SlowFactor*s.usualLatency &&
-		s.fastLatency > s.usualLatency+float64(minSlowdown)
-}
-
 // silentAfter is longer for a server whose answers usually take long.
 func (s *server) silentAfter(cfg *Config) time.Duration {
-	return max(cfg.SilentAfter, 4*time.Duration(s.usualLatency))
+	return max(cfg.SilentAfter, 4*s.latency.Usual())
 }
 
 func (s *server) endpointFresh(now time.Time, cfg *Config) bool {
