--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -115,6 +115,8 @@
 	// configProblem is the last problem of the holder that was recorded.
 	configProblem error
 
+	// lastTick is the time of the last Tick.
+	lastTick                                         time.Time
 	nextSlow, nextSummary, nextHeldScan, nextReports time.Time
 	// serverReports are the reports for the next heartbeat, own the buckets
 	// of which this instance is the owner and holds no record.
@@ -155,6 +157,7 @@
 		mail:      map[model.InstanceID][]*pb.PeerMessage{},
 		metrics:   metrics.NewRegistry(),
 		latency:   map[model.ServiceID]metrics.Histogram{},
+		lastTick:  cfg.Started,
 	}
 	c.newParts()
 	c.fast.Store(&snapshot{})
--- a/internal/entry/flows.go
+++ b/internal/entry/flows.go
@@ -108,6 +108,13 @@
 	c.flowEnded(now, key)
 }
 
+// observeEnd counts the end of a flow at a server. The instance that sees the
+// end need not be the one that counted the opening: only the sum over the
+// instances is used. A flow that ends without a CLOSE stays in the sum.
+func (c *Core) observeEnd(now time.Time, key flowtable.Key, server model.ServerID) {
+	c.health.Observe(now, server, pathOf(key.Flow), serverhealth.Observation{Kind: serverhealth.FlowEnded})
+}
+
 // flowEnded gives back what limits and health counted for a flow.
 func (c *Core) flowEnded(now time.Time, key flowtable.Key) {
 	caller, ok := c.counted[key]
--- a/internal/entry/packets.go
+++ b/internal/entry/packets.go
@@ -217,6 +217,7 @@
 		c.cancel(now, h, server)
 	case pb.Kind_KIND_CLOSE:
 		c.toServer(h, server)
+		c.observeEnd(now, h.key, server.ID)
 		c.closeFlow(now, h.key, h.use)
 	default:
 		c.toServer(h, server)
@@ -259,19 +260,31 @@
 	if h.packet.Kind == pb.Kind_KIND_CANCEL || !h.packet.Caller.IsValid() {
 		return
 	}
-	c.reply(h.packet.Caller, refusalOf(&h.packet, reason, refusedOutcome(&h.packet)))
+	c.reply(h.packet.Caller, refusalOf(&h.packet, reason, c.refusedOutcome(now, h)))
 }
 
+// minRepeat is the shortest time after which a caller repeats a request. A
+// refusal that is sent later may meet a copy that ran at another instance.
+const minRepeat = 200 * time.Millisecond
+
 // refusedOutcome returns what this instance can say of a packet that it does
-// not pass on. An earlier copy of a repeated request may have run at another
-// instance; only the server's admitter knows.
-func refusedOutcome(p *packet.Packet) pb.Outcome {
-	if p.Kind == pb.Kind_KIND_REQUEST && p.CallerAttempt > 1 {
+// not pass on. An earlier or later copy of a request may have run at another
+// instance; only the server's admitter knows. A packet may also have waited in
+// the socket while the process was paused.
+func (c *Core) refusedOutcome(now time.Time, h *heldPacket) pb.Outcome {
+	late := now.Sub(h.at) >= minRepeat || c.paused(h.at)
+	if h.packet.Kind == pb.Kind_KIND_REQUEST && (h.packet.CallerAttempt > 1 || late) {
 		return pb.Outcome_OUTCOME_UNKNOWN
 	}
 	return pb.Outcome_OUTCOME_DID_NOT_RUN
 }
 
+// paused reports whether the process had not run for so long before the time
+// that datagrams may have waited in its sockets.
+func (c *Core) paused(at time.Time) bool {
+	return at.Sub(c.lastTick) >= minRepeat
+}
+
 func refusalOf(p *packet.Packet, reason pb.Reason, outcome pb.Outcome) packet.Packet {
 	return packet.Packet{
 		Kind:          pb.Kind_KIND_REFUSAL,
@@ -338,6 +351,7 @@
 		c.learn(now, key, server.ID)
 		c.act(SendToCaller{Address: p.Caller, Data: ev.Data})
 	case pb.Kind_KIND_CLOSE:
+		c.observeEnd(now, key, server.ID)
 		c.closeFlow(now, key, use)
 		c.act(SendToCaller{Address: p.Caller, Data: ev.Data})
 	default:
@@ -377,6 +391,7 @@
 		}
 		c.burn.Bad(now, key.Service, burn.Refused, p.Reason.String())
 	} else if p.Reason == pb.Reason_REASON_UNKNOWN_FLOW {
+		c.observeEnd(now, key, server.ID)
 		c.burn.Bad(now, key.Service, burn.BrokenFlows, "server does not know the flow")
 		c.journal.Add(now, "flow", "flow unknown at "+server.Name, "server lost it or it was steered elsewhere")
 	}
--- a/internal/entry/packets_test.go
+++ b/internal/entry/packets_test.go
@@ -15,6 +15,7 @@
 	now := time.Unix(1000, 0)
 	c := New(Config{Self: "a1", DataCentre: "a", Started: now, Heartbeat: time.Second, Lease: time.Second, DeadAfter: time.Second, FlowIdle: time.Minute, FlowCapacity: 64})
 	for attempt, want := range map[uint32]pb.Outcome{1: pb.Outcome_OUTCOME_DID_NOT_RUN, 2: pb.Outcome_OUTCOME_UNKNOWN} {
+		c.Handle(now, Tick{})
 		p := packet.Packet{Kind: pb.Kind_KIND_REQUEST, RequestID: 7, CallerAttempt: attempt,
 			Caller: netip.MustParseAddrPort("10.0.0.1:5000"), Service: netip.MustParseAddrPort("10.200.0.1:80")}
 		actions := c.Handle(now, CallerPacket{Data: p.Append(nil)})
@@ -30,3 +31,22 @@
 		}
 	}
 }
+
+// Guards against DID_NOT_RUN for a request that waited in the socket of a
+// paused process while the caller's next copy ran elsewhere (fault matrix,
+// seed 1, I6, planned-stop x [instance-frozen]).
+func TestRefusalAfterPausePromisesNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New(Config{Self: "a1", DataCentre: "a", Started: now, Heartbeat: time.Second, Lease: time.Second, DeadAfter: time.Second, FlowIdle: time.Minute, FlowCapacity: 64})
+	c.Handle(now, Tick{})
+	p := packet.Packet{Kind: pb.Kind_KIND_REQUEST, RequestID: 7, CallerAttempt: 1,
+		Caller: netip.MustParseAddrPort("10.0.0.1:5000"), Service: netip.MustParseAddrPort("10.200.0.1:80")}
+	actions := c.Handle(now.Add(3*time.Second), CallerPacket{Data: p.Append(nil)})
+	var reply packet.Packet
+	if err := reply.Decode(actions[0].(SendToCaller).Data); err != nil {
+		t.Fatal(err)
+	}
+	if reply.Outcome != pb.Outcome_OUTCOME_UNKNOWN {
+		t.Errorf("got %v, want OUTCOME_UNKNOWN", reply.Outcome)
+	}
+}
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -26,6 +26,9 @@
 	service netip.AddrPort
 	name    string
 	counted bool
+	// afterPause is set when the request may have waited in the socket.
+	afterPause bool
+	idempotent bool
 }
 
 // requestToServer passes a request or a cancellation of a flow at a known
@@ -50,7 +53,10 @@
 func (c *Core) startRequest(now time.Time, h *heldPacket) {
 	key := requestKey(h)
 	if c.running[key] == nil {
-		c.running[key] = &runningRequest{now, h.packet.Caller, h.packet.Service, h.caller.Name, h.counted}
+		c.running[key] = &runningRequest{
+			started: h.at, caller: h.packet.Caller, service: h.packet.Service, name: h.caller.Name,
+			counted: h.counted, afterPause: c.paused(h.at), idempotent: h.packet.Idempotent,
+		}
 	}
 	var deadline time.Time
 	if h.packet.DeadlineMS > 0 {
@@ -153,6 +159,7 @@
 	if running == nil {
 		return
 	}
+	a.Outcome = c.replyOutcome(now, a, running)
 	if a.Part == 0 {
 		c.countReply(now, a, running)
 	}
@@ -170,6 +177,22 @@
 	})
 }
 
+// replyOutcome takes back DID_NOT_RUN where a copy of the request may have run
+// through another coordinator. The admitter keeps apart the copies of a
+// non-idempotent request, so what it or the server said of one stands; a
+// deadline that passed here says nothing of the copies.
+func (c *Core) replyOutcome(now time.Time, a requests.ReplyToCaller, running *runningRequest) pb.Outcome {
+	if a.Outcome != pb.Outcome_OUTCOME_DID_NOT_RUN {
+		return a.Outcome
+	}
+	copies := a.CallerAttempt > 1 || now.Sub(running.started) >= minRepeat || running.afterPause
+	byAdmitter := !running.idempotent && a.Reason != pb.Reason_REASON_DEADLINE && a.Reason != pb.Reason_REASON_INSTANCE_NOT_READY
+	if copies && !byAdmitter {
+		return pb.Outcome_OUTCOME_UNKNOWN
+	}
+	return a.Outcome
+}
+
 // countReply counts a request's end against the service-level objectives.
 func (c *Core) countReply(now time.Time, a requests.ReplyToCaller, running *runningRequest) {
 	if a.Kind != pb.Kind_KIND_ANSWER {
--- a/internal/entry/tick.go
+++ b/internal/entry/tick.go
@@ -27,6 +27,7 @@
 )
 
 func (c *Core) tick(now time.Time) {
+	defer func() { c.lastTick = now }()
 	c.expireHeld(now)
 	c.expireOpenings(now)
 	if c.due(&c.nextSlow, now, slowInterval) {
