--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	$(GO) run ./internal/faultmatrix/cmd/matrix -seed $(SEED)
 
 measure:
-	$(GO) run ./internal/measure/cmd/measure
+	$(GO) run ./internal/measure/cmd/measure --seed $(SEED) --file docs/measurements.md
 
 # Needs buf, protoc-gen-go and protoc-gen-connect-go; see docs/design.md.
 generate:
--- a/internal/measure/figures.go
+++ b/internal/measure/figures.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"sync"
 	"time"
 
 	"cuminshift/internal/model"
@@ -80,7 +81,6 @@
 	control       float64
 	steadyControl float64
 	gaveUp        int
-	kinds         map[string]uint64
 }
 
 func runScenario(sc scenario, sch scheme, seed uint64) outcome {
@@ -96,7 +96,6 @@
 	sc.during(f)
 	f.runFor(sc.length)
 	o.control = float64(f.controlBytes()-bytesBefore) / sc.length.Seconds() / float64(f.size.instances)
-	o.kinds = f.centres[0].instances[0].byKind
 	// Data packets that are under way are given up or answered.
 	f.stopped = true
 	f.runFor(dataRepeat * (dataTries + 1))
@@ -117,16 +116,27 @@
 	return n
 }
 
-// BrokenFlows measures each scenario for the product and the baselines.
+// BrokenFlows measures each scenario for the product and the baselines, side
+// by side.
 func BrokenFlows(seed uint64, report func(Figure)) {
-	schemes := []scheme{statelessScheme, tableScheme, replicatedScheme, forwardScheme, ownerOpensScheme}
+	schemes := []scheme{productScheme, statelessScheme, tableScheme, replicatedScheme, forwardScheme, ownerOpensScheme}
 	for _, sc := range scenarios {
-		own := runScenario(sc, productScheme, seed)
-		for _, sch := range schemes {
-			base := runScenario(sc, sch, seed)
-			report(Figure{"broken-flows-" + sc.name, own.broken, "per-10000", sch.name, base.broken, sc.goal})
-			report(Figure{"hops-" + sc.name, own.hops, "per-1000-packets", sch.name, base.hops, ""})
-			report(Figure{"control-" + sc.name, own.control, "B/s/instance", sch.name, base.control, "7000"})
+		outcomes := make([]outcome, len(schemes))
+		var wg sync.WaitGroup
+		for n, sch := range schemes {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				outcomes[n] = runScenario(sc, sch, seed)
+			}()
+		}
+		wg.Wait()
+		own := outcomes[0]
+		for n, base := range outcomes[1:] {
+			name := schemes[n+1].name
+			report(Figure{"broken-flows-" + sc.name, own.broken, "per-10000", name, base.broken, sc.goal})
+			report(Figure{"hops-" + sc.name, own.hops, "per-1000-packets", name, base.hops, ""})
+			report(Figure{"control-" + sc.name, own.control, "B/s/instance", name, base.control, "7000"})
 		}
 		report(Figure{Name: "control-steady-before-" + sc.name, Value: own.steadyControl, Unit: "B/s/instance", Goal: "7000"})
 		report(Figure{Name: "openings-given-up-" + sc.name, Value: float64(own.gaveUp), Unit: "flows"})
