Refuse as not run only when no copy of the request can have run

A coordinator knows only its own attempts.

The admitter now looks for granted and waiting copies before it refuses, and refuses shortly before the deadline, so that its word arrives in time. A coordinator that gives up after CopyAfter without that word says OUTCOME_UNKNOWN.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -19,6 +19,9 @@
 // so that their Acks differ from those of other packages.
 const SequenceBase = 1 << 40
 
+// maxReplyTime is the time that a refusal is given to reach the coordinator.
+const maxReplyTime = 100 * time.Millisecond
+
 // Config holds the parameters; zero fields take the defaults.
 type Config struct {
 	Self model.InstanceID
@@ -256,7 +259,10 @@
 	if left <= 0 || left > a.cfg.MaxGrant {
 		left = a.cfg.MaxGrant
 	}
-	w := &waiter{key: key, request: r, deadline: now.Add(left), arrivedAt: now, arrival: s.nextArrival()}
+	w := &waiter{
+		key: key, request: r, deadline: now.Add(left), giveUp: now.Add(left - min(maxReplyTime, left/4)),
+		arrivedAt: now, arrival: s.nextArrival(),
+	}
 	if result, reason := s.check(now, w); result != pb.GrantResult_GRANT_RESULT_GRANTED && s.phase == owned {
 		return []peer.Message{reply(from, r.GetGrant(), result, reason)}
 	}
@@ -278,7 +284,9 @@
 	s.queue.remove(key)
 	if g := s.grants[key]; g != nil {
 		delete(s.grants, key)
-		if !g.idempotent {
+		if g.idempotent && r.GetDidNotRun() {
+			s.recent.remove(g.request)
+		} else if !g.idempotent {
 			s.memory.released(now, g.request, key, r.GetDidNotRun())
 		}
 		s.ramp.release(now, s.info, &a.cfg, g.grantedAt, r)
@@ -296,7 +304,7 @@
 	for s.queue.Len() > 0 && s.busy(now) < a.allowed(s) {
 		w := s.queue.first()
 		s.queue.remove(w.key)
-		if !now.Before(w.deadline) {
+		if !now.Before(w.giveUp) {
 			out = append(out, s.refuse(now, w, pb.Reason_REASON_DEADLINE))
 			continue
 		}
--- a/internal/admission/memory.go
+++ b/internal/admission/memory.go
@@ -124,3 +124,31 @@
 		m.remember(now.Add(left), k, grantKey{model.InstanceID(r.GetHolder()), r.GetGrant()})
 	}
 }
+
+// maxRecent bounds the memory of recent idempotent grants of a server.
+const maxRecent = 1024
+
+// recent remembers the latest idempotent requests that were granted and not
+// reported as not run. A waiting copy of one is not refused as not run.
+type recent struct {
+	keys  map[requestKey]bool
+	order []requestKey
+}
+
+func (r *recent) add(k requestKey) {
+	if r.keys[k] {
+		return
+	}
+	if r.keys == nil {
+		r.keys = map[requestKey]bool{}
+	}
+	if len(r.order) >= maxRecent {
+		delete(r.keys, r.order[0])
+		r.order = r.order[1:]
+	}
+	r.keys[k] = true
+	r.order = append(r.order, k)
+}
+
+// remove forgets a request; its place in the order goes when it is oldest.
+func (r *recent) remove(k requestKey) { delete(r.keys, k) }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"sort"
 	"time"
 
@@ -10,9 +11,12 @@
 
 // waiter is a request for a grant that waits for a slot.
 type waiter struct {
-	key       grantKey
-	request   *pb.GrantRequest
-	deadline  time.Time
+	key      grantKey
+	request  *pb.GrantRequest
+	deadline time.Time
+	// giveUp is when the waiter is refused: a little before the deadline, so
+	// that its coordinator hears the admitter's word in time.
+	giveUp    time.Time
 	arrivedAt time.Time
 	arrival   uint64
 	index     int
@@ -39,6 +43,11 @@
 
 func (q *queue) has(k grantKey) bool { return q.byKey[k] != nil }
 
+// hasRequest reports whether a copy of the request waits.
+func (q *queue) hasRequest(k requestKey) bool {
+	return slices.ContainsFunc(q.heap, func(w *waiter) bool { return keyOf(w.request) == k })
+}
+
 func (q *queue) add(w *waiter) {
 	heap.Push(&q.heap, w)
 	q.byKey[w.key] = w
@@ -70,7 +79,7 @@
 func (q *queue) expired(now time.Time) []*waiter {
 	var out []*waiter
 	for _, w := range q.heap {
-		if !now.Before(w.deadline) {
+		if !now.Before(w.giveUp) {
 			out = append(out, w)
 		}
 	}
--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -41,6 +41,7 @@
 	grants map[grantKey]*grant
 	queue  queue
 	memory memory
+	recent recent
 	ramp   ramp
 
 	// former is the admitter whose handover is awaited, with its
@@ -127,7 +128,9 @@
 		request: keyOf(w.request), idempotent: w.request.GetIdempotent(),
 		grantedAt: now, expires: w.deadline.Add(cfg.Margin),
 	}
-	if !w.request.GetIdempotent() {
+	if w.request.GetIdempotent() {
+		s.recent.add(keyOf(w.request))
+	} else {
 		s.memory.remember(now.Add(cfg.RequestMemory), keyOf(w.request), w.key)
 	}
 }
@@ -154,6 +157,10 @@
 	if result, why := s.check(now, w); result == pb.GrantResult_GRANT_RESULT_DUPLICATE {
 		return reply(w.key.holder, w.key.id, result, why)
 	}
+	granted := w.request.GetIdempotent() && s.recent.keys[keyOf(w.request)]
+	if granted || s.queue.hasRequest(keyOf(w.request)) {
+		return reply(w.key.holder, w.key.id, pb.GrantResult_GRANT_RESULT_DUPLICATE, reason)
+	}
 	return reply(w.key.holder, w.key.id, pb.GrantResult_GRANT_RESULT_REFUSED, reason)
 }
 
--- a/internal/requests/attempt.go
+++ b/internal/requests/attempt.go
@@ -41,8 +41,9 @@
 
 type request struct {
 	Request
-	phase    phase
-	attempts []*attempt
+	startedAt time.Time
+	phase     phase
+	attempts  []*attempt
 	// copyElsewhere is set when another instance may have sent the request.
 	copyElsewhere bool
 	reason        pb.Reason
@@ -229,6 +230,14 @@
 	return nil
 }
 
+// noteWait notes that a request ends which waited for a grant so long that
+// the caller may have repeated it elsewhere.
+func (c *Coordinator) noteWait(now time.Time, r *request) {
+	if r.phase == asking && now.Sub(r.startedAt) >= c.cfg.CopyAfter {
+		r.copyElsewhere = true
+	}
+}
+
 // wake carries out what is due for a request.
 func (c *Coordinator) wake(now time.Time, r *request) []Action {
 	switch {
@@ -237,6 +246,7 @@
 	case r.phase == running && !now.Before(r.current().deadline):
 		return c.timedOut(now, r, r.current())
 	case !now.Before(r.Deadline):
+		c.noteWait(now, r)
 		return c.finish(now, r, r.refusalLater(pb.Reason_REASON_DEADLINE))
 	case r.phase == backingOff && !now.Before(r.retryAt):
 		return c.ask(now, r)
--- a/internal/requests/requests.go
+++ b/internal/requests/requests.go
@@ -151,6 +151,11 @@
 	// CancelWait is how long a cancelled request waits for the server to say
 	// whether it ran; default 300 ms.
 	CancelWait time.Duration
+	// CopyAfter is the shortest time after which a caller repeats a request,
+	// perhaps to another instance. A request that waited longer for a grant in
+	// vain is not said not to have run, unless the admitter, which sees the
+	// copies, said so. Default 200 ms.
+	CopyAfter time.Duration
 	// MaxInFlight bounds the requests; default 16384.
 	MaxInFlight int
 	// MaxParts bounds the parts of an answer; default 256.
@@ -174,6 +179,7 @@
 	setDefault(&c.RetryRatio, 0.1)
 	setDefault(&c.RetryBurst, 10)
 	setDefault(&c.CancelWait, 300*time.Millisecond)
+	setDefault(&c.CopyAfter, 200*time.Millisecond)
 	setDefault(&c.MaxInFlight, 16384)
 	setDefault(&c.MaxParts, 256)
 	setDefault(&c.MaxBytes, 16<<20)
@@ -258,7 +264,7 @@
 	if req.Deadline.IsZero() {
 		req.Deadline = now.Add(c.cfg.MaxGrant)
 	}
-	r := &request{Request: req}
+	r := &request{Request: req, startedAt: now}
 	switch {
 	case c.stopping:
 		return c.refuseNew(r, pb.Reason_REASON_INSTANCE_NOT_READY)
@@ -291,7 +297,7 @@
 	case pb.GrantResult_GRANT_RESULT_DUPLICATE:
 		c.forgetAsk(r)
 		r.copyElsewhere = true
-		return c.finish(now, r, r.refusalLater(pb.Reason_REASON_DUPLICATE))
+		return c.finish(now, r, r.refusalLater(m.GetReason()))
 	case pb.GrantResult_GRANT_RESULT_REFUSED:
 		c.forgetAsk(r)
 		return c.grantRefused(now, r, m.GetReason())
@@ -338,6 +344,7 @@
 	if r == nil || r.phase == cancelling {
 		return nil
 	}
+	c.noteWait(now, r)
 	actions := c.abandonAsk(r)
 	a := r.current()
 	if r.phase != running || a == nil {
