--- a/internal/faultmatrix/cells.go
+++ b/internal/faultmatrix/cells.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"time"
 
 	pb "cuminshift/internal/gen/cuminshift/v1"
@@ -59,7 +60,13 @@
 	{"instance-joins", false, func(s *sim, _ focus) { s.startNode("a9", "a") }},
 	{"server-killed", false, func(s *sim, f focus) { s.servers[f.server].kill() }},
 	{"server-drains", false, func(s *sim, f focus) { s.op.submit(s.drainEdit(s.servers[f.server])) }},
-	{"server-goes-cold", false, func(s *sim, f focus) { s.servers[f.server].goCold(true) }},
+	{"server-goes-cold", false, func(s *sim, f focus) {
+		s.servers[f.server].goCold(true)
+		// More openings than a cold server bears, over the three servers.
+		for i := range 120 {
+			s.addFlow(time.Duration(i)*25*time.Millisecond, 2*time.Second, "a", "a", "campo")
+		}
+	}},
 	{"server-sheds", false, lasting(func(s *sim, f focus) { s.servers[f.server].shed = true }, func(s *sim, f focus) { s.servers[f.server].shed = false })},
 	{"servers-report-down", false, lasting(func(s *sim, _ focus) { s.lie(pb.BackendStatusResponse_STATE_DOWN) }, func(s *sim, _ focus) { s.lie(0) })},
 	{"dead-server-reports-ready", false, func(s *sim, f focus) {
@@ -153,6 +160,34 @@
 	})
 }
 
+// rampBucket notes the first bucket that is given to the added server.
+func (s *sim) rampBucket(m *pb.PeerMessage) bool {
+	id := uint64(model.NewServerID("campo", serverName("campo", "a", 4)))
+	for _, c := range m.GetStateUpdate().GetServices() {
+		for _, b := range c.GetChanges() {
+			if s.ramped == nil && b.GetNext() == id {
+				s.ramped = &bucketOf{int(b.GetBucket()), int(c.GetBuckets())}
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// rampOpenings opens 20 flows per second in the bucket of the added server,
+// which bears 10.
+func (s *sim) rampOpenings() {
+	s.log("flows open in bucket %d of the added server", s.ramped.bucket)
+	addr, opened := siteAddr("campo", "a"), 0
+	for i := 0; opened < 60; i++ {
+		caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 200, byte(i)}), uint16(1024+i/256))
+		if (model.FlowKey{Caller: caller, Service: addr}).Hash().Bucket(s.ramped.buckets) == s.ramped.bucket {
+			s.addFlowFrom(caller, time.Duration(opened)*50*time.Millisecond, 4*time.Second, "a", "a", "campo")
+			opened++
+		}
+	}
+}
+
 func leaveOne(s *sim) model.InstanceID {
 	n := s.pick("a")
 	s.leave(n)
@@ -183,6 +218,7 @@
 	{"ramp", func(s *sim, fire func(focus)) {
 		s.op.submit(s.addServerEdit("campo", 4))
 		added := serverAddr("campo", "a", 4)
+		onPeer(s, func(focus) { s.rampOpenings() }, s.rampBucket)
 		onOutput(s, fire, func(n *node, out any) (focus, bool) {
 			o, ok := out.(ToServer)
 			return focus{n.spec.ID, added, o.Path}, ok && o.To == added
@@ -244,7 +280,14 @@
 
 // Run runs one cell.
 func Run(cell Cell, seed uint64, factory Factory) Result {
+	return RunWatching(cell, seed, factory, "")
+}
+
+// RunWatching runs one cell and adds the packets of one caller (ip:port) to
+// the trace.
+func RunWatching(cell Cell, seed uint64, factory Factory, caller string) Result {
 	s := newSim(seed, factory)
+	s.watched = caller
 	s.build()
 	s.runUntil(warmUp)
 	s.obs.ready()
--- a/internal/faultmatrix/cmd/matrix/main.go
+++ b/internal/faultmatrix/cmd/matrix/main.go
@@ -7,7 +7,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"runtime"
 	"strings"
 	"sync"
 
@@ -19,6 +18,8 @@
 	pairs := flag.Int("pairs", 100, "number of generated pairs of faults")
 	only := flag.String("cell", "", "run only cells whose name contains this text")
 	trace := flag.Int("trace", 40, "trace lines printed before a cell's first violation")
+	watch := flag.String("watch", "", "caller (ip:port) whose packets are added to the trace")
+	workers := flag.Int("workers", 4, "cells that run at once")
 	flag.Parse()
 	var cells []faultmatrix.Cell
 	for _, c := range faultmatrix.Cells(*seed, *pairs) {
@@ -27,9 +28,10 @@
 		}
 	}
 	failed, missed, broken, flows := 0, 0, 0, 0
-	for _, r := range runAll(cells, *seed) {
+	for _, r := range runAll(cells, *seed, *workers, *watch) {
 		if !r.Reached {
 			missed++
+			fmt.Printf("step not reached: %v\n", r.Cell)
 		}
 		broken += r.Broken
 		flows += r.Flows
@@ -46,14 +48,14 @@
 }
 
 // runAll runs the cells in parallel and returns the results in order.
-func runAll(cells []faultmatrix.Cell, seed uint64) []faultmatrix.Result {
+func runAll(cells []faultmatrix.Cell, seed uint64, workers int, watch string) []faultmatrix.Result {
 	results := make([]faultmatrix.Result, len(cells))
 	next := make(chan int)
 	var wg sync.WaitGroup
-	for range runtime.GOMAXPROCS(0) {
+	for range workers {
 		wg.Go(func() {
 			for i := range next {
-				results[i] = faultmatrix.Run(cells[i], seed, faultmatrix.NewProduct)
+				results[i] = faultmatrix.RunWatching(cells[i], seed, faultmatrix.NewProduct, watch)
 			}
 		})
 	}
--- a/internal/faultmatrix/flows.go
+++ b/internal/faultmatrix/flows.go
@@ -58,6 +58,10 @@
 		network = 2
 	}
 	caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, network, byte(n >> 8), byte(n)}), uint16(20000+n))
+	s.addFlowFrom(caller, delay, life, dc, site, service)
+}
+
+func (s *sim) addFlowFrom(caller netip.AddrPort, delay, life time.Duration, dc, site model.DataCentre, service string) {
 	f := &fakeFlow{s: s, key: wire.Flow{Caller: caller, Service: siteAddr(service, site)}, dc: dc, service: service, site: site, issued: map[uint64]*pending{}}
 	s.flows[f.key] = f
 	s.flowIDs = append(s.flowIDs, f.key)
@@ -161,7 +165,7 @@
 		return
 	}
 	if p.GetKind() == pb.Kind_KIND_REFUSAL {
-		f.refused(now, p)
+		f.refused(n, now, p)
 		return
 	}
 	r, err := wire.ParseReply(p.GetPayload())
@@ -223,7 +227,7 @@
 	}
 }
 
-func (f *fakeFlow) refused(now time.Time, p *pb.Packet) {
+func (f *fakeFlow) refused(n *node, now time.Time, p *pb.Packet) {
 	if id := p.GetRequestId(); id != 0 {
 		m := f.issued[id]
 		if m == nil {
@@ -235,7 +239,7 @@
 			f.remove(m)
 		}
 		if p.GetOutcome() == pb.Outcome_OUTCOME_DID_NOT_RUN {
-			f.s.obs.promised(f.key, id, p.GetReason())
+			f.s.obs.promised(n, f.key, p)
 		}
 	}
 	switch {
--- a/internal/faultmatrix/observer.go
+++ b/internal/faultmatrix/observer.go
@@ -50,7 +50,7 @@
 	lenient bool
 	broken  int
 
-	promises map[reqKey]pb.Reason
+	promises map[reqKey]string
 	runs     map[reqKey]int
 	versions map[model.InstanceID]heldVersion
 	edits    []*edit
@@ -71,7 +71,7 @@
 }
 
 func newObserver(s *sim) *observer {
-	return &observer{s: s, promises: map[reqKey]pb.Reason{}, runs: map[reqKey]int{}, versions: map[model.InstanceID]heldVersion{},
+	return &observer{s: s, promises: map[reqKey]string{}, runs: map[reqKey]int{}, versions: map[model.InstanceID]heldVersion{},
 		out: map[model.DataCentre]time.Time{}, wasOut: map[model.DataCentre]bool{}, draining: map[string]time.Time{},
 		moved: map[string]bool{}, lastService: map[string]string{}, barred: map[string]time.Time{}, isolated: map[model.DataCentre]time.Time{}}
 }
@@ -148,18 +148,18 @@
 		o.report("I7", "non-idempotent request %x ran %d times, last at %s", key.id, o.runs[key], f.name)
 	}
 	if reason, ok := o.promises[key]; ok {
-		o.report("I6", "request %x ran at %s after a refusal (%v) that said it did not", key.id, f.name, reason)
+		o.report("I6", "request %x ran at %s after a refusal (%s) that said it did not", key.id, f.name, reason)
 	}
 	if f.cold && f.busy > coldSlots && !f.inGrace() {
 		o.report("I3", "cold server %s runs %d requests and bears %d", f.name, f.busy, coldSlots)
 	}
 }
 
-func (o *observer) promised(flow wire.Flow, id uint64, reason pb.Reason) {
-	key := reqKey{flow, id}
-	o.promises[key] = reason
+func (o *observer) promised(n *node, flow wire.Flow, p *pb.Packet) {
+	key := reqKey{flow, p.GetRequestId()}
+	o.promises[key] = fmt.Sprintf("%v of copy %d by %s", p.GetReason(), p.GetCallerAttempt(), n.spec.ID)
 	if o.runs[key] > 0 {
-		o.report("I6", "request %x ran and was refused (%v) as not run", id, reason)
+		o.report("I6", "request %x ran and was refused (%s) as not run", key.id, o.promises[key])
 	}
 }
 
@@ -331,7 +331,7 @@
 	n := candidates[op.s.rng.IntN(len(candidates))]
 	plans, marks := n.core.Lists()
 	req := &pb.EditRequest{EditId: e.id, Operator: "op", Summary: e.id, BaseVersion: n.core.Version()}
-	if plans == nil {
+	if n.core.Version() == 0 {
 		plans, req.Callers = initialPlans(), initialCallers()
 	}
 	if marks == nil {
--- a/internal/faultmatrix/product.go
+++ b/internal/faultmatrix/product.go
@@ -1,9 +1,11 @@
 package faultmatrix
 
 import (
+	"cmp"
 	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -128,7 +130,11 @@
 // event passes an event to the core and translates the actions.
 func (n *productNode) event(now time.Time, ev entry.Event) []any {
 	var out []any
-	for _, action := range n.core.Handle(now, ev) {
+	// The core returns the batches to its peers in random order; a run has to
+	// repeat from its seed.
+	actions := n.core.Handle(now, ev)
+	slices.SortStableFunc(actions, func(a, b entry.Action) int { return cmp.Compare(batchTo(a), batchTo(b)) })
+	for _, action := range actions {
 		switch a := action.(type) {
 		case entry.SendToServer:
 			out = append(out, ToServer{a.Address, a.Path, decode(a.Data)})
@@ -147,6 +153,14 @@
 	return out
 }
 
+// batchTo returns the receiver of a batch; other actions come first.
+func batchTo(a entry.Action) model.InstanceID {
+	if send, ok := a.(entry.SendToPeer); ok {
+		return send.To
+	}
+	return ""
+}
+
 func (n *productNode) shellTick(now time.Time) []any {
 	var out []any
 	due := n.waits
--- a/internal/faultmatrix/sim.go
+++ b/internal/faultmatrix/sim.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"time"
 
 	pb "cuminshift/internal/gen/cuminshift/v1"
@@ -97,10 +98,17 @@
 	incarnation     uint64
 	// hooks are called with what the instances do; steps use them as triggers.
 	hooks []func(n *node, out any)
+	// watched is the caller whose packets are traced.
+	watched string
+	// ramped is the bucket that the step "ramp" aims its openings at.
+	ramped *bucketOf
 	// onAnswer is called when a server's packet reaches an instance.
 	onAnswer func(n *node, f *fakeServer, p *pb.Packet)
 }
 
+// bucketOf is a bucket of a map with a number of buckets.
+type bucketOf struct{ bucket, buckets int }
+
 // focus names what a step is about; faults hit it.
 type focus struct {
 	node   model.InstanceID
@@ -151,6 +159,32 @@
 	s.trace = append(s.trace, fmt.Sprintf("%8.3f ", s.now.Sub(s.start).Seconds())+fmt.Sprintf(format, args...))
 }
 
+// watch traces a packet of the watched caller, and control messages that name
+// its flow.
+func (s *sim) watch(where string, v any) {
+	if s.watched == "" {
+		return
+	}
+	switch m := v.(type) {
+	case *pb.Packet:
+		if wire.FlowOf(m).Caller.String() == s.watched {
+			s.log("%s: %v request %x copy %d %v %v %s", where, m.GetKind(), m.GetRequestId(), m.GetCallerAttempt(), m.GetReason(), m.GetOutcome(), m.GetPayload())
+		}
+	case *pb.PeerBatch:
+		for _, f := range s.flows {
+			if f.key.Caller.String() != s.watched {
+				continue
+			}
+			hash := fmt.Sprint(uint64(model.FlowKey(f.key).Hash()))
+			for _, msg := range m.GetMessages() {
+				if text := msg.String(); strings.Contains(text, hash) && len(text) < 2000 {
+					s.log("%s: %s", where, text)
+				}
+			}
+		}
+	}
+}
+
 func (s *sim) jitter(base, spread time.Duration) time.Duration {
 	return base + time.Duration(s.rng.Int64N(int64(spread)+1))
 }
@@ -301,6 +335,7 @@
 		s.after(s.jitter(time.Millisecond, time.Millisecond), func() { s.toCaller(n, p) })
 	case ToServer:
 		p := clonePacket(o.P)
+		s.watch(fmt.Sprintf("%s to %s", id, o.To), p)
 		if p.GetKind() == pb.Kind_KIND_REQUEST {
 			n.coordinated[reqKey{wire.FlowOf(p), p.GetRequestId()}] = s.now
 		}
@@ -326,6 +361,7 @@
 			}
 		}
 	case ToPeer:
+		s.watch(fmt.Sprintf("%s to %s", id, o.To), o.B)
 		delay := s.jitter(200*time.Microsecond, 300*time.Microsecond)
 		if peer := s.nodes[o.To]; peer != nil && peer.spec.DataCentre != n.spec.DataCentre {
 			delay += time.Millisecond
@@ -351,6 +387,7 @@
 }
 
 func (s *sim) toCaller(n *node, p *pb.Packet) {
+	s.watch(string(n.spec.ID)+" to caller", p)
 	if f := s.flows[wire.FlowOf(p)]; f != nil {
 		f.receive(n, p)
 	}
@@ -369,6 +406,7 @@
 	}
 	n := ready[s.rng.IntN(len(ready))]
 	p = clonePacket(p)
+	s.watch("caller to "+string(n.spec.ID), p)
 	s.after(s.jitter(3*time.Millisecond, time.Millisecond), func() { s.deliver(n, CallerPacket{p}) })
 }
 
