--- a/internal/steering/hold.go
+++ b/internal/steering/hold.go
@@ -71,8 +71,8 @@
 // asks the bucket's owner. A flow that was asked about once is always left to
 // an owner, which may already have decided.
 func (s *Steering) dispatch(now time.Time, w *wait) {
-	if s.fenced(now) {
-		return
+	if s.state == nil || s.fenced(now) {
+		return // Tick tries again
 	}
 	id, b, ok := s.bucketOf(w.key)
 	if !ok {
@@ -84,7 +84,7 @@
 			s.finish(now, w, server, true)
 			return
 		}
-		if !b.Questionable() || w.opening() && b.OpensDirectly() && !s.newlyMoved(now, id) {
+		if !b.Questionable() || w.opening() && b.OpensDirectly() && !s.newlyMoved(now, id) || !w.opening() && s.atBase(id, w.key.Flow) {
 			s.finish(now, w, b.Base, false)
 			return
 		}
@@ -160,6 +160,7 @@
 	if s.fenced(now) {
 		return
 	}
+	s.takeFilters(r)
 	for _, item := range r.GetItems() {
 		w := s.waits[key{Service: model.ServiceID(item.GetService()), Flow: model.FlowHash(item.GetFlow())}]
 		if w != nil && w.target == from {
@@ -175,7 +176,7 @@
 		case w.done:
 		case !now.Before(w.until):
 			reason := pb.Reason_REASON_PEER_UNREACHABLE
-			if s.fenced(now) {
+			if s.state == nil || s.fenced(now) {
 				reason = pb.Reason_REASON_INSTANCE_NOT_READY
 			}
 			s.fail(w, reason)
--- a/internal/steering/records.go
+++ b/internal/steering/records.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"maps"
 	"time"
 
 	"cuminshift/internal/dcstate"
@@ -21,8 +22,16 @@
 	// bucket: handed over by a former owner, or collected for so long that
 	// each live flow has been reported again.
 	complete bool
+	// vouched is set when the former owner handed the copy over and knew of no
+	// recent death that puts repeated openings at risk.
+	vouched bool
 	// since is the time at which this instance became the owner.
 	since time.Time
+	// ended holds the flows that were closed, for as long as an instance that
+	// did not see the end may still report them from its pin.
+	ended map[model.FlowHash]time.Time
+	// shared is set once another instance may hold a filter of the bucket.
+	shared bool
 	// handing is the instance to which the copy is being handed over.
 	handing model.InstanceID
 	// handedAt is the state under which a former owner handed the copy over;
@@ -49,6 +58,12 @@
 	return ok
 }
 
+// hasEnded reports whether the flow was closed within a time.
+func (c *bucketCopy) hasEnded(now time.Time, f model.FlowHash, within time.Duration) bool {
+	at, ok := c.ended[f]
+	return ok && now.Sub(at) < within
+}
+
 // receipt counts what must be acknowledged before a message is acknowledged,
 // or before a state is confirmed.
 type receipt struct {
@@ -167,18 +182,26 @@
 		return
 	}
 	if redundant(b, server) {
-		// A leaving instance reports all its pins; they live on as pins here.
-		if _, pinned := s.table.Peek(k.Service, k.Flow); from != s.cfg.Self && !pinned {
+		// A leaving instance reports all its pins; they live on as pins here. An
+		// older pin is marked as used, because the reported one may be fresher.
+		if _, pinned := s.table.Lookup(k.Service, k.Flow, now); !pinned {
 			s.table.Pin(k.Service, k.Flow, flowtable.Pin{Server: server}, now)
 		}
 		return
 	}
 	c := s.copyOf(now, id)
+	if from != s.cfg.Self && c.hasEnded(now, k.Flow, s.cfg.recordLife()) {
+		return
+	}
+	delete(c.ended, k.Flow)
 	have, exists := c.flows[k.Flow]
 	if exists && have.server != server && s.belongs(k.Service, have.server) {
 		return // the earlier record stands; a report may be out of date
 	}
 	c.flows[k.Flow] = record{server, now}
+	if !exists && c.shared {
+		s.shareFilter(id, c)
+	}
 	if exists && have.server == server && !s.renew(have.seen, now) {
 		return
 	}
@@ -202,6 +225,12 @@
 		return
 	}
 	delete(c.flows, k.Flow)
+	if server != 0 {
+		if c.ended == nil {
+			c.ended = map[model.FlowHash]time.Time{}
+		}
+		c.ended[k.Flow] = now
+	}
 	if c.backup != "" {
 		s.enqueue(c.backup, op{kind: opBackup, key: k, server: server, end: true, receipt: r})
 	}
@@ -229,7 +258,8 @@
 			if id.number >= len(s.state.Services[id.service]) {
 				continue
 			}
-			s.copyOf(now, id).complete = true
+			c := s.copyOf(now, id)
+			c.complete, c.vouched = true, true
 			touched[id] = true
 		}
 	}
@@ -277,7 +307,7 @@
 	if c == nil || c.handing != to {
 		return
 	}
-	c.handing, c.authority, c.complete = "", false, false
+	c.handing, c.authority, c.complete, c.vouched = "", false, false, false
 	if c.backup != s.cfg.Self {
 		delete(s.copies, id)
 	}
@@ -347,6 +377,7 @@
 		if now.Sub(c.since) >= s.cfg.recordLife() {
 			c.complete = true
 		}
+		maps.DeleteFunc(c.ended, func(f model.FlowHash, _ time.Time) bool { return !c.hasEnded(now, f, s.cfg.recordLife()) })
 		var idle []key
 		for f, r := range c.flows {
 			if now.Sub(r.seen) >= s.cfg.recordLife() || !s.belongs(id.service, r.server) {
