--- a/internal/entry/packets.go
+++ b/internal/entry/packets.go
@@ -229,12 +229,13 @@
 }
 
 // forwardOpening sends an opening unless the server is in cold start and this
-// instance's share of what it bears is used up.
+// instance's share of what it bears is used up. The pin of a refused opening
+// stays, like the owner's record: another copy may have been sent to the
+// server by another instance, and a repetition must not go elsewhere.
 func (c *Core) forwardOpening(now time.Time, h *heldPacket, server *model.BackendServer) {
 	repeated := !c.openings.start(now, h, server.ID)
 	if !repeated && !c.openingAllowed(now, server) {
 		c.openings.end(h.key)
-		c.flows.Remove(h.key.Service, h.key.Flow)
 		c.refuse(now, h, pb.Reason_REASON_OVERLOAD)
 		return
 	}
