Fix two ways to be left without a working publisher

Change: an instance without state is no rival to one that has it; instances that hear no publisher ask others for newer states; a new publisher forgets what it was to catch up with and counts on from the newest version ever reported.

--- a/internal/membership/export_test.go
+++ b/internal/membership/export_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"fmt"
 	"time"
 
 	"cuminshift/internal/dcstate"
@@ -15,6 +16,13 @@
 func (m *Membership) OwnHeartbeat(now time.Time) *pb.Heartbeat { return m.heartbeat(now) }
 func (m *Membership) HasLease() bool                           { return !m.leaseFrom.IsZero() }
 
+// Describe returns what decides on the publisher.
+func (m *Membership) Describe(now time.Time) string {
+	return fmt.Sprintf("publishing %v, fenced %v, in view %v, rival %q, yielded to %q, former gone %v, view permits %v, behind %v (%v), delay %v of %v",
+		m.publishing, m.Fenced(now), m.inView(), m.rival(now), m.yieldedTo, m.formerGone(now), m.viewPermits(now),
+		m.behind(now), m.newestHeard(now), now.Sub(m.silenceSince()), m.appointDelay(now))
+}
+
 type ReportQueue struct{ q reportQueue }
 
 func NewReportQueue() *ReportQueue { return &ReportQueue{newReportQueue()} }
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -14,8 +14,9 @@
 // of an earlier incarnation is still recognised.
 const forgetAfter = 60 * time.Second
 
-// Heartbeat handles a heartbeat. The publisher returns an acknowledgement; an
-// instance that may have to publish asks for a state it does not have.
+// Heartbeat handles a heartbeat. The publisher returns an acknowledgement. An
+// instance that may have to publish, or that hears no publisher, asks for a
+// state it does not have.
 func (m *Membership) Heartbeat(now time.Time, from model.InstanceID, incarnation uint64, h *pb.Heartbeat) []peer.Message {
 	m.observeTime(now)
 	if from == m.cfg.Self {
@@ -28,7 +29,7 @@
 	m.update(now, p, h)
 	m.updateRole(now)
 	var out []peer.Message
-	if m.headsRanking(now) || m.publishing || m.yieldedTo != "" {
+	if m.headsRanking(now) || m.publishing || m.yieldedTo != "" || now.Sub(m.silenceSince()) > m.cfg.DeadAfter {
 		out = m.requestState(now, from, p.applied, true)
 	}
 	ack := &pb.HeartbeatAck{
@@ -110,6 +111,9 @@
 		// The sender has not noticed that another instance publishes.
 		return nil
 	}
+	if m.newestSeen.Less(v) {
+		m.newestSeen = v
+	}
 	if a.GetSentMs() != 0 {
 		m.extendLease(now, sent, v)
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -132,6 +132,11 @@
 	left bool
 }
 
+// stateless reports whether the heartbeats of an instance name no state.
+func (p *peerInfo) stateless() bool {
+	return !p.heardSince.IsZero() && p.applied.Generation == 0
+}
+
 // Membership is the membership state of one instance.
 type Membership struct {
 	cfg   Config
@@ -425,11 +430,12 @@
 	return out
 }
 
-// Newest returns the newest state that this instance has applied or that a
-// live instance has reported.
-func (m *Membership) Newest(now time.Time) dcstate.Version {
-	if v := m.newestHeard(now); m.state.Version.Less(v) {
-		return v
+// Newest returns the newest state that this instance has applied or that any
+// instance has reported, also one that is gone since: the publisher counts on
+// from it.
+func (m *Membership) Newest(time.Time) dcstate.Version {
+	if m.state.Version.Less(m.newestSeen) {
+		return m.newestSeen
 	}
 	return m.state.Version
 }
--- a/internal/membership/role.go
+++ b/internal/membership/role.go
@@ -80,8 +80,8 @@
 // rival returns the highest-ranked live instance that would publish in place
 // of this one, or "". An instance that leaves or is marked out publishes only
 // when no candidate lives; among several of those the rank decides. To a
-// member of the view, an instance outside it is no rival: it cannot publish
-// before a member has added it.
+// member of the view, an instance outside it or without a state is no rival: it
+// cannot publish before a member has added it and given it the state.
 func (m *Membership) rival(now time.Time) model.InstanceID {
 	selfIsCandidate, inView := m.candidate(m.cfg.Self, m.ownState()), m.inView()
 	above, fallback := true, model.InstanceID("")
@@ -97,7 +97,7 @@
 		if p == nil || !m.heard(now, p) || p.state == pb.InstanceState_INSTANCE_STATE_JOINING {
 			continue
 		}
-		if member, ok := m.members[id]; inView && (!ok || member.Incarnation != p.incarnation) {
+		if member, ok := m.members[id]; inView && (!ok || member.Incarnation != p.incarnation || p.stateless()) {
 			continue
 		}
 		if m.candidate(id, p.state) {
@@ -144,6 +144,9 @@
 // former publisher may run, the silence of members counts from now.
 func (m *Membership) startPublishing(now time.Time) {
 	m.publishing = true
+	// A state that this instance was to catch up with is gone with all that
+	// had it, or mayAppoint would wait for it.
+	m.required = dcstate.Version{}
 	if m.hearingSince.IsZero() {
 		m.hearingSince = now
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -62,7 +62,7 @@
 	View            []dcstate.Member
 	Confirmations   []membership.Confirmation
 	UnplannedDeaths []membership.Death
-	// Newest is the newest state that a live instance has reported.
+	// Newest is the newest state that any instance has reported.
 	Newest dcstate.Version
 	// Reports are the merged server reports; nil means none.
 	Reports *Reports
