--- a/internal/steering/change.go
+++ b/internal/steering/change.go
@@ -11,6 +11,7 @@
 	"cuminshift/internal/flowtable"
 	pb "cuminshift/internal/gen/cuminshift/v1"
 	"cuminshift/internal/model"
+	"cuminshift/internal/rendezvous"
 )
 
 // outAfter is the shortest time of fencing after which the publisher may have
@@ -18,8 +19,8 @@
 const outAfter = 400 * time.Millisecond
 
 // StateChanged adopts a newer state. died lists the instances that left the
-// view without a planned leave since the state before it; members that were
-// not LEAVING before and are missing now count as dead in any case.
+// view without a planned leave since the state before it. A member whose
+// incarnation changed while it was not LEAVING counts as dead in any case.
 func (s *Steering) StateChanged(now time.Time, state *dcstate.State, died []model.InstanceID) []Action {
 	old := s.state
 	if old != nil && !old.Version.Less(state.Version) {
@@ -30,7 +31,7 @@
 	gone := s.membersChanged(now, old, died)
 	if s.wasOut(now, old) {
 		s.forgetRecords()
-		s.joined = now
+		s.joined, s.vouched = now, false
 		old = dcstate.New(old.Version, nil, old.Services)
 	}
 	changed := s.bucketsChanged(now, old)
@@ -42,6 +43,7 @@
 		s.release(o.receipt)
 	}
 	s.dropRedundant(changed)
+	s.vouch(now, old)
 	if s.departing() {
 		s.reportPins(now, nil)
 	} else if old != nil {
@@ -104,8 +106,8 @@
 		}
 	}
 	for id := range left {
-		if before[id].State != pb.InstanceState_INSTANCE_STATE_LEAVING {
-			s.lastDeath = now // also when states were skipped
+		if s.inView(id) && before[id].State != pb.InstanceState_INSTANCE_STATE_LEAVING {
+			s.lastDeath = now // restarted
 		}
 		delete(s.received, linkID{id, false})
 		delete(s.received, linkID{id, true})
@@ -350,6 +352,33 @@
 	return low, low + (1<<shift - 1)
 }
 
+// vouchers is the number of members that vouch to a new one; two, so that it
+// does not depend on one message of a member that is itself leaving or new.
+const vouchers = 2
+
+// vouch tells the new members that no instance died recently, when this
+// instance knows so and ranks among the vouchers for them.
+func (s *Steering) vouch(now time.Time, old *dcstate.State) {
+	if old == nil || !s.knowsDeaths(now) || now.Sub(s.lastDeath) < s.cfg.OpeningRepeat {
+		return
+	}
+	var known []model.InstanceID
+	var fresh []model.InstanceID
+	for _, m := range s.state.Members {
+		if was, ok := old.Member(m.Instance); ok && was.Incarnation == m.Incarnation {
+			known = append(known, m.Instance)
+		} else {
+			fresh = append(fresh, m.Instance)
+		}
+	}
+	for _, id := range fresh {
+		key := rendezvous.NewKey("vouch", rendezvous.Seed(id))
+		if slices.Contains(rendezvous.Ranked(key, known, vouchers), s.cfg.Self) {
+			s.enqueue(id, op{kind: opVouch})
+		}
+	}
+}
+
 // askAgain repeats the questions about flows whose bucket changed. A peer may
 // have opened the flow under the former state after it answered; once the new
 // state is published, no peer does so any more.
--- a/internal/steering/links.go
+++ b/internal/steering/links.go
@@ -20,6 +20,10 @@
 	opBackup
 	// opHandover passes the copy of a bucket to its new owner.
 	opHandover
+	// opVouch tells a new member that no instance died unplanned in the time
+	// for which callers repeat openings. It is sent as an OwnershipHandover
+	// without a generation, which hands over no bucket.
+	opVouch
 )
 
 // op is one item that a peer must acknowledge.
@@ -111,9 +115,13 @@
 	case l.message == nil:
 		s.sequence++
 		l.sequence = s.sequence
-		if l.queue[0].kind == opHandover {
-			s.buildHandover(now, l)
-		} else {
+		switch l.queue[0].kind {
+		case opHandover:
+			s.buildHandover(l)
+		case opVouch:
+			l.inFlight = 1
+			l.message = &pb.PeerMessage{Body: &pb.PeerMessage_OwnershipHandover{OwnershipHandover: &pb.OwnershipHandover{Sequence: l.sequence}}}
+		default:
 			s.buildBatch(l)
 		}
 	case now.Sub(l.sent) < s.cfg.RetryInterval:
@@ -147,9 +155,8 @@
 }
 
 // buildHandover puts whole buckets into an OwnershipHandover. Only complete
-// buckets are named in ranges, and none whose repeated openings are at risk,
-// which the new owner cannot know.
-func (s *Steering) buildHandover(now time.Time, l *link) {
+// buckets are named in ranges.
+func (s *Steering) buildHandover(l *link) {
 	h := &pb.OwnershipHandover{Generation: s.state.Version.Generation, Publisher: string(s.state.Version.Publisher), Sequence: l.sequence}
 	var records groups
 	n := 0
@@ -166,7 +173,7 @@
 			records.add(key{Service: o.bucket.service, Flow: f}, c.flows[f].server)
 			n++
 		}
-		if c.complete && !s.repeatAtRisk(now, o.bucket) && !s.unvouchedBucket(now, o.bucket) {
+		if c.complete {
 			addRange(h, o.bucket)
 		}
 	}
@@ -249,6 +256,9 @@
 
 // stillFor reports whether the current state still sends the op to the peer.
 func (s *Steering) stillFor(to model.InstanceID, o op) bool {
+	if o.kind == opVouch {
+		return true // a death since then is in the state that the member has
+	}
 	id := o.bucket
 	if o.kind != opHandover {
 		var ok bool
--- a/internal/steering/records.go
+++ b/internal/steering/records.go
@@ -21,9 +21,6 @@
 	// bucket: handed over by a former owner, or collected for so long that
 	// each live flow has been reported again.
 	complete bool
-	// vouched is set when the former owner handed the copy over and knew of no
-	// recent death that puts repeated openings at risk.
-	vouched bool
 	// since is the time at which this instance became the owner.
 	since time.Time
 	// handing is the instance to which the copy is being handed over.
@@ -219,6 +216,9 @@
 	if r == nil {
 		return
 	}
+	if h.GetGeneration() == 0 {
+		s.vouched = true // see opVouch
+	}
 	version := dcstate.Version{Generation: h.GetGeneration(), Publisher: model.InstanceID(h.GetPublisher())}
 	touched := map[bucketID]bool{}
 	for _, g := range h.GetRecords() {
@@ -233,8 +233,7 @@
 			if id.number >= len(s.state.Services[id.service]) {
 				continue
 			}
-			c := s.copyOf(now, id)
-			c.complete, c.vouched = true, true
+			s.copyOf(now, id).complete = true
 			touched[id] = true
 		}
 	}
@@ -282,7 +281,7 @@
 	if c == nil || c.handing != to {
 		return
 	}
-	c.handing, c.authority, c.complete, c.vouched = "", false, false, false
+	c.handing, c.authority, c.complete = "", false, false
 	if c.backup != s.cfg.Self {
 		delete(s.copies, id)
 	}
--- a/internal/steering/resolve.go
+++ b/internal/steering/resolve.go
@@ -263,17 +263,16 @@
 	s.settle(now, r, server)
 }
 
-// unvouched reports whether a newly joined owner does not know if an instance
-// died shortly before it joined, and no former owner has said otherwise. Its
-// openings wait for the handover, or are refused.
+// unvouched reports whether this instance joined so recently that it does not
+// know if another one died shortly before, and no older member has said that
+// none did. Openings that it resolves then wait, or are refused.
 func (s *Steering) unvouched(now time.Time, k key) bool {
-	id, b, ok := s.bucketOf(k)
-	return ok && !b.OpensDirectly() && s.unvouchedBucket(now, id)
+	_, b, ok := s.bucketOf(k)
+	return ok && !b.OpensDirectly() && !s.knowsDeaths(now)
 }
 
-func (s *Steering) unvouchedBucket(now time.Time, id bucketID) bool {
-	c := s.copies[id]
-	return now.Sub(s.joined) < s.cfg.OpeningRepeat && (c == nil || !c.vouched)
+func (s *Steering) knowsDeaths(now time.Time) bool {
+	return s.vouched || now.Sub(s.joined) >= s.cfg.OpeningRepeat
 }
 
 // repeatAtRisk reports whether an opening may be the repetition of one that an
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -183,9 +183,12 @@
 	changed        map[bucketID]time.Time
 	openingChanged map[bucketID]time.Time
 	joined         time.Time // time of the first state
+	vouched        bool      // no instance died shortly before joined
 	lastDeath      time.Time
 	lastJoin       time.Time
 	lastUnfenced   time.Time
+	lastTick       time.Time
+	pausedUntil    time.Time
 
 	versions   []dcstate.Version
 	collecting []*receipt
@@ -324,6 +327,10 @@
 		s.do(Forward{p.Token, pin.Server})
 		return
 	}
+	if s.paused(now) {
+		s.reject(heldPacket{token: p.Token, opening: p.Opening}, pb.Reason_REASON_INSTANCE_NOT_READY)
+		return
+	}
 	s.closed.remove(k)
 	w := s.waits[k]
 	if w == nil {
--- a/internal/steering/tick.go
+++ b/internal/steering/tick.go
@@ -23,12 +23,27 @@
 // closed flow again; it exceeds the longest datagram lifetime (300 ms).
 const closedMemory = time.Second
 
+// staleDrain is the time after a pause in which received packets may have
+// waited in a socket buffer since before or during the pause.
+const staleDrain = 100 * time.Millisecond
+
+// paused reports whether the process did not run for as long as others may
+// take to declare it out, or has just resumed. An opening received then may be
+// older than any record of the flow that it opened elsewhere.
+func (s *Steering) paused(now time.Time) bool {
+	return now.Before(s.pausedUntil) || !s.lastTick.IsZero() && now.Sub(s.lastTick) >= outAfter
+}
+
 // Tick repeats unanswered messages, enforces timeouts, sends batched records
 // and expires pins and records. It is called every 5 to 50 ms.
 func (s *Steering) Tick(now time.Time) []Action {
 	if !s.fenced(now) {
 		s.lastUnfenced = now
 	}
+	if s.paused(now) && !now.Before(s.pausedUntil) {
+		s.pausedUntil = now.Add(staleDrain)
+	}
+	s.lastTick = now
 	s.tickWaits(now)
 	s.tickAsks(now)
 	s.scanTable(now)
