Update the catalog in place of building it anew; refuse older stores

Each edit made all instances build the catalog from 182,000 entries.

An edit is refused while the store's root is older than the version that the instance holds: the instances would ignore the new version.

--- a/internal/config/editor.go
+++ b/internal/config/editor.go
@@ -42,6 +42,9 @@
 	Known func(hash string) ([]byte, bool)
 	// InForce is the newest version known to be in force on all instances.
 	InForce uint64
+	// Held is the version that the instance holds. An older root in the store is
+	// a stale read: an edit of it would never come into force.
+	Held uint64
 }
 
 // Action is what the driver of an Editor has to do next; the driver passes the
@@ -298,7 +301,7 @@
 	return e.do(now, ReadRoot{})
 }
 
-var errStaleRead = errors.New("the store answers with an older version than before")
+var errStaleRead = errors.New("the store answers with an older version")
 
 func (e *Editor) rootRead(now time.Time, a RootRead) Action {
 	if a.ObjectVersion < e.object {
@@ -308,6 +311,9 @@
 	if err != nil {
 		return e.retry(now, err)
 	}
+	if root.GetVersion() < e.cfg.Held {
+		return e.retry(now, fmt.Errorf("%w: %d, the instance holds %d", errStaleRead, root.GetVersion(), e.cfg.Held))
+	}
 	e.root, e.object = root, a.ObjectVersion
 	if rec := findEdit(root, e.edit.ID); rec != nil {
 		return e.accepted(rec)
--- a/internal/config/editor_test.go
+++ b/internal/config/editor_test.go
@@ -103,3 +103,14 @@
 		t.Errorf("released %v", root.GetReleased())
 	}
 }
+
+// Guards against an edit of a version that the instances have left behind; it
+// would be accepted and never come into force.
+func TestOlderStoreIsNotEdited(t *testing.T) {
+	s := started(t)
+	_, err := run(t, s, EditorConfig{Held: 7}, Edit{ID: "e", Operator: "ana", BaseVersion: 1, Callers: sampleCallers(2)}, atOnce)
+	var unavailable *StoreUnavailable
+	if !errors.As(err, &unavailable) || s.latest(RootKey).version != 1 {
+		t.Errorf("got %v, store at version %d", err, s.latest(RootKey).version)
+	}
+}
--- a/internal/config/holder.go
+++ b/internal/config/holder.go
@@ -171,13 +171,9 @@
 	}
 	root := h.next
 	h.next = nil
-	content, err := Assemble(root.GetShards(), h.Shard)
+	catalog, err := h.catalogOf(root)
 	if err == nil {
-		catalog, found := buildCatalog(root.GetVersion(), content)
-		if err = found.Err(); err == nil {
-			h.held = &Snapshot{Version: root.GetVersion(), Root: root, Catalog: catalog}
-			h.problem = nil
-		}
+		h.held, h.problem = &Snapshot{Version: root.GetVersion(), Root: root, Catalog: catalog}, nil
 	}
 	h.dropShards()
 	if err != nil {
@@ -187,6 +183,22 @@
 	return true, h.announce()
 }
 
+// catalogOf returns the catalog of a complete root. A small change updates the
+// catalog held: at 82,000 servers that takes a fraction of building it anew.
+func (h *Holder) catalogOf(root *pb.Root) (*model.Catalog, error) {
+	if changes, err := diffRefs(h.held.Root.GetShards(), root.GetShards(), h.Shard); err == nil && len(changes) <= lists.MaxUpdateChanges {
+		if catalog, found := lists.UpdateCatalog(h.held.Catalog, root.GetVersion(), changes); len(found) == 0 {
+			return catalog, nil
+		}
+	}
+	content, err := Assemble(root.GetShards(), h.Shard)
+	if err != nil {
+		return nil, err
+	}
+	catalog, found := buildCatalog(root.GetVersion(), content)
+	return catalog, found.Err()
+}
+
 // dropShards forgets the shards that the version held does not name.
 func (h *Holder) dropShards() {
 	named := make(map[string]bool, len(h.held.Root.GetShards()))
--- a/internal/config/holder_test.go
+++ b/internal/config/holder_test.go
@@ -193,3 +193,42 @@
 		}
 	})
 }
+
+// Guards against a damaged message from a peer that stops the process, or is
+// taken for a version.
+func FuzzReply(f *testing.F) {
+	s := started(f)
+	source := newTestHolder("b", nil)
+	s.load(source, epoch)
+	s.edits(f, 1)
+	old := newTestHolder("a", nil)
+	s.load(old, epoch)
+	for _, have := range []uint64{0, 1} {
+		reply := old.HandleRequest(epoch, "x", &pb.ConfigRequest{HaveVersion: have})[0].Body.GetConfigReply()
+		data, err := proto.Marshal(reply)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	want, _ := s.content(f)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		reply := &pb.ConfigReply{}
+		if proto.Unmarshal(data, reply) != nil {
+			return
+		}
+		h := newTestHolder("c", []model.InstanceID{"a", "c"})
+		h.StoreRoot(epoch, source.encoded())
+		h.AddShards(epoch, source.shards)
+		changed, _ := h.HandleReply(epoch, "a", reply)
+		h.Tick(epoch.Add(time.Second))
+		if changed && (h.Current().Version != 2 || !proto.Equal(h.Content().Callers, want.Callers)) {
+			t.Errorf("took version %d", h.Current().Version)
+		}
+	})
+}
+
+func (h *Holder) encoded() []byte {
+	data, _ := proto.Marshal(h.held.Root)
+	return data
+}
--- a/internal/lists/catalog.go
+++ b/internal/lists/catalog.go
@@ -41,11 +41,7 @@
 }
 
 func addService(cat *model.Catalog, e *pb.ServiceEntry) {
-	o := e.GetObjective()
-	s := &model.Service{ID: model.NewServiceID(e.GetName()), Name: e.GetName(), Objective: model.Objective{
-		BrokenFlowsPPM: o.GetBrokenFlowsPpm(), RefusedPPM: o.GetRefusedPpm(), LatePPM: o.GetLatePpm(),
-		LateAfter: time.Duration(o.GetLateMs()) * time.Millisecond,
-	}}
+	s := &model.Service{ID: model.NewServiceID(e.GetName()), Name: e.GetName(), Objective: newObjective(e.GetObjective())}
 	cat.Services[s.ID] = s
 	for _, site := range e.GetSites() {
 		address, _ := ParseAddress(site.GetAddress())
@@ -61,6 +57,13 @@
 	}
 }
 
+func newObjective(o *pb.Objective) model.Objective {
+	return model.Objective{
+		BrokenFlowsPPM: o.GetBrokenFlowsPpm(), RefusedPPM: o.GetRefusedPpm(), LatePPM: o.GetLatePpm(),
+		LateAfter: time.Duration(o.GetLateMs()) * time.Millisecond,
+	}
+}
+
 func newServer(s *model.Service, dc model.DataCentre, e *pb.ServerEntry) *model.BackendServer {
 	address, _ := ParseAddress(e.GetAddress())
 	return &model.BackendServer{
--- /dev/null
+++ b/internal/lists/update.go
@@ -0,0 +1,400 @@
+package lists
+
+import (
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"cuminshift/internal/findings"
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/model"
+)
+
+// MaxUpdateChanges bounds the changes for which UpdateCatalog is cheaper than
+// BuildCatalog: each new address and prefix is compared with all others.
+const MaxUpdateChanges = 64
+
+// UpdateCatalog returns the catalog that follows with the changes, or the
+// findings that BuildCatalog would have for them. It shares what did not change
+// with the old catalog.
+func UpdateCatalog(old *model.Catalog, version uint64, changes []Change) (*model.Catalog, findings.Findings) {
+	u := &updater{old: old, next: shallowCopy(old), changes: changes}
+	u.next.Version = version
+	u.applyServices()
+	u.applyPlans()
+	u.applyCallers()
+	u.applyMarks()
+	if found := u.check(); len(found) > 0 {
+		found.Sort()
+		return nil, found
+	}
+	return u.next, nil
+}
+
+func shallowCopy(c *model.Catalog) *model.Catalog {
+	next := *c
+	next.Services = maps.Clone(c.Services)
+	next.Servers = maps.Clone(c.Servers)
+	next.Sites = maps.Clone(c.Sites)
+	next.Plans = maps.Clone(c.Plans)
+	next.Callers = maps.Clone(c.Callers)
+	next.DataCentres = map[model.DataCentre]model.Mark{}
+	next.InstancesOut = maps.Clone(c.InstancesOut)
+	return &next
+}
+
+// updater builds the next catalog.
+type updater struct {
+	old, next *model.Catalog
+	changes   []Change
+	found     findings.Findings
+}
+
+func (u *updater) report(c Change, format string, args ...any) {
+	u.found = append(u.found, findings.Finding{File: "update", Path: c.Key.String(), Message: fmt.Sprintf(format, args...)})
+}
+
+func (u *updater) ofKind(kind Kind, each func(c Change)) {
+	for _, c := range u.changes {
+		if c.Key.Kind == kind {
+			each(c)
+		}
+	}
+}
+
+// service returns a copy of the service that may be changed.
+func (u *updater) service(name string) *model.Service {
+	id := model.NewServiceID(name)
+	was, now := u.old.Services[id], u.next.Services[id]
+	if now != nil && now != was {
+		return now
+	}
+	now = &model.Service{ID: id, Name: name}
+	if was != nil && was.Name != name {
+		u.report(Change{Key: Key{Kind: KindService, Name: name}}, "id hash is that of %q", was.Name)
+	}
+	if was != nil {
+		now.Objective = was.Objective
+		for _, site := range was.Sites {
+			now.Sites = append(now.Sites, &model.Site{Service: now, DataCentre: site.DataCentre,
+				Address: site.Address, Servers: slices.Clone(site.Servers)})
+			u.next.Sites[site.Address] = now.Sites[len(now.Sites)-1]
+		}
+	}
+	u.next.Services[id] = now
+	return now
+}
+
+func (u *updater) applyServices() {
+	// What goes is applied first, because an address may go from one entry to
+	// another.
+	for _, c := range slices.Backward(u.changes) {
+		if c.From != nil {
+			u.removePart(c)
+		}
+	}
+	for _, c := range u.changes {
+		if c.To != nil {
+			u.addPart(c)
+		}
+	}
+	u.ofKind(KindService, func(c Change) {
+		if s := u.next.Services[model.NewServiceID(c.Key.Name)]; c.To == nil && s != nil {
+			if len(s.Sites) > 0 {
+				u.report(c, "service without an entry has sites")
+			}
+			delete(u.next.Services, s.ID)
+		}
+	})
+	for _, site := range u.next.Sites {
+		u.next.DataCentres[site.DataCentre] = model.Mark{}
+	}
+}
+
+func (u *updater) removePart(c Change) {
+	switch c.Key.Kind {
+	case KindServer:
+		s := u.service(c.Key.Name)
+		id := model.NewServerID(c.Key.Name, c.Key.Sub)
+		delete(u.next.Servers, id)
+		for _, site := range s.Sites {
+			site.Servers = without(site.Servers, func(b *model.BackendServer) bool { return b.ID == id })
+		}
+	case KindSite:
+		s := u.service(c.Key.Name)
+		if site := s.SiteOf(model.DataCentre(c.Key.Sub)); site != nil {
+			delete(u.next.Sites, site.Address)
+			if c.To == nil {
+				if len(site.Servers) > 0 {
+					u.report(c, "site goes and its servers stay")
+				}
+				s.Sites = without(s.Sites, func(o *model.Site) bool { return o == site })
+			}
+		}
+	}
+}
+
+// without is slices.DeleteFunc with nil for an empty result, as BuildCatalog
+// has it.
+func without[T any](list []T, drop func(T) bool) []T {
+	if list = slices.DeleteFunc(list, drop); len(list) == 0 {
+		return nil
+	}
+	return list
+}
+
+func (u *updater) addPart(c Change) {
+	e, ok := c.To.(*pb.ServiceEntry)
+	if !ok {
+		return
+	}
+	s := u.service(c.Key.Name)
+	switch c.Key.Kind {
+	case KindService:
+		s.Objective = newObjective(e.GetObjective())
+	case KindSite:
+		u.addSite(c, s, e.GetSites()[0])
+	case KindServer:
+		u.addServer(c, s, e.GetSites()[0])
+	}
+}
+
+func (u *updater) addSite(c Change, s *model.Service, e *pb.ServiceSite) {
+	address, err := ParseAddress(e.GetAddress())
+	if err != nil {
+		u.report(c, "%v", err)
+		return
+	}
+	site := s.SiteOf(model.DataCentre(e.GetDataCentre()))
+	if site == nil {
+		site = &model.Site{Service: s, DataCentre: model.DataCentre(e.GetDataCentre())}
+		i, _ := slices.BinarySearchFunc(s.Sites, site, func(a, b *model.Site) int {
+			return strings.Compare(string(a.DataCentre), string(b.DataCentre))
+		})
+		s.Sites = slices.Insert(s.Sites, i, site)
+	}
+	site.Address = address
+	if other := u.next.Sites[address]; other != nil {
+		u.report(c, "address %s belongs to %s already", address, other.Service.Name)
+	}
+	u.next.Sites[address] = site
+}
+
+func (u *updater) addServer(c Change, s *model.Service, e *pb.ServiceSite) {
+	dc := model.DataCentre(e.GetDataCentre())
+	site := s.SiteOf(dc)
+	if site == nil {
+		u.report(c, "no site in %s", dc)
+		return
+	}
+	b := newServer(s, dc, e.GetServers()[0])
+	if other := u.next.Servers[b.ID]; other != nil || b.ID == 0 {
+		u.report(c, "id hash is in use")
+		return
+	}
+	u.next.Servers[b.ID] = b
+	i, _ := slices.BinarySearchFunc(site.Servers, b, func(a, b *model.BackendServer) int { return strings.Compare(a.Name, b.Name) })
+	site.Servers = slices.Insert(site.Servers, i, b)
+}
+
+func (u *updater) applyPlans() {
+	replaced := map[*model.Plan]*model.Plan{}
+	u.ofKind(KindPlan, func(c Change) {
+		was := u.old.Plans[c.Key.Name]
+		delete(u.next.Plans, c.Key.Name)
+		var now *model.Plan
+		if e, ok := c.To.(*pb.PlanEntry); ok {
+			now = newPlan(e)
+			u.next.Plans[c.Key.Name] = now
+		}
+		if was != nil {
+			replaced[was] = now
+		}
+	})
+	if len(replaced) == 0 {
+		return
+	}
+	for name, caller := range u.next.Callers {
+		if now, ok := replaced[caller.Plan]; ok {
+			u.next.Callers[name] = &model.Caller{Name: name, Plan: now, Prefixes: caller.Prefixes}
+		}
+	}
+	u.next.IndexCallers()
+}
+
+func (u *updater) applyCallers() {
+	changed := false
+	u.ofKind(KindCaller, func(c Change) {
+		changed = true
+		delete(u.next.Callers, c.Key.Name)
+		if e, ok := c.To.(*pb.CallerEntry); ok {
+			u.next.Callers[c.Key.Name] = newCaller(e, u.next.Plans[e.GetPlan()])
+		}
+	})
+	if changed {
+		u.next.IndexCallers()
+	}
+}
+
+func (u *updater) applyMarks() {
+	for dc, mark := range u.old.DataCentres {
+		if mark.Out {
+			u.next.DataCentres[dc] = mark
+		}
+	}
+	u.ofKind(KindDataCentreOut, func(c Change) {
+		dc := model.DataCentre(c.Key.Name)
+		_, known := u.next.DataCentres[dc]
+		if c.To != nil {
+			u.next.DataCentres[dc] = model.Mark{Out: true}
+		} else if known {
+			u.next.DataCentres[dc] = model.Mark{}
+			if !u.hasSite(dc) {
+				delete(u.next.DataCentres, dc)
+			}
+		}
+	})
+	u.ofKind(KindInstanceOut, func(c Change) {
+		id := model.InstanceID(c.Key.Name)
+		delete(u.next.InstancesOut, id)
+		if c.To != nil {
+			u.next.InstancesOut[id] = true
+		}
+	})
+}
+
+func (u *updater) hasSite(dc model.DataCentre) bool {
+	for _, site := range u.next.Sites {
+		if site.DataCentre == dc {
+			return true
+		}
+	}
+	return false
+}
+
+// check returns the faults of the changed entries, alone and with the others.
+func (u *updater) check() findings.Findings {
+	items := make(Items, len(u.changes))
+	for _, c := range u.changes {
+		if c.To != nil {
+			items[c.Key] = c.To
+		}
+	}
+	content := Join(items)
+	for _, s := range content.Plans.GetServices() {
+		u.completeSites(s)
+	}
+	c := newChecker(Callers{List: content.Callers}, Plans{List: content.Plans}, content.Marks)
+	c.checkServices()
+	for _, s := range u.next.Services {
+		c.serviceNames[s.Name] = true
+	}
+	c.checkPlans()
+	for name := range u.next.Plans {
+		c.planNames[name] = true
+	}
+	c.checkCallers()
+	c.checkMarks()
+	u.checkDangling()
+	u.checkAddresses(c)
+	u.checkPrefixes(content.Callers)
+	return append(u.found, c.found...)
+}
+
+// completeSites gives the parts of a service the addresses of their sites,
+// which the check of a whole service demands.
+func (u *updater) completeSites(e *pb.ServiceEntry) {
+	s := u.next.Services[model.NewServiceID(e.GetName())]
+	if s == nil {
+		return
+	}
+	for _, part := range e.GetSites() {
+		if site := s.SiteOf(model.DataCentre(part.GetDataCentre())); site != nil && part.GetAddress() == "" {
+			part.Address = site.Address.String()
+		}
+	}
+}
+
+func (u *updater) checkDangling() {
+	u.ofKind(KindPlan, func(c Change) {
+		if c.To != nil {
+			return
+		}
+		for _, caller := range u.next.Callers {
+			if caller.Plan == nil {
+				u.report(c, "caller %q is on the unknown plan", caller.Name)
+				return
+			}
+		}
+	})
+	u.ofKind(KindService, func(c Change) {
+		id := model.NewServiceID(c.Key.Name)
+		for _, plan := range u.next.Plans {
+			if _, ok := plan.Uses[id]; ok && c.To == nil {
+				u.report(c, "plan %q uses the unknown service", plan.Name)
+			}
+		}
+	})
+}
+
+// checkAddresses compares the addresses of the changed entries, which the
+// checker has collected, with those of all servers and sites.
+func (u *updater) checkAddresses(c *checker) {
+	if len(c.addresses) == 0 && len(c.health) == 0 {
+		return
+	}
+	owned, health := map[netip.AddrPort]int{}, map[netip.AddrPort]int{}
+	for _, b := range u.next.Servers {
+		if _, ok := c.addresses[b.Address]; ok {
+			owned[b.Address]++
+		}
+		if len(c.health) == 0 || b.Health == "" {
+			continue
+		}
+		if a, err := netip.ParseAddrPort(b.Health); err == nil && c.health[a] != "" {
+			health[a]++
+		}
+	}
+	for address := range u.next.Sites {
+		if _, ok := c.addresses[address]; ok {
+			owned[address]++
+		}
+	}
+	for _, counts := range []map[netip.AddrPort]int{owned, health} {
+		for address, n := range counts {
+			if n > 1 {
+				u.found = append(u.found, findings.Finding{File: "update", Path: address.String(), Message: "address has several owners"})
+			}
+		}
+	}
+}
+
+func (u *updater) checkPrefixes(changed *pb.CallerList) {
+	type own struct {
+		prefix netip.Prefix
+		caller string
+	}
+	var prefixes []own
+	for _, e := range changed.GetCallers() {
+		for _, text := range e.GetPrefixes() {
+			if p, err := ParsePrefix(text); err == nil {
+				prefixes = append(prefixes, own{p, e.GetName()})
+			}
+		}
+	}
+	if len(prefixes) == 0 {
+		return
+	}
+	for name, caller := range u.next.Callers {
+		for _, p := range caller.Prefixes {
+			for _, o := range prefixes {
+				if o.caller != name && o.prefix.Overlaps(p) {
+					u.found = append(u.found, findings.Finding{File: "update", Path: "caller " + o.caller,
+						Message: fmt.Sprintf("prefix %s overlaps %s of caller %q", o.prefix, p, name)})
+				}
+			}
+		}
+	}
+}
