Make the store client's tests independent of the machine's speed

TestErrorsSayWhetherTheWriteMayHaveHappened failed once on a busy machine: its 100 ms limit also cut the read that follows. A lost answer is now a broken connection; only the silent connection waits for a time-out.

--- a/internal/storeclient/client_test.go
+++ b/internal/storeclient/client_test.go
@@ -22,8 +22,10 @@
 	cuminshiftv1connect.UnimplementedObjectStoreHandler
 	mu      sync.Mutex
 	objects map[string]*pb.GetResponse
-	// loseAnswers is the number of writes that take effect and then hang.
+	// loseAnswers is the number of writes of the root whose answer is lost: the
+	// connection breaks, or with hang stays silent.
 	loseAnswers int
+	hang        bool
 }
 
 func (m *memory) Get(_ context.Context, r *connect.Request[pb.GetRequest]) (*connect.Response[pb.GetResponse], error) {
@@ -35,9 +37,12 @@
 
 func (m *memory) Put(ctx context.Context, r *connect.Request[pb.PutRequest]) (*connect.Response[pb.PutResponse], error) {
 	version, lose, err := m.write(r.Msg)
-	if lose {
+	if lose && m.hang {
 		<-ctx.Done()
 	}
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
 	return connect.NewResponse(&pb.PutResponse{Version: version}), err
 }
 
@@ -56,6 +61,10 @@
 	return o.GetVersion(), lose, nil
 }
 
+// testTimeout is long, because a busy machine must not turn an answer into a
+// lost one.
+const testTimeout = 30 * time.Second
+
 func serve(t *testing.T, h cuminshiftv1connect.ObjectStoreHandler, timeout time.Duration) (*Client, *httptest.Server) {
 	t.Helper()
 	mux := http.NewServeMux()
@@ -71,13 +80,17 @@
 func TestErrorsSayWhetherTheWriteMayHaveHappened(t *testing.T) {
 	ctx := context.Background()
 	m := &memory{objects: map[string]*pb.GetResponse{}, loseAnswers: 1}
-	client, server := serve(t, m, 100*time.Millisecond)
+	client, server := serve(t, m, testTimeout)
 
 	var unknown *Unknown
-	if _, err := client.Put(ctx, config.RootKey, []byte("x"), nil); !errors.As(err, &unknown) {
-		t.Errorf("lost answer: %v", err)
+	if _, err := client.Put(ctx, config.RootKey, []byte("w"), nil); !errors.As(err, &unknown) {
+		t.Errorf("broken connection: %v", err)
+	}
+	silent, _ := serve(t, &memory{objects: map[string]*pb.GetResponse{}, loseAnswers: 1, hang: true}, 2*time.Second)
+	if _, err := silent.Put(ctx, config.RootKey, []byte("x"), nil); !errors.As(err, &unknown) {
+		t.Errorf("silent connection: %v", err)
 	}
-	if value, version, err := client.Get(ctx, config.RootKey); err != nil || version != 1 || string(value) != "x" {
+	if value, version, err := client.Get(ctx, config.RootKey); err != nil || version != 1 || string(value) != "w" {
 		t.Errorf("read back %q, %d, %v", value, version, err)
 	}
 	var conflict *Conflict
@@ -86,6 +99,9 @@
 		t.Errorf("version mismatch: %v", err)
 	}
 	server.Close()
+	// A write on a connection that the store has just closed is rightly an
+	// unknown outcome; only a refused connection is certain.
+	client.Close()
 	var unavailable *Unavailable
 	if _, err := client.Put(ctx, config.RootKey, []byte("y"), nil); !errors.As(err, &unavailable) {
 		t.Errorf("store down, write: %v", err)
@@ -99,7 +115,7 @@
 func TestResponseIsBounded(t *testing.T) {
 	m := &memory{objects: map[string]*pb.GetResponse{"big": {Version: 1, Value: make([]byte, 2<<20)},
 		"limit": {Version: 1, Value: make([]byte, 1<<20)}}}
-	client, _ := serve(t, m, time.Second)
+	client, _ := serve(t, m, testTimeout)
 	if _, _, err := client.Get(context.Background(), "big"); err == nil {
 		t.Error("2 MB are accepted")
 	}
@@ -122,12 +138,12 @@
 	ctx := context.Background()
 	none := func(context.Context) uint64 { return 0 }
 	m := &memory{objects: map[string]*pb.GetResponse{}, loseAnswers: 1}
-	client, server := serve(t, m, 100*time.Millisecond)
-	done, err := RunEdit(ctx, client, editor("e1", 5*time.Second), none)
+	client, server := serve(t, m, testTimeout)
+	done, err := RunEdit(ctx, client, editor("e1", testTimeout), none)
 	if err != nil || done.Version != 1 {
 		t.Fatalf("got %+v, %v", done, err)
 	}
-	if done, err = RunEdit(ctx, client, editor("e1", 5*time.Second), none); err != nil || !done.Earlier || done.Version != 1 {
+	if done, err = RunEdit(ctx, client, editor("e1", testTimeout), none); err != nil || !done.Earlier || done.Version != 1 {
 		t.Errorf("repeated: %+v, %v", done, err)
 	}
 	server.Close()
