Recover from damaged deltas; add client certificates to cuminctl

A holder whose state did not fit a peer's delta asked for the same delta again and stayed behind; it now asks for the whole root. Entry settings can demand client certificates, which cuminctl could not present.

--- a/internal/config/holder.go
+++ b/internal/config/holder.go
@@ -60,6 +60,9 @@
 	// rejected is the newest complete version that was not valid.
 	rejected uint64
 	problem  error
+	// needFull is set when a delta did not give the root that it should; the next
+	// requests ask for the whole root.
+	needFull bool
 
 	// newest is the highest version heard of, at source.
 	newest  uint64
@@ -220,9 +223,13 @@
 
 func (h *Holder) requestsTo(to []model.InstanceID, want []string) []peer.Message {
 	var out []peer.Message
+	have := h.held.Version
+	if h.needFull {
+		have = 0
+	}
 	for _, id := range to {
 		out = append(out, peer.Message{To: id, Body: &pb.PeerMessage{Body: &pb.PeerMessage_ConfigRequest{
-			ConfigRequest: &pb.ConfigRequest{HaveVersion: h.held.Version, WantShards: want}}}})
+			ConfigRequest: &pb.ConfigRequest{HaveVersion: have, WantShards: want}}}})
 	}
 	return out
 }
@@ -342,10 +349,10 @@
 			// The version held has changed since the request; Tick asks again.
 			return false, nil
 		case err != nil:
-			h.problem = err
+			h.problem, h.needFull = err, reply.GetBaseVersion() != 0
 			return false, nil
 		}
-		h.source = from
+		h.source, h.needFull = from, false
 		if changed, out = h.offer(now, full); changed {
 			return changed, out
 		}
--- a/internal/config/holder_test.go
+++ b/internal/config/holder_test.go
@@ -97,6 +97,30 @@
 	}
 }
 
+// Guards against an instance that stays behind because a delta does not fit
+// what it holds.
+func TestDamagedDeltaIsReplacedByTheWholeRoot(t *testing.T) {
+	s := started(t)
+	live := []model.InstanceID{"a", "b"}
+	behind, ahead := newTestHolder("a", live), newTestHolder("b", live)
+	s.load(behind, epoch)
+	s.edits(t, 1)
+	s.load(ahead, epoch)
+	reply := ahead.HandleRequest(epoch, "a", &pb.ConfigRequest{HaveVersion: 1})[0].Body.GetConfigReply()
+	reply.Root.Shards[0].Name += "0"
+	behind.Heard(epoch, "b", 2)
+	if changed, _ := behind.HandleReply(epoch, "b", reply); changed {
+		t.Fatal("a damaged delta is taken")
+	}
+	out := behind.Tick(epoch.Add(requestTimeout))
+	for _, m := range ahead.HandleRequest(epoch, "a", out[0].Body.GetConfigRequest()) {
+		behind.HandleReply(epoch, "b", m.Body.GetConfigReply())
+	}
+	if behind.Current().Version != 2 {
+		t.Errorf("holds version %d, problem %v", behind.Current().Version, behind.Problem())
+	}
+}
+
 // Guards against a wrong number of store readers in a data centre.
 func TestTwoReaders(t *testing.T) {
 	var live []model.InstanceID
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -31,18 +34,41 @@
 	clients []cuminshiftv1connect.OperatorClient
 }
 
-func newClient(entries []string) *client {
+// newClient uses TLS with the operator's certificate when a configuration is
+// given.
+func newClient(entries []string, tlsConfig *tls.Config) *client {
 	c := &client{entries: entries}
+	scheme := "http://"
+	if tlsConfig != nil {
+		scheme = "https://"
+	}
+	httpClient := &http.Client{Transport: &http.Transport{TLSClientConfig: tlsConfig}}
 	for _, address := range entries {
-		url := address
-		if !strings.Contains(url, "://") {
-			url = "http://" + url
-		}
-		c.clients = append(c.clients, cuminshiftv1connect.NewOperatorClient(http.DefaultClient, url))
+		c.clients = append(c.clients, cuminshiftv1connect.NewOperatorClient(httpClient, scheme+address))
 	}
 	return c
 }
 
+// tlsConfig reads the files of the TLS flags; without any it returns nil.
+func (o *options) tlsConfig() (*tls.Config, error) {
+	if o.certificate == "" && o.key == "" && o.ca == "" {
+		return nil, nil
+	}
+	pair, err := tls.LoadX509KeyPair(o.certificate, o.key)
+	if err != nil {
+		return nil, exitf(ExitUsage, "--tls-certificate and --tls-key: %w", err)
+	}
+	ca, err := os.ReadFile(o.ca)
+	if err != nil {
+		return nil, exitf(ExitUsage, "--tls-ca: %w", err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(ca) {
+		return nil, exitf(ExitUsage, "--tls-ca: %s holds no certificate", o.ca)
+	}
+	return &tls.Config{Certificates: []tls.Certificate{pair}, RootCAs: roots, MinVersion: tls.VersionTLS13}, nil
+}
+
 type method[Req, Resp any] func(cuminshiftv1connect.OperatorClient, context.Context, *connect.Request[Req]) (*connect.Response[Resp], error)
 
 // noEntry says that no entry instance gave a final answer.
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -64,6 +64,7 @@
 	wait                       time.Duration
 	markKind, markName, markTo string
 	subject                    string
+	certificate, key, ca       string
 }
 
 // env is what a command works with.
@@ -117,7 +118,11 @@
 	if len(e.entries) == 0 {
 		e.entries = []string{defaultEntry}
 	}
-	e.client = newClient(e.entries)
+	config, err := e.tlsConfig()
+	if err != nil {
+		return err
+	}
+	e.client = newClient(e.entries, config)
 	return c.run(ctx, e)
 }
 
@@ -147,6 +152,9 @@
 	p.AdditionalHelpAppend = exitHelp + "\n" + exampleHelp
 	p.StringSlice(&o.entries, "e", "entry", "operator address host:port of an entry instance; repeatable, tried in order")
 	p.String(&o.output, "o", "output", "table or json")
+	p.String(&o.certificate, "", "tls-certificate", "file of the operator's certificate, for entry instances with TLS")
+	p.String(&o.key, "", "tls-key", "file of the certificate's key")
+	p.String(&o.ca, "", "tls-ca", "file of the authority that signed the instances' certificates")
 	var commands []command
 	add := func(name, description, example string, run func(context.Context, *env) error) *flaggy.Subcommand {
 		s := flaggy.NewSubcommand(name)
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
 	"errors"
 	"math/rand/v2"
 	"net/http"
@@ -203,9 +206,32 @@
 		panic(http.ErrAbortHandler)
 	}))
 	defer server.Close()
-	_, err := newClient([]string{server.URL}).edit(context.Background(), &pb.EditRequest{EditId: "e1"}, false)
+	_, err := newClient([]string{strings.TrimPrefix(server.URL, "http://")}, nil).edit(context.Background(), &pb.EditRequest{EditId: "e1"}, false)
 	var exit *exitError
 	if !errors.As(err, &exit) || exit.code != ExitOutcomeUnknown || !strings.Contains(err.Error(), "--edit-id e1") {
 		t.Errorf("got %v", err)
 	}
 }
+
+// Guards against a command line that cannot reach, or does not authenticate,
+// entry instances whose settings demand client certificates.
+func TestClientCertificate(t *testing.T) {
+	t.Chdir(t.TempDir())
+	mux := http.NewServeMux()
+	mux.Handle(cuminshiftv1connect.NewOperatorHandler(&entry{objects: map[string]*pb.GetResponse{}}))
+	server := httptest.NewUnstartedServer(mux)
+	server.TLS = &tls.Config{ClientAuth: tls.RequireAnyClientCert}
+	server.StartTLS()
+	defer server.Close()
+	s := session{t, strings.TrimPrefix(server.URL, "https://")}
+
+	pair := server.TLS.Certificates[0]
+	key, err := x509.MarshalPKCS8PrivateKey(pair.PrivateKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.write("cert.pem", string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: pair.Certificate[0]})))
+	s.write("key.pem", string(pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: key})))
+	s.run(ExitOK, "status --tls-certificate cert.pem --tls-key key.pem --tls-ca cert.pem", "instance e1")
+	s.run(ExitUsage, "status --tls-certificate cert.pem --tls-key none.pem --tls-ca cert.pem")
+}
