--- a/internal/lists/update.go
+++ b/internal/lists/update.go
@@ -225,16 +225,20 @@
 }
 
 func (u *updater) applyCallers() {
-	changed := false
+	var gone, came []*model.Caller
 	u.ofKind(KindCaller, func(c Change) {
-		changed = true
+		if was := u.next.Callers[c.Key.Name]; was != nil {
+			gone = append(gone, was)
+		}
 		delete(u.next.Callers, c.Key.Name)
 		if e, ok := c.To.(*pb.CallerEntry); ok {
-			u.next.Callers[c.Key.Name] = newCaller(e, u.next.Plans[e.GetPlan()])
+			now := newCaller(e, u.next.Plans[e.GetPlan()])
+			u.next.Callers[c.Key.Name] = now
+			came = append(came, now)
 		}
 	})
-	if changed {
-		u.next.IndexCallers()
+	if len(gone)+len(came) > 0 {
+		u.next.ReindexCallers(gone, came)
 	}
 }
 
--- a/internal/model/catalog.go
+++ b/internal/model/catalog.go
@@ -105,6 +105,12 @@
 	c.prefixes = newPrefixTable(c.Callers)
 }
 
+// ReindexCallers prepares CallerOf for a copy of an indexed catalog from which
+// callers went and to which callers came. The indexed catalog stays as it is.
+func (c *Catalog) ReindexCallers(gone, came []*Caller) {
+	c.prefixes = c.prefixes.with(gone, came)
+}
+
 // CallerOf returns the caller whose longest prefix contains the address, or
 // nil. It does not allocate.
 func (c *Catalog) CallerOf(addr netip.Addr) *Caller {
--- a/internal/model/prefix.go
+++ b/internal/model/prefix.go
@@ -1,8 +1,8 @@
 package model
 
 import (
+	"maps"
 	"net/netip"
-	"sort"
 )
 
 // prefixTable finds the longest matching prefix with one map probe for each
@@ -15,28 +15,53 @@
 
 func newPrefixTable(callers map[string]*Caller) prefixTable {
 	t := prefixTable{callers: make(map[netip.Prefix]*Caller)}
-	seen4, seen6 := map[int]bool{}, map[int]bool{}
 	for _, caller := range callers {
+		t.add(caller)
+	}
+	t.setLengths()
+	return t
+}
+
+// with returns a table without the callers that went and with those that came.
+func (t *prefixTable) with(gone, came []*Caller) prefixTable {
+	next := prefixTable{callers: maps.Clone(t.callers)}
+	for _, caller := range gone {
 		for _, p := range caller.Prefixes {
-			p = p.Masked()
-			t.callers[p] = caller
-			if p.Addr().Is4() {
-				seen4[p.Bits()] = true
-			} else {
-				seen6[p.Bits()] = true
-			}
+			delete(next.callers, p.Masked())
 		}
 	}
-	t.lengths4, t.lengths6 = longestFirst(seen4), longestFirst(seen6)
-	return t
+	for _, caller := range came {
+		next.add(caller)
+	}
+	next.setLengths()
+	return next
+}
+
+func (t *prefixTable) add(caller *Caller) {
+	for _, p := range caller.Prefixes {
+		t.callers[p.Masked()] = caller
+	}
 }
 
-func longestFirst(seen map[int]bool) []int {
-	lengths := make([]int, 0, len(seen))
-	for n := range seen {
-		lengths = append(lengths, n)
+func (t *prefixTable) setLengths() {
+	var in4, in6 [129]bool
+	for p := range t.callers {
+		if p.Addr().Is4() {
+			in4[p.Bits()] = true
+		} else {
+			in6[p.Bits()] = true
+		}
+	}
+	t.lengths4, t.lengths6 = longestFirst(in4), longestFirst(in6)
+}
+
+func longestFirst(in [129]bool) []int {
+	var lengths []int
+	for n := len(in) - 1; n >= 0; n-- {
+		if in[n] {
+			lengths = append(lengths, n)
+		}
 	}
-	sort.Sort(sort.Reverse(sort.IntSlice(lengths)))
 	return lengths
 }
 
