--- a/internal/config/race_test.go
+++ b/internal/config/race_test.go
@@ -16,9 +16,9 @@
 	"cuminshift/internal/lists"
 )
 
-// world runs several editors against one store with generated faults and
+// simulation runs several editors against one store with generated faults and
 // checks each root as it is stored.
-type world struct {
+type simulation struct {
 	t       *rapid.T
 	store   *fakeStore
 	now     time.Time
@@ -41,8 +41,8 @@
 	versionOf  map[string]uint64
 }
 
-func newWorld(t *rapid.T) *world {
-	w := &world{t: t, store: newFakeStore(), now: epoch, asked: map[string][]lists.Change{},
+func newSimulation(t *rapid.T) *simulation {
+	w := &simulation{t: t, store: newFakeStore(), now: epoch, asked: map[string][]lists.Change{},
 		lastOwner: map[string]string{}, released: map[string]uint64{}, dropped: map[string]map[lists.Key]proto.Message{}, inStepOne: map[string]map[lists.Key]bool{}, stepValues: map[string]map[lists.Key]proto.Message{}, previous: lists.Items{}, versionOf: map[string]uint64{}}
 	w.asked["init"] = nil
 	if _, err := run(t, w.store, EditorConfig{}, Edit{ID: "init", Operator: "o", Callers: sampleCallers(2), Plans: samplePlans()}, atOnce); err != nil {
@@ -55,7 +55,7 @@
 }
 
 // fail stops the test and shows what each version changed.
-func (w *world) fail(format string, args ...any) {
+func (w *simulation) fail(format string, args ...any) {
 	var before lists.Items
 	for i := range w.store.objects[RootKey] {
 		root, items := w.itemsAt(i)
@@ -69,7 +69,7 @@
 	w.t.Fatalf(format, args...)
 }
 
-func (w *world) itemsAt(i int) (*pb.Root, lists.Items) {
+func (w *simulation) itemsAt(i int) (*pb.Root, lists.Items) {
 	root, err := DecodeRoot(w.store.objects[RootKey][i].value)
 	if err != nil {
 		w.t.Fatal(err)
@@ -85,7 +85,7 @@
 }
 
 // check examines the roots stored since the last call.
-func (w *world) check() {
+func (w *simulation) check() {
 	for ; w.seen < len(w.store.objects[RootKey]); w.seen++ {
 		root, items := w.itemsAt(w.seen)
 		version := uint64(w.seen + 1)
@@ -107,7 +107,7 @@
 
 // checkContent fails when an edit changed an entry that it did not name: that
 // would lose or revert another accepted edit.
-func (w *world) checkContent(id string, items lists.Items) {
+func (w *simulation) checkContent(id string, items lists.Items) {
 	if found := lists.CheckContent(lists.Join(items)); len(found) > 0 {
 		w.fail("edit %s stored invalid content: %v", id, found)
 	}
@@ -165,7 +165,7 @@
 
 // checkOwners fails when an address gets a new owner before the version that
 // took it from the old one was in force.
-func (w *world) checkOwners(version uint64, items lists.Items) {
+func (w *simulation) checkOwners(version uint64, items lists.Items) {
 	before, after := allOwners(w.previous), allOwners(items)
 	for address, owner := range before {
 		if after[address] != owner {
@@ -186,7 +186,7 @@
 }
 
 // randomEdit changes a few entries of the content at a random base version.
-func (w *world) randomEdit(id string) Edit {
+func (w *simulation) randomEdit(id string) Edit {
 	newest := w.seen
 	base := rapid.IntRange(max(1, newest-3), newest).Draw(w.t, "base")
 	_, items := w.itemsAt(base - 1)
@@ -199,7 +199,7 @@
 	return Edit{ID: id, Operator: "o", BaseVersion: uint64(base), Callers: c.Callers, Plans: c.Plans, Marks: c.Marks}
 }
 
-func (w *world) change(c lists.Content) {
+func (w *simulation) change(c lists.Content) {
 	pick := func(n int, what string) int { return rapid.IntRange(0, n-1).Draw(w.t, what) }
 	switch pick(5, "kind") {
 	case 0:
@@ -218,7 +218,7 @@
 
 // moveServer takes a server from one service and gives it, or another server
 // at the same address, to a service.
-func (w *world) moveServer(c lists.Content, pick func(int, string) int) {
+func (w *simulation) moveServer(c lists.Content, pick func(int, string) int) {
 	from := c.Plans.Services[pick(2, "from")]
 	if len(from.Sites) == 0 || len(from.Sites[0].Servers) == 0 {
 		return
@@ -251,14 +251,14 @@
 	err    error
 }
 
-func (w *world) start(op *operator) {
+func (w *simulation) start(op *operator) {
 	op.editor = NewEditor(EditorConfig{Deadline: w.now.Add(3 * time.Second), InForce: w.inForce,
 		Rand: rand.New(rand.NewPCG(1, rapid.Uint64().Draw(w.t, "jitter")))}, op.edit)
 	op.action = op.editor.Start(w.now)
 }
 
 // step carries out one action of the operator's editor.
-func (w *world) step(op *operator) {
+func (w *simulation) step(op *operator) {
 	var answer Answer
 	switch a := op.action.(type) {
 	case Wait:
@@ -285,7 +285,7 @@
 	}
 }
 
-func (w *world) failed(op *operator, err error) {
+func (w *simulation) failed(op *operator, err error) {
 	var unknown *OutcomeUnknown
 	var late *NotInForce
 	again := errors.As(err, &unknown) || errors.As(err, &late)
@@ -299,7 +299,7 @@
 }
 
 // deliver lets a delayed write arrive.
-func (w *world) deliver() {
+func (w *simulation) deliver() {
 	if n := len(w.store.delayed); n > 0 {
 		i := rapid.IntRange(0, n-1).Draw(w.t, "delayed")
 		w.store.delayed[i]()
@@ -313,7 +313,7 @@
 // however two operators interleave.
 func TestEditsUnderStoreFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t)
+		w := newSimulation(t)
 		var all []*operator
 		for round := range 3 {
 			var active []*operator
@@ -343,7 +343,7 @@
 	})
 }
 
-func (w *world) checkOutcome(op *operator) {
+func (w *simulation) checkOutcome(op *operator) {
 	id := op.edit.ID
 	version, stored := w.versionOf[id]
 	var conflict *Conflict
--- a/internal/config/shards.go
+++ b/internal/config/shards.go
@@ -4,6 +4,7 @@
 package config
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
@@ -56,13 +57,13 @@
 
 func splitItems(items lists.Items) (*Set, error) {
 	families := map[string][]hashedItem{}
-	for _, k := range items.Keys() {
+	for k, v := range items {
 		f := familyOf(k.Kind)
-		families[f] = append(families[f], hashedItem{keyHash(k), k, items[k], proto.Size(items[k]) + itemOverhead})
+		families[f] = append(families[f], hashedItem{keyHash(k), k, v, proto.Size(v) + itemOverhead})
 	}
 	set := &Set{Shards: map[string][]byte{}}
 	for _, f := range []string{familyCallers, familyPlans, familyServices} {
-		sort.SliceStable(families[f], func(i, j int) bool { return families[f][i].hash < families[f][j].hash })
+		slices.SortFunc(families[f], func(a, b hashedItem) int { return cmp.Compare(a.hash, b.hash) })
 		if err := set.splitFamily(f, "", families[f]); err != nil {
 			return nil, err
 		}
--- a/internal/lists/diff.go
+++ b/internal/lists/diff.go
@@ -15,10 +15,17 @@
 	return Describe(Changes(Flatten(from), Flatten(to)))
 }
 
-// Describe formats changes, one a line.
+// maxDescribed bounds the lines of a description: a first import has one change
+// for each entry, which no operator reads and which would fill the answer.
+const maxDescribed = 1000
+
+// Describe formats changes, one a line. Beyond 1,000 it gives only their number.
 func Describe(changes []Change) []string {
-	out := make([]string, 0, len(changes))
-	for _, c := range changes {
+	out := make([]string, 0, min(len(changes), maxDescribed+1))
+	for i, c := range changes {
+		if i == maxDescribed {
+			return append(out, fmt.Sprintf("and %d further changes", len(changes)-i))
+		}
 		out = append(out, c.String())
 	}
 	return out
