--- a/internal/config/holder.go
+++ b/internal/config/holder.go
@@ -60,6 +60,9 @@
 	// rejected is the newest complete version that was not valid.
 	rejected uint64
 	problem  error
+	// needFull is set when a delta did not give the root that it should; the next
+	// requests ask for the whole root.
+	needFull bool
 
 	// newest is the highest version heard of, at source.
 	newest  uint64
@@ -171,13 +174,9 @@
 	}
 	root := h.next
 	h.next = nil
-	content, err := Assemble(root.GetShards(), h.Shard)
+	catalog, err := h.catalogOf(root)
 	if err == nil {
-		catalog, found := buildCatalog(root.GetVersion(), content)
-		if err = found.Err(); err == nil {
-			h.held = &Snapshot{Version: root.GetVersion(), Root: root, Catalog: catalog}
-			h.problem = nil
-		}
+		h.held, h.problem = &Snapshot{Version: root.GetVersion(), Root: root, Catalog: catalog}, nil
 	}
 	h.dropShards()
 	if err != nil {
@@ -187,6 +186,22 @@
 	return true, h.announce()
 }
 
+// catalogOf returns the catalog of a complete root. A small change updates the
+// catalog held: at 82,000 servers that takes a fraction of building it anew.
+func (h *Holder) catalogOf(root *pb.Root) (*model.Catalog, error) {
+	if changes, err := diffRefs(h.held.Root.GetShards(), root.GetShards(), h.Shard); err == nil && len(changes) <= lists.MaxUpdateChanges {
+		if catalog, found := lists.UpdateCatalog(h.held.Catalog, root.GetVersion(), changes); len(found) == 0 {
+			return catalog, nil
+		}
+	}
+	content, err := Assemble(root.GetShards(), h.Shard)
+	if err != nil {
+		return nil, err
+	}
+	catalog, found := buildCatalog(root.GetVersion(), content)
+	return catalog, found.Err()
+}
+
 // dropShards forgets the shards that the version held does not name.
 func (h *Holder) dropShards() {
 	named := make(map[string]bool, len(h.held.Root.GetShards()))
@@ -208,9 +223,13 @@
 
 func (h *Holder) requestsTo(to []model.InstanceID, want []string) []peer.Message {
 	var out []peer.Message
+	have := h.held.Version
+	if h.needFull {
+		have = 0
+	}
 	for _, id := range to {
 		out = append(out, peer.Message{To: id, Body: &pb.PeerMessage{Body: &pb.PeerMessage_ConfigRequest{
-			ConfigRequest: &pb.ConfigRequest{HaveVersion: h.held.Version, WantShards: want}}}})
+			ConfigRequest: &pb.ConfigRequest{HaveVersion: have, WantShards: want}}}})
 	}
 	return out
 }
@@ -330,10 +349,10 @@
 			// The version held has changed since the request; Tick asks again.
 			return false, nil
 		case err != nil:
-			h.problem = err
+			h.problem, h.needFull = err, reply.GetBaseVersion() != 0
 			return false, nil
 		}
-		h.source = from
+		h.source, h.needFull = from, false
 		if changed, out = h.offer(now, full); changed {
 			return changed, out
 		}
--- a/internal/config/holder_test.go
+++ b/internal/config/holder_test.go
@@ -97,6 +97,30 @@
 	}
 }
 
+// Guards against an instance that stays behind because a delta does not fit
+// what it holds.
+func TestDamagedDeltaIsReplacedByTheWholeRoot(t *testing.T) {
+	s := started(t)
+	live := []model.InstanceID{"a", "b"}
+	behind, ahead := newTestHolder("a", live), newTestHolder("b", live)
+	s.load(behind, epoch)
+	s.edits(t, 1)
+	s.load(ahead, epoch)
+	reply := ahead.HandleRequest(epoch, "a", &pb.ConfigRequest{HaveVersion: 1})[0].Body.GetConfigReply()
+	reply.Root.Shards[0].Name += "0"
+	behind.Heard(epoch, "b", 2)
+	if changed, _ := behind.HandleReply(epoch, "b", reply); changed {
+		t.Fatal("a damaged delta is taken")
+	}
+	out := behind.Tick(epoch.Add(requestTimeout))
+	for _, m := range ahead.HandleRequest(epoch, "a", out[0].Body.GetConfigRequest()) {
+		behind.HandleReply(epoch, "b", m.Body.GetConfigReply())
+	}
+	if behind.Current().Version != 2 {
+		t.Errorf("holds version %d, problem %v", behind.Current().Version, behind.Problem())
+	}
+}
+
 // Guards against a wrong number of store readers in a data centre.
 func TestTwoReaders(t *testing.T) {
 	var live []model.InstanceID
@@ -193,3 +217,42 @@
 		}
 	})
 }
+
+// Guards against a damaged message from a peer that stops the process, or is
+// taken for a version.
+func FuzzReply(f *testing.F) {
+	s := started(f)
+	source := newTestHolder("b", nil)
+	s.load(source, epoch)
+	s.edits(f, 1)
+	old := newTestHolder("a", nil)
+	s.load(old, epoch)
+	for _, have := range []uint64{0, 1} {
+		reply := old.HandleRequest(epoch, "x", &pb.ConfigRequest{HaveVersion: have})[0].Body.GetConfigReply()
+		data, err := proto.Marshal(reply)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	want, _ := s.content(f)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		reply := &pb.ConfigReply{}
+		if proto.Unmarshal(data, reply) != nil {
+			return
+		}
+		h := newTestHolder("c", []model.InstanceID{"a", "c"})
+		h.StoreRoot(epoch, source.encoded())
+		h.AddShards(epoch, source.shards)
+		changed, _ := h.HandleReply(epoch, "a", reply)
+		h.Tick(epoch.Add(time.Second))
+		if changed && (h.Current().Version != 2 || !proto.Equal(h.Content().Callers, want.Callers)) {
+			t.Errorf("took version %d", h.Current().Version)
+		}
+	})
+}
+
+func (h *Holder) encoded() []byte {
+	data, _ := proto.Marshal(h.held.Root)
+	return data
+}
