--- a/internal/serverhealth/openings.go
+++ b/internal/serverhealth/openings.go
@@ -19,7 +19,9 @@
 // instances, the larger of view size and instance list. A fraction of an
 // opening accumulates to one. rank (0 to instances-1) is the place of this
 // instance in the list; it staggers the first openings, so that instances
-// that hear of the cold start together do not all open at once.
+// that hear of the cold start together do not all open at once. Without
+// evidence the first opening is not delayed if the server bears one from each
+// instance: an instance that starts learns by it that the server is healthy.
 func (h *Health) OpeningAllowed(now time.Time, id model.ServerID, instances, rank int) bool {
 	s := h.servers[id]
 	if s == nil {
@@ -29,15 +31,17 @@
 	case Draining, Silent:
 		return false
 	case Cold, Unknown:
-		return s.openings.take(now, s.info.ColdOpeningsPerSecond, instances, rank)
+		perSecond := s.info.ColdOpeningsPerSecond
+		instances = max(1, instances)
+		if s.condition == Unknown && instances <= perSecond {
+			rank = 0
+		}
+		return s.openings.take(now, perSecond, instances, rank)
 	}
 	return true
 }
 
 func (o *openings) take(now time.Time, perSecond, instances, rank int) bool {
-	if instances < 1 {
-		instances = 1
-	}
 	share := float64(perSecond) / float64(instances)
 	if o.at.IsZero() {
 		o.at = now
--- a/internal/serverhealth/serverhealth_test.go
+++ b/internal/serverhealth/serverhealth_test.go
@@ -204,6 +204,9 @@
 		if total < 1000 {
 			t.Errorf("%d instances: %d openings in 120 s, want most of 1200", instances, total)
 		}
+		if fresh := newHealth(1); fresh.OpeningAllowed(at(0), 1, instances, instances-1) != (instances <= 10) {
+			t.Errorf("%d instances: wrong first opening without evidence", instances)
+		}
 	}
 }
 
