Keep both sides of a partition from granting together

While the view lacks known instances, repeated copies count as granted elsewhere. When it is complete again, memory counts as lost and unreported slots of cold servers as busy for HandoverWait. A network duplicate of a first transmission that reaches both sides can still run twice.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -109,8 +109,10 @@
 	cfg        Config
 	infos      map[model.ServerID]*model.BackendServer
 	conditions map[model.ServerID]pb.ServerCondition
-	known      []model.InstanceID
-	state      *dcstate.State
+	// known are the instances of the instance list; see judgeView.
+	known            []model.InstanceID
+	complete, larger bool
+	state            *dcstate.State
 	// firstGeneration is that of the first state that this incarnation saw.
 	firstGeneration uint64
 	servers         map[model.ServerID]*server
@@ -131,7 +133,7 @@
 	return &Admitter{
 		cfg: cfg, infos: map[model.ServerID]*model.BackendServer{}, conditions: map[model.ServerID]pb.ServerCondition{},
 		servers: map[model.ServerID]*server{}, handovers: map[uint64]*handover{}, sequence: SequenceBase + firstSequence,
-		applied: map[handoverID]bool{},
+		applied: map[handoverID]bool{}, complete: true, larger: true,
 	}
 }
 
@@ -147,7 +149,7 @@
 			continue
 		}
 		for s.queue.Len() > 0 {
-			out = append(out, s.refuse(now, s.queue.removeLast(), pb.Reason_REASON_NO_SERVER))
+			out = append(out, a.refuse(now, s, s.queue.removeLast(), pb.Reason_REASON_NO_SERVER))
 		}
 		delete(a.servers, id)
 	}
@@ -165,10 +167,12 @@
 }
 
 // SetKnownInstances tells the instances of the instance list. While the view
-// lacks half of them, the data centre may be partitioned, and only the side
-// with the larger part grants slots of cold servers.
+// lacks some of them, the data centre may be partitioned: only the side with
+// the larger part grants slots of cold servers, and a repeated copy of a
+// non-idempotent request counts as granted on another side.
 func (a *Admitter) SetKnownInstances(now time.Time, ids []model.InstanceID) []peer.Message {
 	a.known = append(a.known[:0], ids...)
+	a.judgeView(now)
 	return a.pumpAll(now)
 }
 
@@ -232,7 +236,7 @@
 		}
 		s.expireGrants(now)
 		s.memory.expire(now)
-		out = append(out, s.expireQueue(now)...)
+		out = append(out, a.expireQueue(now, s)...)
 		out = append(out, a.pump(now, s)...)
 	}
 	return append(out, a.repeatHandovers(now)...)
@@ -263,14 +267,14 @@
 		key: key, request: r, deadline: now.Add(left), giveUp: now.Add(left - min(maxReplyTime, left/4)),
 		arrivedAt: now, arrival: s.nextArrival(),
 	}
-	if result, reason := s.check(now, w); result != pb.GrantResult_GRANT_RESULT_GRANTED && s.phase == owned {
+	if result, reason := a.check(now, s, w); result != pb.GrantResult_GRANT_RESULT_GRANTED && s.phase == owned {
 		return []peer.Message{reply(from, r.GetGrant(), result, reason)}
 	}
 	s.queue.add(w)
 	out := a.pump(now, s)
 	for s.queue.Len() > a.cfg.QueueLength {
 		last := s.queue.removeLast()
-		out = append(out, s.refuse(now, last, pb.Reason_REASON_OVERLOAD))
+		out = append(out, a.refuse(now, s, last, pb.Reason_REASON_OVERLOAD))
 	}
 	return out
 }
@@ -305,10 +309,10 @@
 		w := s.queue.first()
 		s.queue.remove(w.key)
 		if !now.Before(w.giveUp) {
-			out = append(out, s.refuse(now, w, pb.Reason_REASON_DEADLINE))
+			out = append(out, a.refuse(now, s, w, pb.Reason_REASON_DEADLINE))
 			continue
 		}
-		result, reason := s.check(now, w)
+		result, reason := a.check(now, s, w)
 		if result == pb.GrantResult_GRANT_RESULT_GRANTED {
 			s.grant(now, w, &a.cfg)
 		}
@@ -327,17 +331,20 @@
 
 // allowed returns the slots that may be busy at present.
 func (a *Admitter) allowed(s *server) int {
-	if s.ramp.cold && !a.largerPart() {
+	if s.ramp.cold && !a.larger {
 		return 0
 	}
 	return s.ramp.slots
 }
 
-// largerPart reports whether the view holds more than half of the known
-// instances; of two halves, the one with the first in rank is the larger.
-func (a *Admitter) largerPart() bool {
-	if len(a.known) == 0 {
-		return true
+// judgeView compares the view with the known instances: complete is set when
+// it holds all of them, larger when it holds more than half. Of two halves,
+// the one with the first in rank is the larger.
+func (a *Admitter) judgeView(now time.Time) {
+	was := a.complete
+	a.complete, a.larger = true, true
+	if len(a.known) == 0 || a.state == nil {
+		return
 	}
 	n := 0
 	for _, id := range a.known {
@@ -345,12 +352,24 @@
 			n++
 		}
 	}
-	if 2*n != len(a.known) {
-		return 2*n > len(a.known)
+	a.complete, a.larger = n == len(a.known), 2*n > len(a.known)
+	if 2*n == len(a.known) {
+		first := rendezvous.Ranked(rendezvous.NewKey("larger part", 0), a.known, 1)[0]
+		_, a.larger = a.state.Member(first)
+	}
+	if !a.complete || was {
+		return
+	}
+	// The admitters of the other side will hand over what they granted.
+	for _, s := range a.servers {
+		until := now.Add(a.cfg.HandoverWait)
+		if s.memory.lossyUntil.Before(until) {
+			s.memory.lossyUntil = until
+		}
+		if s.unreportedUntil.Before(until) {
+			s.unreported, s.unreportedUntil = max(0, coldSlots(s.info)-len(s.grants)), until
+		}
 	}
-	first := rendezvous.Ranked(rendezvous.NewKey("larger part", 0), a.known, 1)[0]
-	_, ok := a.state.Member(first)
-	return ok
 }
 
 func reply(to model.InstanceID, grant uint64, result pb.GrantResult, reason pb.Reason) peer.Message {
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -360,23 +360,32 @@
 // Guards against a new admitter that grants the slots which the dead one may
 // have granted: at a cold server, the sum must not exceed what it bears.
 func TestUnplannedChangeAtColdServer(t *testing.T) {
-	id := serverAt("b", "a", "b", "c")
-	a := New(Config{Self: "a"}, 0)
-	a.SetServers(at(0), catalog(model.BackendServer{ID: id, Slots: 3, ColdSlots: 1}))
-	a.Observe(at(0), id, cold)
+	id := model.ServerID(1)
 	old, new := state(1, "a", "b", "c"), state(2, "a", "c")
-	if new.Admitter(id) != "a" {
-		old, new = state(1, "a", "b"), state(2, "a")
+	for old.Admitter(id) != "b" || new.Admitter(id) != "a" {
+		id++
+	}
+	for _, own := range []pb.ServerCondition{cold, healthy} {
+		a := New(Config{Self: "a"}, 0)
+		a.SetServers(at(0), catalog(model.BackendServer{ID: id, Slots: 3, ColdSlots: 1}))
+		a.Observe(at(0), id, own)
+		a.StateChanged(at(0), nil, old, noneHeld)
+		for _, m := range a.StateChanged(at(1000), old, new, noneHeld) {
+			if m.To == "a" {
+				a.HandlePeer(at(1000), "a", m.Body)
+			}
+		}
+		// Another member has seen that the server is cold.
+		report := &pb.GrantReport{Generation: 2, Servers: []uint64{uint64(id)}, Conditions: []pb.ServerCondition{cold}, Former: "b"}
+		a.HandlePeer(at(1010), "c", &pb.PeerMessage{Body: &pb.PeerMessage_GrantReport{GrantReport: report}})
+		ask := func(ms int, grant uint64) []peer.Message {
+			return a.HandlePeer(at(ms), "c", request(&pb.GrantRequest{Server: uint64(id), Grant: grant, Idempotent: true, DeadlineMs: 20_000}))
+		}
+		ask(1500, 1)
+		want(t, "unreported slot is busy", a.Tick(at(11_500)), 1, refused)
+		ask(12_000, 2)
+		want(t, "older grants have expired", a.Tick(at(12_300)), 2, granted)
 	}
-	a.StateChanged(at(0), nil, old, noneHeld)
-	a.StateChanged(at(1000), old, new, noneHeld)
-	ask := func(ms int, grant uint64) []peer.Message {
-		return a.HandlePeer(at(ms), "c", request(&pb.GrantRequest{Server: uint64(id), Grant: grant, Idempotent: true, DeadlineMs: 20_000}))
-	}
-	ask(1500, 1)
-	want(t, "unreported slot is busy", a.Tick(at(11_500)), 1, refused)
-	ask(12_000, 2)
-	want(t, "older grants have expired", a.Tick(at(12_300)), 2, granted)
 }
 
 // Guards against starving a healthy server after a death, and against
@@ -403,8 +412,9 @@
 	want(t, "copy of a reported request", a.HandlePeer(at(1003), "a", request(&pb.GrantRequest{Server: uint64(id), Grant: 9, RequestId: 8, Flow: 9, CallerAttempt: 1})), 9, duplicate)
 }
 
-// Guards against both sides of a partition granting a cold server's slots.
-func TestSmallerPartGrantsNoColdSlots(t *testing.T) {
+// Guards against both sides of a partition granting a cold server's slots, or
+// running copies of one request.
+func TestPartition(t *testing.T) {
 	sides := [][]model.InstanceID{{"a", "b"}, {"c", "d"}}
 	grants := 0
 	for _, side := range sides {
@@ -419,6 +429,8 @@
 			m := a.HandlePeer(at(20_000), "x", request(&pb.GrantRequest{Server: uint64(id), Grant: i, Idempotent: true}))
 			grants += len(m)
 		}
+		copied := request(&pb.GrantRequest{Server: uint64(id), Grant: 9, RequestId: 9, CallerAttempt: 2})
+		want(t, "copy of a request of the other side", a.HandlePeer(at(60_000), "x", copied), 9, duplicate)
 		a.SetKnownInstances(at(20_001), side)
 		if s := a.Status(at(20_001), id); s.Outstanding != 1 {
 			t.Errorf("side %v: %d grants after the list has caught up, want 1", side, s.Outstanding)
--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -91,7 +91,7 @@
 }
 
 // check says whether the request may be sent at all.
-func (s *server) check(now time.Time, w *waiter) (pb.GrantResult, pb.Reason) {
+func (a *Admitter) check(now time.Time, s *server, w *waiter) (pb.GrantResult, pb.Reason) {
 	r := w.request
 	if r.GetIdempotent() {
 		return pb.GrantResult_GRANT_RESULT_GRANTED, 0
@@ -104,7 +104,7 @@
 		return pb.GrantResult_GRANT_RESULT_GRANTED, 0
 	case known:
 		return pb.GrantResult_GRANT_RESULT_DUPLICATE, pb.Reason_REASON_DUPLICATE
-	case r.GetRetry() || (s.memory.lossy(now) && s.mayBeCopy(w)):
+	case r.GetRetry() || ((s.memory.lossy(now) || !a.complete) && s.mayBeCopy(w)):
 		return pb.GrantResult_GRANT_RESULT_DUPLICATE, pb.Reason_REASON_DUPLICATE
 	case s.memory.full(now):
 		return pb.GrantResult_GRANT_RESULT_REFUSED, pb.Reason_REASON_OVERLOAD
@@ -143,18 +143,18 @@
 	}
 }
 
-func (s *server) expireQueue(now time.Time) []peer.Message {
+func (a *Admitter) expireQueue(now time.Time, s *server) []peer.Message {
 	var out []peer.Message
 	for _, w := range s.queue.expired(now) {
 		s.queue.remove(w.key)
-		out = append(out, s.refuse(now, w, pb.Reason_REASON_DEADLINE))
+		out = append(out, a.refuse(now, s, w, pb.Reason_REASON_DEADLINE))
 	}
 	return out
 }
 
 // refuse refuses a waiter; not as one that did not run if a copy may have.
-func (s *server) refuse(now time.Time, w *waiter, reason pb.Reason) peer.Message {
-	if result, why := s.check(now, w); result == pb.GrantResult_GRANT_RESULT_DUPLICATE {
+func (a *Admitter) refuse(now time.Time, s *server, w *waiter, reason pb.Reason) peer.Message {
+	if result, why := a.check(now, s, w); result == pb.GrantResult_GRANT_RESULT_DUPLICATE {
 		return reply(w.key.holder, w.key.id, result, why)
 	}
 	granted := w.request.GetIdempotent() && s.recent.keys[keyOf(w.request)]
--- a/internal/admission/takeover.go
+++ b/internal/admission/takeover.go
@@ -43,6 +43,7 @@
 		a.firstGeneration = new.Version.Generation
 	}
 	a.state = new
+	a.judgeView(now)
 	var out []peer.Message
 	if old != nil && slices.Equal(old.Members, new.Members) {
 		return append(a.replayEarly(now), a.pumpAll(now)...)
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	pb "cuminshift/internal/gen/cuminshift/v1"
 	"cuminshift/internal/model"
 	"cuminshift/internal/peer"
 )
@@ -284,6 +285,9 @@
 	if d := l.StartRequest(at(0), "field", 1, model.Use{RequestsPerSecond: 1}); d.Verdict != Refused {
 		t.Errorf("verdict %d without an instance list, want refusal", d.Verdict)
 	}
+	if m, r := l.HandlePeer(at(0), "b", &pb.PeerMessage{}, nil); m != nil || r != nil {
+		t.Errorf("got %v and %v for an empty message", m, r)
+	}
 	l.SetInstances(epoch.Add(-time.Hour), []model.InstanceID{"a"})
 	for i := 0; i < 500; i++ {
 		l.Open(at(0), fmt.Sprint(i), 1, model.Use{OpeningsPerSecond: 10})
