Model a silent peer connection as the time until redial

The fault cut an instance off for 3 s, which is a partition; it is now a fault of its own. Cells with unplanned deaths name their last broken flow.

--- a/internal/faultmatrix/cells.go
+++ b/internal/faultmatrix/cells.go
@@ -25,6 +25,11 @@
 	arm  func(s *sim, fire func(focus))
 }
 
+// silentConnection is the time after which a sender gives up a silent
+// connection and dials again: the peer call's timeout of 300 ms and the dial's
+// of 200 ms.
+const silentConnection = 500 * time.Millisecond
+
 func (s *sim) cutFor(d time.Duration, blocked func(from, to string) bool) {
 	on := true
 	s.cuts = append(s.cuts, func(from, to string) bool { return on && blocked(from, to) })
@@ -99,7 +104,12 @@
 	{"partition-in-centre", true, func(s *sim, _ focus) {
 		s.cutFor(faultTime, func(from, to string) bool { return (from == "a1" || from == "a2") && (to == "a3" || to == "a4") })
 	}},
-	{"peer-connection-silent", true, func(s *sim, f focus) {
+	{"peer-connection-silent", false, func(s *sim, f focus) {
+		s.cutFor(silentConnection, func(from, to string) bool {
+			return from == string(f.node) && isCentre(to, 'a') && to != string(f.node)
+		})
+	}},
+	{"instance-isolated-in-centre", true, func(s *sim, f focus) {
 		s.cutFor(faultTime, func(from, to string) bool {
 			return from == string(f.node) && isCentre(to, 'a') && to != string(f.node)
 		})
@@ -273,7 +283,9 @@
 	Reached bool
 	// Broken counts broken flows of cells in which I1 promises nothing.
 	Broken int
-	Flows  int
+	// BrokenFlow describes the last of them.
+	BrokenFlow string
+	Flows      int
 	// Requests and Answered count the requests of the whole run.
 	Requests, Answered int
 }
@@ -326,7 +338,7 @@
 	})
 	s.runUntil(runTime)
 	s.obs.finish()
-	r := Result{Cell: cell, Seed: seed, Violations: s.obs.violations, Trace: s.trace, Reached: reached, Broken: s.obs.broken}
+	r := Result{Cell: cell, Seed: seed, Violations: s.obs.violations, Trace: s.trace, Reached: reached, Broken: s.obs.broken, BrokenFlow: s.obs.lastBroken}
 	for _, f := range s.flows {
 		if f.server != nil {
 			r.Flows++
--- a/internal/faultmatrix/cmd/matrix/main.go
+++ b/internal/faultmatrix/cmd/matrix/main.go
@@ -34,7 +34,7 @@
 			fmt.Printf("step not reached: %v\n", r.Cell)
 		}
 		if r.Broken > 0 {
-			fmt.Printf("unplanned: %v broke %d of %d flows\n", r.Cell, r.Broken, r.Flows)
+			fmt.Printf("unplanned: %v broke %d of %d flows: %s\n", r.Cell, r.Broken, r.Flows, r.BrokenFlow)
 		}
 		broken += r.Broken
 		flows += r.Flows
--- a/internal/faultmatrix/observer.go
+++ b/internal/faultmatrix/observer.go
@@ -49,6 +49,8 @@
 	// planned changes only.
 	lenient bool
 	broken  int
+	// lastBroken describes the last flow counted in broken.
+	lastBroken string
 
 	promises map[reqKey]string
 	runs     map[reqKey]int
@@ -175,6 +177,7 @@
 	case o.exempt(f):
 	case o.lenient:
 		o.broken++
+		o.lastBroken = fmt.Sprintf("%v at %.3f s: %s", f.key, o.s.now.Sub(o.s.start).Seconds(), cause)
 	default:
 		o.report("I1", "flow %v: %s", f.key, cause)
 	}
@@ -284,6 +287,7 @@
 	}
 	if o.lenient {
 		o.broken++
+		o.lastBroken = fmt.Sprintf("%v at %s got no echo for %v", f.key, f.server.name, o.s.now.Sub(f.lastEcho))
 		return
 	}
 	o.report("I1", "flow %v at %s got no echo for %v", f.key, f.server.name, o.s.now.Sub(f.lastEcho))
