--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -78,6 +78,7 @@
 	flows  *flowtable.Table
 	fast   atomic.Pointer[snapshot]
 	counts counters
+	pause  pauseGuard
 
 	mu          sync.Mutex
 	catalog     *model.Catalog
@@ -115,8 +116,8 @@
 	// configProblem is the last problem of the holder that was recorded.
 	configProblem error
 
-	// lastTick is the time of the last Tick.
-	lastTick                                         time.Time
+	// relays counts relayed packets.
+	relays                                           uint64
 	nextSlow, nextSummary, nextHeldScan, nextReports time.Time
 	// serverReports are the reports for the next heartbeat, own the buckets
 	// of which this instance is the owner and holds no record.
@@ -124,7 +125,9 @@
 	ownedBuckets  []*pb.OwnedBuckets
 
 	fenced, leaving, stopping, stopped bool
-	lingerFrom                         time.Time
+	// handedOver is set once a planned leave has handed everything over.
+	handedOver bool
+	lingerFrom time.Time
 
 	// out collects the actions of the event being handled.
 	out  []Action
@@ -157,8 +160,8 @@
 		mail:      map[model.InstanceID][]*pb.PeerMessage{},
 		metrics:   metrics.NewRegistry(),
 		latency:   map[model.ServiceID]metrics.Histogram{},
-		lastTick:  cfg.Started,
 	}
+	c.pause.lastTick.Store(cfg.Started.UnixNano())
 	c.newParts()
 	c.fast.Store(&snapshot{})
 	return c
@@ -272,7 +275,7 @@
 		return Forward{}, false
 	}
 	s := c.fast.Load()
-	if s.catalog == nil || s.out {
+	if s.catalog == nil || s.out || c.stale(now) {
 		return Forward{}, false
 	}
 	site := s.catalog.Sites[p.Service]
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -27,6 +27,7 @@
 	countResolves
 	countCrossService
 	countNotInPlan
+	countStale
 	counterCount
 )
 
@@ -52,6 +53,7 @@
 	"resolves",
 	"cross_service_pins",
 	"answers_not_in_plan",
+	"packets_after_pause",
 }
 
 // counterStride keeps counters that different workers raise on different
--- a/internal/entry/directory.go
+++ b/internal/entry/directory.go
@@ -7,7 +7,6 @@
 
 	pb "cuminshift/internal/gen/cuminshift/v1"
 	"cuminshift/internal/model"
-	"cuminshift/internal/rendezvous"
 )
 
 // forgetAfter is how long an instance that the list no longer names stays
@@ -22,6 +21,8 @@
 	packets    netip.AddrPort
 	operator   string
 	leaving    bool
+	// current is set while the newest list names the instance.
+	current bool
 	// seen is when the list last named the instance or it sent a heartbeat.
 	seen time.Time
 }
@@ -31,12 +32,16 @@
 
 // update takes the instance list.
 func (d directory) update(now time.Time, list []*pb.ListedInstance) {
+	for id, l := range d {
+		l.current = false
+		d[id] = l
+	}
 	for _, l := range list {
 		packets, err := netip.ParseAddrPort(l.GetPacketAddress())
 		if err != nil {
 			continue
 		}
-		d[model.InstanceID(l.GetInstance())] = listed{model.DataCentre(l.GetDataCentre()), l.GetPeerAddress(), packets, l.GetOperatorAddress(), l.GetLeaving(), now}
+		d[model.InstanceID(l.GetInstance())] = listed{model.DataCentre(l.GetDataCentre()), l.GetPeerAddress(), packets, l.GetOperatorAddress(), l.GetLeaving(), true, now}
 	}
 	for id, l := range d {
 		if now.Sub(l.seen) > forgetAfter {
@@ -57,22 +62,23 @@
 	return l.peer, ok
 }
 
-// relayTo returns the packet address of an instance of a data centre; a flow
-// keeps its instance while the list is unchanged.
-func (d directory) relayTo(dc model.DataCentre, flow model.FlowHash) (netip.AddrPort, bool) {
+// relayTo returns the packet address of an instance of a data centre. turn
+// makes copies of a packet go to different instances, as the fabric does: one
+// of them may be dead and still listed.
+func (d directory) relayTo(dc model.DataCentre, turn uint64) (netip.AddrPort, bool) {
 	ids := d.inDataCentre(dc)
 	if len(ids) == 0 {
 		return netip.AddrPort{}, false
 	}
-	best := rendezvous.Ranked(rendezvous.NewKey("relay", uint64(flow)), ids, 1)[0]
-	return d[best].packets, true
+	return d[ids[turn%uint64(len(ids))]].packets, true
 }
 
-// inDataCentre returns the instances of a data centre that are not leaving.
+// inDataCentre returns the listed instances of a data centre that are not
+// leaving.
 func (d directory) inDataCentre(dc model.DataCentre) []model.InstanceID {
 	var ids []model.InstanceID
 	for id, l := range d {
-		if l.dataCentre == dc && !l.leaving && l.packets.IsValid() {
+		if l.dataCentre == dc && l.current && !l.leaving {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/entry/packets.go
+++ b/internal/entry/packets.go
@@ -49,6 +49,11 @@
 		c.refuse(now, h, pb.Reason_REASON_INSTANCE_NOT_READY)
 		return
 	}
+	if c.stale(now) {
+		c.counts.add(countStale)
+		c.refuse(now, h, pb.Reason_REASON_INSTANCE_NOT_READY)
+		return
+	}
 	site := c.catalog.Sites[h.packet.Service]
 	if site == nil {
 		c.counts.add(countUnknownAddress)
@@ -90,7 +95,8 @@
 // relayed packet is never relayed again, so that two instances with different
 // configurations cannot send it back and forth.
 func (c *Core) relay(now time.Time, h *heldPacket, dc model.DataCentre) {
-	to, ok := c.directory.relayTo(dc, h.key.Flow)
+	c.relays++
+	to, ok := c.directory.relayTo(dc, c.relays)
 	if h.packet.Relayed || !ok {
 		c.counts.add(countRelayRefused)
 		c.refuse(now, h, pb.Reason_REASON_NO_SERVER)
@@ -261,6 +267,10 @@
 	if h.packet.Kind == pb.Kind_KIND_CANCEL || !h.packet.Caller.IsValid() {
 		return
 	}
+	if reason == pb.Reason_REASON_INSTANCE_NOT_READY && (h.packet.Kind == pb.Kind_KIND_DATA || h.packet.Kind == pb.Kind_KIND_CLOSE) {
+		// The flow is fine; the caller's next copy reaches another instance.
+		return
+	}
 	c.reply(h.packet.Caller, refusalOf(&h.packet, reason, c.refusedOutcome(now, h)))
 }
 
@@ -283,7 +293,7 @@
 // paused reports whether the process had not run for so long before the time
 // that datagrams may have waited in its sockets.
 func (c *Core) paused(at time.Time) bool {
-	return at.Sub(c.lastTick) >= minRepeat
+	return at.Sub(c.ticked()) >= minRepeat
 }
 
 func refusalOf(p *packet.Packet, reason pb.Reason, outcome pb.Outcome) packet.Packet {
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -107,7 +107,7 @@
 		case requests.SendToServer:
 			c.sendRequest(now, a)
 		case requests.SendCancel:
-			c.sendCancel(a)
+			c.sendCancel(now, a)
 		case requests.ReplyToCaller:
 			c.replyToCaller(now, a)
 		case requests.Observe:
@@ -126,7 +126,7 @@
 
 func (c *Core) sendRequest(now time.Time, a requests.SendToServer) {
 	server, running := c.catalog.Servers[a.Server], c.running[a.Key]
-	if server == nil || running == nil || server.Service != a.Service || c.outOfService() {
+	if server == nil || running == nil || server.Service != a.Service || c.outOfService() || c.stale(now) {
 		return
 	}
 	c.health.Observe(now, a.Server, pathOf(a.Flow), serverhealth.Observation{Kind: serverhealth.Sent})
@@ -145,9 +145,9 @@
 	c.act(SendToServer{Server: a.Server, Address: server.Address, Path: pathOf(a.Flow), Data: p.Append(nil)})
 }
 
-func (c *Core) sendCancel(a requests.SendCancel) {
+func (c *Core) sendCancel(now time.Time, a requests.SendCancel) {
 	server, running := c.catalog.Servers[a.Server], c.running[a.Key]
-	if server == nil || running == nil {
+	if server == nil || running == nil || c.outOfService() || c.stale(now) {
 		return
 	}
 	p := packet.Packet{Kind: pb.Kind_KIND_CANCEL, Caller: running.caller, Service: running.service, RequestID: a.ID, Attempt: a.Attempt}
--- a/internal/entry/tick.go
+++ b/internal/entry/tick.go
@@ -27,7 +27,7 @@
 )
 
 func (c *Core) tick(now time.Time) {
-	defer func() { c.lastTick = now }()
+	c.checkPause(now)
 	c.expireHeld(now)
 	c.expireOpenings(now)
 	if c.due(&c.nextSlow, now, slowInterval) {
@@ -271,24 +271,25 @@
 	c.journal.Add(now, "entry", "leaving", cause)
 	c.postAll(c.members.Leave(now))
 	c.steerActions(now, c.steering.Leave(now))
-	c.coordinator.Stop()
 }
 
-// checkLeft ends a planned stop once nothing depends on this instance.
+// checkLeft ends a planned stop once nothing depends on this instance. It
+// goes on serving for leaveLinger after it has handed over, and only then
+// takes no further requests.
 func (c *Core) checkLeft(now time.Time) {
 	if !c.stopping || c.stopped {
 		return
 	}
 	alone := len(c.state.Owners()) == 0
-	done := c.coordinator.Idle() && (alone || (c.members.LeaveKnown() && c.steering.Left() && c.admitter.HandoversPending() == 0))
-	if !done {
-		c.lingerFrom = time.Time{}
-		return
+	ready := alone || (c.members.LeaveKnown() && c.steering.Left() && c.admitter.HandoversPending() == 0)
+	if ready && !c.handedOver {
+		c.handedOver, c.lingerFrom = true, now
 	}
-	if c.lingerFrom.IsZero() {
-		c.lingerFrom = now
+	if !c.handedOver || now.Sub(c.lingerFrom) < leaveLinger {
+		return
 	}
-	if now.Sub(c.lingerFrom) >= leaveLinger {
+	c.coordinator.Stop()
+	if ready && c.coordinator.Idle() {
 		c.stopped = true
 		c.act(Stopped{})
 	}
