Resolve openings of moved buckets without asking all peers

Cause: each opening of an ACTIVE bucket cost a pin query to every peer, and each late record sent whole filters again. An owner that holds all records, whose bucket has not changed for longer than openings are repeated and that has not seen another instance ask, decides alone.

--- a/internal/steering/filter.go
+++ b/internal/steering/filter.go
@@ -64,26 +64,57 @@
 	r.Filters = append(r.Filters, f)
 }
 
-// shareFilter tells all instances of a record that was added after they may
-// have got a filter, such as a report that was late.
-func (s *Steering) shareFilter(id bucketID, c *bucketCopy) {
+// sharePace is the time over which additions to filters are gathered. An
+// addition is a flow of which this owner has just heard; before that, its
+// unknown packets went to the base server anyway.
+const sharePace = 100 * time.Millisecond
+
+// shareAdditions tells all instances of records that were added after they may
+// have got a filter, such as reports that were late.
+func (s *Steering) shareAdditions(now time.Time) {
+	if len(s.additions) == 0 || now.Sub(s.lastShared) < sharePace {
+		return
+	}
+	var filters []*pb.ResolveReply_Filter
+	for _, id := range sortedKeys(s.additions, compareBuckets) {
+		if c := s.copies[id]; c != nil && c.shared {
+			filters = append(filters, &pb.ResolveReply_Filter{Service: uint64(id.service), Bucket: uint32(id.number), Exceptions: s.additions[id], Add: true})
+		}
+	}
+	clear(s.additions)
+	s.lastShared = now
+	if len(filters) == 0 {
+		return
+	}
 	for _, m := range s.state.Members {
 		if m.Instance != s.cfg.Self {
-			s.addFilter(s.replyTo(m.Instance), id, c)
+			r := s.replyTo(m.Instance)
+			r.Filters = append(r.Filters, filters...)
 		}
 	}
 }
 
 // takeFilters stores the filters of a reply that was sent under the state
-// that this instance has.
+// that this instance has. Additions need no such check: a further exception
+// only costs a query.
 func (s *Steering) takeFilters(r *pb.ResolveReply) {
-	if s.state == nil || (dcstate.Version{Generation: r.GetGeneration(), Publisher: model.InstanceID(r.GetPublisher())}) != s.state.Version {
+	if s.state == nil {
 		return
 	}
+	current := dcstate.Version{Generation: r.GetGeneration(), Publisher: model.InstanceID(r.GetPublisher())} == s.state.Version
 	for _, f := range r.GetFilters() {
 		id := bucketID{model.ServiceID(f.GetService()), int(f.GetBucket())}
 		buckets := s.state.Services[id.service]
-		if id.number < len(buckets) && buckets[id.number].Phase == dcstate.Mixed {
+		if id.number >= len(buckets) || buckets[id.number].Phase != dcstate.Mixed {
+			continue
+		}
+		have, ok := s.filters[id]
+		switch {
+		case f.GetAdd() && ok:
+			all := append(slices.Clone(have), f.GetExceptions()...)
+			slices.Sort(all)
+			s.filters[id] = slices.Compact(all)
+		case !f.GetAdd() && current:
 			s.filters[id] = f.GetExceptions()
 		}
 	}
--- a/internal/steering/records.go
+++ b/internal/steering/records.go
@@ -197,7 +197,7 @@
 	}
 	c.flows[k.Flow] = record{server, now}
 	if !exists && c.shared {
-		s.shareFilter(id, c)
+		s.additions[id] = append(s.additions[id], fingerprint(k.Flow))
 	}
 	if exists && have.server == server && !s.renew(have.seen, now) {
 		return
--- a/internal/steering/resolve.go
+++ b/internal/steering/resolve.go
@@ -70,7 +70,7 @@
 		return
 	}
 	r := &resolution{key: k, opening: item.GetOpening(), waiters: []model.InstanceID{from}}
-	if !s.mustAsk(now, id, b) {
+	if !s.mustAsk(now, id, b) || r.opening && s.opensAlone(now, id, k) {
 		s.decide(now, r)
 		return
 	}
@@ -104,6 +104,17 @@
 	return p.Server, p.Recorded, true
 }
 
+// opensAlone reports whether the owner may decide about an opening without
+// asking its peers: the opening server has not changed for as long as an
+// opening may be repeated, the owner holds all records, so a repetition finds
+// the first one's, and no other instance has just asked about the flow.
+// Without it each opening of a moved bucket would cost a query to all peers.
+func (s *Steering) opensAlone(now time.Time, id bucketID, k key) bool {
+	c := s.copies[id]
+	return s.owner(id) == s.cfg.Self && c != nil && c.complete && !s.newlyMoved(now, id) &&
+		s.settled(now, id) && !s.askedElsewhere.has(k)
+}
+
 // mustAsk reports whether a flow without record may still be pinned by a peer
 // at another server than the bucket's base.
 func (s *Steering) mustAsk(now time.Time, id bucketID, b dcstate.Bucket) bool {
@@ -174,6 +185,7 @@
 	reply := &pb.PinReply{Query: q.GetQuery()}
 	var groups groups
 	for _, k := range keys {
+		s.askedElsewhere.add(k)
 		if r := s.resolutions[k]; r != nil {
 			r.yielded = true
 		}
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -172,10 +172,13 @@
 	newAsk      *ask
 	claims      map[key]claim
 
-	copies   map[bucketID]*bucketCopy
-	filters  map[bucketID]filter
-	links    map[linkID]*link
-	received map[linkID]*receipt
+	copies  map[bucketID]*bucketCopy
+	filters map[bucketID]filter
+	// additions are exceptions to add to the filters that others may have.
+	additions  map[bucketID][]uint32
+	lastShared time.Time
+	links      map[linkID]*link
+	received   map[linkID]*receipt
 	// sequence numbers RecordBatch, OwnershipHandover and PinQuery messages.
 	sequence uint64
 
@@ -194,10 +197,12 @@
 	versions   []dcstate.Version
 	collecting []*receipt
 
-	leaving   bool
-	closed    recentKeys
-	scan      scanState
-	lastSweep time.Time
+	leaving bool
+	closed  recentKeys
+	// askedElsewhere holds the flows that other instances asked about.
+	askedElsewhere recentKeys
+	scan           scanState
+	lastSweep      time.Time
 
 	out outbox
 }
@@ -208,7 +213,7 @@
 	return &Steering{
 		cfg: cfg.withDefaults(), table: table, sequence: cfg.Incarnation,
 		waits: map[key]*wait{}, resolutions: map[key]*resolution{}, asks: map[uint64]*ask{}, claims: map[key]claim{},
-		copies: map[bucketID]*bucketCopy{}, filters: map[bucketID]filter{}, links: map[linkID]*link{}, received: map[linkID]*receipt{},
+		copies: map[bucketID]*bucketCopy{}, filters: map[bucketID]filter{}, additions: map[bucketID][]uint32{}, links: map[linkID]*link{}, received: map[linkID]*receipt{},
 		changed: map[bucketID]time.Time{}, openingChanged: map[bucketID]time.Time{},
 	}
 }
--- a/internal/steering/tick.go
+++ b/internal/steering/tick.go
@@ -59,7 +59,9 @@
 	if now.Sub(s.scan.lastRotateKeys) >= closedMemory {
 		s.scan.lastRotateKeys = now
 		s.closed.rotate()
+		s.askedElsewhere.rotate()
 	}
+	s.shareAdditions(now)
 	s.sendLinks(now)
 	return s.flush(now)
 }
