--- a/internal/config/holder.go
+++ b/internal/config/holder.go
@@ -260,7 +260,9 @@
 	if h.behind() && now.Sub(h.asked) >= requestTimeout {
 		h.asked, h.compare = now, now
 		to := h.randomPeers(1)
-		if len(to) == 0 && h.source != "" {
+		// The source may be in another data centre and the only one that has the
+		// version, or may be gone; so it is asked every other time.
+		if h.source != "" && (len(to) == 0 || h.cfg.Rand.IntN(2) == 0) {
 			to = []model.InstanceID{h.source}
 		}
 		return h.requestsTo(to, h.wants())
--- a/internal/config/holder_test.go
+++ b/internal/config/holder_test.go
@@ -121,6 +121,31 @@
 	}
 }
 
+// Guards against a data centre without the store that learns of a version from
+// another data centre and asks only its own instances for it.
+func TestVersionComesFromAnotherDataCentre(t *testing.T) {
+	s := started(t)
+	h, remote := newTestHolder("a", []model.InstanceID{"a", "b"}), newTestHolder("r", nil)
+	s.load(remote, epoch)
+	now, out := epoch, h.Heard(epoch, "r", 1)
+	out = out[:0] // the first request is lost
+	for range 100 {
+		for _, m := range out {
+			if m.To != "r" {
+				continue
+			}
+			for _, reply := range remote.HandleRequest(now, "a", m.Body.GetConfigRequest()) {
+				h.HandleReply(now, "r", reply.Body.GetConfigReply())
+			}
+		}
+		now = now.Add(requestTimeout)
+		out = h.Tick(now)
+	}
+	if h.Current().Version != 1 {
+		t.Errorf("holds version %d", h.Current().Version)
+	}
+}
+
 // Guards against a wrong number of store readers in a data centre.
 func TestTwoReaders(t *testing.T) {
 	var live []model.InstanceID
