Test what admission makes of stale evidence and of restarted coordinators

Trial mutations of the code showed two rules that no test guarded: answers to attempts from before a set-back do not raise the ramp, and the report of a restarted coordinator frees nothing. Both are tested now. The loop that was meant to test the first released grants that did not exist.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -196,6 +196,8 @@
 		serve(5000)
 		serve(5010)
 		allowed(5020, 3)
+		a.HandlePeer(at(5025), "b", idempotent(901))
+		a.HandlePeer(at(5025), "b", idempotent(902))
 		for i := 0; i < c.times; i++ {
 			allowed(5030, 3)
 			grant++
@@ -204,9 +206,9 @@
 			a.HandlePeer(at(5040), "b", release(c.end))
 		}
 		allowed(5040, 1)
-		for i := 0; i < 20; i++ {
-			a.HandlePeer(at(5050), "b", answered(grant, healthy))
-		}
+		// Answers to attempts from before say nothing about the server now.
+		a.HandlePeer(at(6500), "b", answered(901, healthy))
+		a.HandlePeer(at(6500), "b", answered(902, healthy))
 		allowed(7000, 1)
 	}
 }
@@ -331,6 +333,19 @@
 	if s := a.Status(at(40_305), id); s.Outstanding != 3 {
 		t.Errorf("%d grants outstanding after a repeated handover, want 3", s.Outstanding)
 	}
+	// A restarted coordinator does not know what its former incarnation holds.
+	report := &pb.GrantReport{Generation: 2, Servers: []uint64{uint64(id)}}
+	body := &pb.PeerMessage{Body: &pb.PeerMessage_GrantReport{GrantReport: report}}
+	for former, outstanding := range map[string]int{"": 3, "b": 0} {
+		a2, _, _, _, _ := pair(healthy)
+		a2.StateChanged(at(40_010), nil, after, noneHeld)
+		a2.HandlePeer(at(40_301), "b", h)
+		report.Former = former
+		a2.HandlePeer(at(40_302), "c", body)
+		if s := a2.Status(at(40_302), id); s.Outstanding != outstanding {
+			t.Errorf("%d grants outstanding after an empty report with former admitter %q", s.Outstanding, former)
+		}
+	}
 	want(t, "former admitter", b.HandlePeer(at(40_306), "c", request(&pb.GrantRequest{Server: uint64(id), Grant: 10, Idempotent: true})), 10, notAdmitter)
 }
 
