--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -309,8 +309,8 @@
 	}
 }
 
-// Guards against a collection that is believed although an instance died while
-// its pins were being collected.
+// Guards against a collection that is believed although an instance has not
+// handed over its pins, or died while they were being collected.
 func TestDeathDuringCollection(t *testing.T) {
 	f := newFleet(t, 4, catalog(1, 14))
 	f.steps(3)
@@ -328,6 +328,10 @@
 			}
 		}
 	}
+	f.steps(5)
+	if n := f.phases(0)[dcstate.Mixed]; n != 0 {
+		t.Fatalf("%d buckets mixed before i003 has handed over its pins", n)
+	}
 	f.in.View, f.in.Confirmations = f.in.View[:3], f.in.Confirmations[:3]
 	f.in.UnplannedDeaths = []membership.Death{{Instance: "i003", Incarnation: 1, At: f.now}}
 	for range 20 {
