--- a/internal/shell/edit.go
+++ b/internal/shell/edit.go
@@ -32,7 +32,9 @@
 
 // Edit carries out an operator's edit against the store.
 func (o *operator) Edit(ctx context.Context, request *connect.Request[pb.EditRequest]) (*connect.Response[pb.EditResponse], error) {
-	ctx, cancel := context.WithTimeout(ctx, editTimeout)
+	// The edit goes on when the operator's connection ends: it may be between
+	// its two steps.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), editTimeout)
 	defer cancel()
 	r := request.Msg
 	deadline, _ := ctx.Deadline()
@@ -41,6 +43,7 @@
 		Rand:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Known:    o.sh.core.Shard,
 		InForce:  o.sh.core.InForce(time.Now()),
+		Held:     o.sh.core.Configuration().Version,
 	}, config.Edit{
 		ID: r.GetEditId(), Operator: r.GetOperator(), Summary: r.GetSummary(), BaseVersion: r.GetBaseVersion(),
 		Callers: r.GetCallers(), Plans: r.GetPlans(), Marks: r.GetMarks(), DryRun: r.GetDryRun(),
