--- /dev/null
+++ b/internal/admission/seed_test.go
@@ -0,0 +1,3 @@
+package admission
+
+import _ "cuminshift/internal/fixedseed"
--- /dev/null
+++ b/internal/config/seed_test.go
@@ -0,0 +1,3 @@
+package config
+
+import _ "cuminshift/internal/fixedseed"
--- /dev/null
+++ b/internal/flowtable/seed_test.go
@@ -0,0 +1,3 @@
+package flowtable
+
+import _ "cuminshift/internal/fixedseed"
--- /dev/null
+++ b/internal/limits/seed_test.go
@@ -0,0 +1,3 @@
+package limits
+
+import _ "cuminshift/internal/fixedseed"
--- /dev/null
+++ b/internal/lists/seed_test.go
@@ -0,0 +1,3 @@
+package lists
+
+import _ "cuminshift/internal/fixedseed"
--- /dev/null
+++ b/internal/membership/seed_test.go
@@ -0,0 +1,3 @@
+package membership_test
+
+import _ "cuminshift/internal/fixedseed"
--- /dev/null
+++ b/internal/packet/seed_test.go
@@ -0,0 +1,3 @@
+package packet
+
+import _ "cuminshift/internal/fixedseed"
--- /dev/null
+++ b/internal/placement/seed_test.go
@@ -0,0 +1,3 @@
+package placement
+
+import _ "cuminshift/internal/fixedseed"
--- /dev/null
+++ b/internal/requests/seed_test.go
@@ -0,0 +1,3 @@
+package requests
+
+import _ "cuminshift/internal/fixedseed"
--- /dev/null
+++ b/internal/steering/seed_test.go
@@ -0,0 +1,3 @@
+package steering
+
+import _ "cuminshift/internal/fixedseed"
