--- a/internal/requests/attempt.go
+++ b/internal/requests/attempt.go
@@ -230,10 +230,11 @@
 	return nil
 }
 
-// noteWait notes that a request ends which waited for a grant so long that
-// the caller may have repeated it elsewhere.
+// noteWait notes that a request ends which waited for a grant, or for its next
+// attempt, so long that the caller may have repeated it elsewhere.
 func (c *Coordinator) noteWait(now time.Time, r *request) {
-	if r.phase == asking && now.Sub(r.startedAt) >= c.cfg.CopyAfter {
+	waiting := r.phase == asking || r.phase == backingOff
+	if waiting && now.Sub(r.startedAt) >= c.cfg.CopyAfter {
 		r.copyElsewhere = true
 	}
 }
--- a/internal/requests/requests_test.go
+++ b/internal/requests/requests_test.go
@@ -194,6 +194,11 @@
 			h.reply(4101, granted)
 			h.refuse(4102, 1, shed, didNotRun)
 		}, shed, unknown, 2},
+		{"frozen between attempts", Request{}, func(h *harness) {
+			h.reply(1, granted)
+			h.refuse(2, 0, shed, didNotRun)
+			h.do(h.Tick(at(9000)))
+		}, pb.Reason_REASON_DEADLINE, unknown, 1},
 		{"cancelled before the grant", Request{}, func(h *harness) { h.do(h.Cancel(at(5), key(1))) }, pb.Reason_REASON_CANCELLED, didNotRun, 0},
 		{"cancelled, server says not run", Request{}, func(h *harness) {
 			h.reply(1, granted)
