steering: keep records and opening times when a bucket map is resized

A service that grows past a power of two gets more buckets, under which owners differ. Records are now sorted into the new buckets with their authority and handed over as usual; the time at which an opening server changed is carried over, without which a generated run opened one flow at two servers. 4 x 150 generated runs each of planned and unplanned changes with resizing pass.

--- a/internal/steering/change.go
+++ b/internal/steering/change.go
@@ -35,8 +35,8 @@
 		old = dcstate.New(old.Version, nil, old.Services)
 	}
 	changed := s.bucketsChanged(now, old)
-	moved := s.retarget(gone)
-	moved = append(moved, s.resized(old)...)
+	moved := s.retarget(gone, func(service model.ServiceID) bool { return s.isResized(old, service) })
+	s.renumber(now, old)
 	s.assignRoles(now, old, changed, gone)
 	for _, o := range moved {
 		s.report(now, o)
@@ -127,14 +127,19 @@
 		if len(was) == len(buckets) && len(was) > 0 && &was[0] == &buckets[0] {
 			continue
 		}
+		carried := s.takeOpeningChanges(service, len(was) != len(buckets))
 		for n, b := range buckets {
-			if len(was) == len(buckets) && was[n] == b {
+			former, ok := formerBucket(was, n, len(buckets))
+			if len(was) == len(buckets) && former == b {
 				continue
 			}
 			id := bucketID{service, n}
 			changed = append(changed, id)
 			s.changed[id] = now
-			if len(was) == len(buckets) && was[n].OpeningServer() != 0 && was[n].OpeningServer() != b.OpeningServer() {
+			if at, found := carried[n*len(was)/len(buckets)]; found {
+				s.openingChanged[id] = at
+			}
+			if ok && former.OpeningServer() != 0 && former.OpeningServer() != b.OpeningServer() || !ok && len(was) > 0 {
 				s.openingChanged[id] = now
 			}
 		}
@@ -143,12 +148,35 @@
 	return changed
 }
 
-// resized returns the records of services whose number of buckets changed, as
-// reports to the owners under the new numbering.
-func (s *Steering) resized(old *dcstate.State) []op {
-	var moved []op
+// takeOpeningChanges removes and returns what is known about the buckets of a
+// service that is resized, by their former numbers.
+func (s *Steering) takeOpeningChanges(service model.ServiceID, resized bool) map[int]time.Time {
+	taken := map[int]time.Time{}
+	for id, at := range s.openingChanged {
+		if resized && id.service == service {
+			taken[id.number] = at
+			delete(s.openingChanged, id)
+		}
+	}
+	return taken
+}
+
+// isResized reports whether the service's number of buckets changed.
+func (s *Steering) isResized(old *dcstate.State, service model.ServiceID) bool {
+	return old != nil && len(old.Services[service]) != len(s.state.Services[service])
+}
+
+// renumber sorts the records of resized services into the new buckets. The
+// copies keep their authority, so that assignRoles hands them over.
+func (s *Steering) renumber(now time.Time, old *dcstate.State) {
+	for service := range s.state.Services {
+		if s.isResized(old, service) {
+			s.resizedAt[service] = s.state.Version
+		}
+	}
+	var records []op
 	for _, id := range sortedKeys(s.copies, compareBuckets) {
-		if old != nil && len(old.Services[id.service]) == len(s.state.Services[id.service]) {
+		if !s.isResized(old, id.service) {
 			continue
 		}
 		c := s.copies[id]
@@ -156,11 +184,26 @@
 		if !c.authority {
 			continue
 		}
-		for _, f := range sortedKeys(c.flows, cmp.Compare[model.FlowHash]) {
-			moved = append(moved, op{kind: opReport, key: key{Service: id.service, Flow: f}, server: c.flows[f].server})
+		for f, r := range c.flows {
+			records = append(records, op{key: key{Service: id.service, Flow: f}, server: r.server})
+		}
+	}
+	for _, o := range records {
+		if id, _, ok := s.bucketOf(o.key); ok {
+			c := s.copyOf(now, id)
+			c.authority = true
+			c.flows[o.key.Flow] = record{o.server, now}
 		}
 	}
-	return moved
+}
+
+// formerBucket returns the bucket that held the flows of bucket n of count
+// before the change; false when there was none, or several.
+func formerBucket(was []dcstate.Bucket, n, count int) (dcstate.Bucket, bool) {
+	if len(was) == 0 || len(was) > count {
+		return dcstate.Bucket{}, false
+	}
+	return was[n*len(was)/count], true
 }
 
 // assignRoles brings the copies in line with the owners and backups of the
@@ -286,10 +329,9 @@
 func (s *Steering) pinsToReport(old *dcstate.State, changed []bucketID) map[bucketID]bool {
 	ids := map[bucketID]bool{}
 	for _, id := range changed {
-		b, was := s.state.Services[id.service][id.number], dcstate.Bucket{}
-		if list := old.Services[id.service]; len(list) == len(s.state.Services[id.service]) {
-			was = list[id.number]
-		}
+		buckets := s.state.Services[id.service]
+		b := buckets[id.number]
+		was, _ := formerBucket(old.Services[id.service], id.number, len(buckets))
 		if b.Base != was.Base || b.Phase == dcstate.Collecting {
 			ids[id] = true
 		}
--- a/internal/steering/cluster_test.go
+++ b/internal/steering/cluster_test.go
@@ -499,6 +499,18 @@
 	c.publish(c.state.Members, buckets, nil)
 }
 
+// grow doubles the number of buckets, up to 32.
+func (c *cluster) grow() {
+	var buckets []dcstate.Bucket
+	for _, b := range c.state.Services[testService] {
+		buckets = append(buckets, b, b)
+	}
+	if len(buckets) <= 32 {
+		c.logf("grow to %d", len(buckets))
+		c.publish(c.state.Members, buckets, nil)
+	}
+}
+
 func (c *cluster) kill(id model.InstanceID) {
 	if len(c.order) < 3 || c.nodes[id] == nil {
 		return
--- a/internal/steering/links.go
+++ b/internal/steering/links.go
@@ -216,7 +216,7 @@
 // retarget removes from the links what the new state sends elsewhere and
 // returns the reports among it. Backups and handovers are derived anew from
 // the state.
-func (s *Steering) retarget(gone func(model.InstanceID) bool) []op {
+func (s *Steering) retarget(gone func(model.InstanceID) bool, resized func(model.ServiceID) bool) []op {
 	var moved []op
 	for _, id := range sortedKeys(s.links, compareLinks) {
 		to, l := id.peer, s.links[id]
@@ -224,7 +224,7 @@
 		kept := l.queue[:0:0]
 		for i, o := range l.queue {
 			switch {
-			case !lost && s.stillFor(to, o):
+			case !lost && s.stillFor(to, o) && (o.kind != opHandover || !resized(o.bucket.service)):
 				kept = append(kept, o)
 				continue
 			case o.kind == opReport || o.kind == opCollected:
--- a/internal/steering/records.go
+++ b/internal/steering/records.go
@@ -228,6 +228,9 @@
 		}
 	}
 	for _, rg := range h.GetRanges() {
+		if version.Less(s.resizedAt[model.ServiceID(rg.GetService())]) {
+			continue // the bucket numbers are those of another map
+		}
 		for _, n := range rg.GetBuckets() {
 			id := bucketID{model.ServiceID(rg.GetService()), int(n)}
 			if id.number >= len(s.state.Services[id.service]) {
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -190,6 +190,9 @@
 	lastTick       time.Time
 	pausedUntil    time.Time
 
+	// resizedAt is the state at which a service's number of buckets changed.
+	resizedAt map[model.ServiceID]dcstate.Version
+
 	versions   []dcstate.Version
 	collecting []*receipt
 
@@ -208,7 +211,8 @@
 		cfg: cfg.withDefaults(), table: table, sequence: cfg.Incarnation,
 		waits: map[key]*wait{}, resolutions: map[key]*resolution{}, asks: map[uint64]*ask{}, claims: map[key]claim{},
 		copies: map[bucketID]*bucketCopy{}, links: map[linkID]*link{}, received: map[linkID]*receipt{},
-		changed: map[bucketID]time.Time{}, openingChanged: map[bucketID]time.Time{},
+		resizedAt: map[model.ServiceID]dcstate.Version{},
+		changed:   map[bucketID]time.Time{}, openingChanged: map[bucketID]time.Time{},
 	}
 }
 
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -50,7 +50,7 @@
 				c.open()
 			}
 		case 2:
-			c.move(i%testBuckets, model.ServerID(rapid.IntRange(1, 6).Draw(t, "server")))
+			c.move(i%len(c.state.Services[testService]), model.ServerID(rapid.IntRange(1, 6).Draw(t, "server")))
 		case 3:
 			if len(c.order) < 6 {
 				c.start(model.InstanceID(fmt.Sprintf("n%d", joined)))
@@ -58,6 +58,9 @@
 			}
 		case 4:
 			c.leave(id)
+			if i%4 == 0 {
+				c.grow()
+			}
 		case 5:
 			c.kill(id)
 		case 6:
