--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -194,6 +194,9 @@
 	lastTick       time.Time
 	pausedUntil    time.Time
 
+	// resizedAt is the state at which a service's number of buckets changed.
+	resizedAt map[model.ServiceID]dcstate.Version
+
 	versions   []dcstate.Version
 	collecting []*receipt
 
@@ -213,7 +216,8 @@
 	return &Steering{
 		cfg: cfg.withDefaults(), table: table, sequence: cfg.Incarnation,
 		waits: map[key]*wait{}, resolutions: map[key]*resolution{}, asks: map[uint64]*ask{}, claims: map[key]claim{},
-		copies: map[bucketID]*bucketCopy{}, filters: map[bucketID]filter{}, additions: map[bucketID][]uint32{}, links: map[linkID]*link{}, received: map[linkID]*receipt{},
+		copies: map[bucketID]*bucketCopy{}, filters: map[bucketID]filter{}, additions: map[bucketID][]uint32{},
+		links: map[linkID]*link{}, received: map[linkID]*receipt{}, resizedAt: map[model.ServiceID]dcstate.Version{},
 		changed: map[bucketID]time.Time{}, openingChanged: map[bucketID]time.Time{},
 	}
 }
