--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -112,6 +112,10 @@
 	empty   []placement.EmptyBuckets
 	// known are the instances that limits are shared with.
 	known []model.InstanceID
+	// sharing are the instances among which cold shares are split, since
+	// sharingAt; see knownInstances.
+	sharing   []model.InstanceID
+	sharingAt time.Time
 
 	// configProblem is the last problem of the holder that was recorded.
 	configProblem error
--- a/internal/entry/tick.go
+++ b/internal/entry/tick.go
@@ -77,7 +77,7 @@
 	}
 	for id, s := range c.catalog.Servers {
 		if s.DataCentre == c.cfg.DataCentre {
-			c.postAll(c.admitter.Observe(now, id, c.health.Condition(id)))
+			c.postAll(c.admitter.Observe(now, id, c.health.Recent(now, id)))
 		}
 	}
 }
@@ -104,15 +104,23 @@
 	return true
 }
 
+// shareHold is how long an instance goes on sharing with one that is gone.
+// The others learn of a change at other times, and a share that grew too early
+// would add to one that still counts.
+const shareHold = 3 * time.Second
+
 // knownInstances returns the number of instances that share what a server in
 // cold start bears, and this instance's place among them.
 func (c *Core) knownInstances(now time.Time) (count, rank int) {
-	for i, id := range c.known {
+	if len(c.known) >= len(c.sharing) || now.Sub(c.sharingAt) >= shareHold {
+		c.sharing, c.sharingAt = append(c.sharing[:0], c.known...), now
+	}
+	for i, id := range c.sharing {
 		if id == c.cfg.Self {
-			return len(c.known), i
+			return len(c.sharing), i
 		}
 	}
-	return len(c.known) + 1, len(c.known)
+	return len(c.sharing) + 1, len(c.sharing)
 }
 
 // fenceChanged records when the instance loses or regains its lease.
--- a/internal/placement/ramp.go
+++ b/internal/placement/ramp.go
@@ -10,10 +10,15 @@
 	// massSilence is the time after which the silence of more than half of a
 	// service's servers is believed, provided that another server answers.
 	massSilence = 10 * time.Second
-	// rampStart is the number of buckets of a server in cold start. One bucket
-	// is the smallest share there is (1/1024 of the openings or less); what
-	// exceeds a server's cold limit is held back by each instance.
+	// rampStart is the least number of buckets of a server in cold start. One
+	// bucket is the smallest share there is (1/1024 of the openings or less);
+	// what exceeds a server's cold limit is held back by each instance.
 	rampStart = 1
+	// coldShare is the part of the openings that a cold server bears which its
+	// first share may bring; the rest is for the spread of the rate.
+	coldShare = 0.5
+	// rateInterval is the time over which the answers of a service are counted.
+	rateInterval = time.Second
 	// quietFactor times RampInterval is the time after which a share is raised
 	// without answers: a bucket without traffic gives no evidence.
 	quietFactor = 10
@@ -24,7 +29,9 @@
 
 // rampState is the cold start of a server, as a limit on its buckets.
 type rampState struct {
-	on       bool
+	on bool
+	// warm is set for a server that shed load while it was not in cold start.
+	warm     bool
 	allowed  int
 	at       time.Time
 	answers  uint64
@@ -110,6 +117,7 @@
 // ramp starts, raises and sets back the shares of servers in cold start.
 func (p *Publisher) ramp(now time.Time, svc *service) {
 	mostlyCold := p.mostlyCold(svc)
+	p.measureRate(now, svc)
 	capacity, _ := svc.capacity()
 	for _, t := range svc.sorted() {
 		wasUsable := t.judged && t.usable
@@ -124,17 +132,64 @@
 			t.judged = true
 			p.resumeRamp(now, svc, t, fair)
 		case !wasUsable:
-			p.setRamp(now, svc, t, max(rampStart, len(t.buckets)), EventRampStarted, "server added or back")
+			p.setRamp(now, svc, t, max(svc.startShare(t, fair), len(t.buckets)), EventRampStarted, "server added or back")
 		case t.cold() && !mostlyCold:
-			if !t.ramp.on || t.ramp.allowed > rampStart {
-				p.setRamp(now, svc, t, rampStart, EventRampSetBack, t.condition.String())
-			}
+			p.setBack(now, svc, t, fair)
 		case t.ramp.on:
 			p.raise(now, svc, t, fair)
 		}
 	}
 }
 
+// setBack lowers the share of a server. A warm one that sheds load keeps half,
+// and again half in each interval: the start of a ramp would put its load on
+// the others, which then shed in turn. One in cold start begins again.
+func (p *Publisher) setBack(now time.Time, svc *service, t *target, fair float64) {
+	if t.condition == pb.ServerCondition_SERVER_CONDITION_SHEDDING && (!t.ramp.on || t.ramp.warm) {
+		if t.ramp.on && now.Sub(t.ramp.at) < p.cfg.RampInterval {
+			return
+		}
+		if half := len(t.buckets) / 2; half >= rampStart {
+			p.setRamp(now, svc, t, half, EventRampSetBack, t.condition.String())
+			t.ramp.warm = true
+		}
+		return
+	}
+	if start := svc.startShare(t, fair); !t.ramp.on || t.ramp.allowed > start {
+		p.setRamp(now, svc, t, start, EventRampSetBack, t.condition.String())
+	}
+}
+
+// measureRate counts the answers of a service per second. They include the
+// answers to requests, so that the rate of openings is not underestimated.
+func (p *Publisher) measureRate(now time.Time, svc *service) {
+	elapsed := now.Sub(svc.rateAt)
+	if !svc.rateAt.IsZero() && elapsed < rateInterval {
+		return
+	}
+	var total uint64
+	for _, t := range svc.sorted() {
+		answers, _ := p.evidence(t)
+		total += answers
+	}
+	if !svc.rateAt.IsZero() && total >= svc.rateAnswers {
+		svc.rate, svc.rateKnown = float64(total-svc.rateAnswers)/elapsed.Seconds(), true
+	}
+	svc.rateAt, svc.rateAnswers = now, total
+}
+
+// startShare returns the number of buckets with which a ramp starts: those
+// that bring what a cold server bears, as far as the rate is known, and at
+// most the fair share.
+func (s *service) startShare(t *target, fair float64) int {
+	if !s.rateKnown || t.server == nil {
+		return rampStart
+	}
+	bears := coldShare * float64(t.server.ColdOpeningsPerSecond)
+	share := bears / max(s.rate, bears) * float64(s.n)
+	return max(rampStart, int(min(share, fair)))
+}
+
 func (t *target) cold() bool {
 	return t.condition == pb.ServerCondition_SERVER_CONDITION_COLD || t.condition == pb.ServerCondition_SERVER_CONDITION_SHEDDING
 }
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -36,6 +36,12 @@
 	collecting map[uint32]uint64
 	mixed      map[uint32]*mixedSince
 
+	// rate is the number of answers per second since rateAt's predecessor.
+	rate        float64
+	rateKnown   bool
+	rateAt      time.Time
+	rateAnswers uint64
+
 	balancedAt    time.Time
 	distrustSince time.Time
 	noServer      bool
