--- a/internal/entry/packets.go
+++ b/internal/entry/packets.go
@@ -240,7 +240,13 @@
 // server by another instance, and a repetition must not go elsewhere.
 func (c *Core) forwardOpening(now time.Time, h *heldPacket, server *model.BackendServer) {
 	repeated := !c.openings.start(now, h, server.ID)
-	if !repeated && !c.openingAllowed(now, server) {
+	if !c.openingAllowed(now, server) {
+		if repeated {
+			// The first copy is at the server; refusing this one would be
+			// untrue, and sending it would be more than the server bears.
+			c.uncount(now, h)
+			return
+		}
 		c.openings.end(h.key)
 		c.refuse(now, h, pb.Reason_REASON_OVERLOAD)
 		return
--- a/internal/placement/ramp.go
+++ b/internal/placement/ramp.go
@@ -138,14 +138,16 @@
 		case t.ramp.on:
 			p.raise(now, svc, t, fair)
 		}
+		p.sample(now, t)
 	}
 }
 
-// setBack lowers the share of a server. A warm one that sheds load keeps half,
-// and again half in each interval: the start of a ramp would put its load on
-// the others, which then shed in turn. One in cold start begins again.
+// setBack lowers the share of a server. A warm one that sheds some of its load
+// keeps half, and again half in each interval: the start of a ramp would put
+// its load on the others, which then shed in turn. One in cold start, or that
+// refuses much of its load, begins again.
 func (p *Publisher) setBack(now time.Time, svc *service, t *target, fair float64) {
-	if t.condition == pb.ServerCondition_SERVER_CONDITION_SHEDDING && (!t.ramp.on || t.ramp.warm) {
+	if t.condition == pb.ServerCondition_SERVER_CONDITION_SHEDDING && (!t.ramp.on || t.ramp.warm) && !p.overwhelmed(t) {
 		if t.ramp.on && now.Sub(t.ramp.at) < p.cfg.RampInterval {
 			return
 		}
@@ -160,6 +162,21 @@
 	}
 }
 
+// overwhelmed reports whether a server has refused more than refusalShare in
+// the present interval.
+func (p *Publisher) overwhelmed(t *target) bool {
+	answers, refusals := p.evidence(t)
+	return float64(refusals-t.refusals) > refusalShare*float64(answers-t.answers)+1
+}
+
+// sample begins a new interval for overwhelmed.
+func (p *Publisher) sample(now time.Time, t *target) {
+	if now.Sub(t.sampledAt) >= p.cfg.RampInterval {
+		t.answers, t.refusals = p.evidence(t)
+		t.sampledAt = now
+	}
+}
+
 // measureRate counts the answers of a service per second. They include the
 // answers to requests, so that the rate of openings is not underestimated.
 func (p *Publisher) measureRate(now time.Time, svc *service) {
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -83,6 +83,9 @@
 	desired   float64
 	bias      float64
 	ramp      rampState
+	// answers and refusals are the evidence at sampledAt.
+	answers, refusals uint64
+	sampledAt         time.Time
 }
 
 // destination returns the server that takes the openings of a bucket now or
