--- a/internal/serverhealth/openings.go
+++ b/internal/serverhealth/openings.go
@@ -24,6 +24,8 @@
 	at     time.Time
 	// slot is the last time slot that was used.
 	slot int64
+	// pausedUntil is set when a warm server goes cold.
+	pausedUntil time.Time
 }
 
 // OpeningAllowed reports whether this instance may open a flow at the server
@@ -48,6 +50,9 @@
 }
 
 func (o *openings) take(now time.Time, perSecond, instances, rank int) bool {
+	if now.Before(o.pausedUntil) {
+		return false
+	}
 	rank %= instances
 	quota := perSecond / instances
 	if rank < perSecond%instances {
--- a/internal/serverhealth/serverhealth.go
+++ b/internal/serverhealth/serverhealth.go
@@ -316,8 +316,9 @@
 	if c == s.condition {
 		return
 	}
-	if c == Cold {
-		s.openings = openings{}
+	if c == Cold && s.condition != Unknown {
+		// The openings just sent to the warm server were not counted.
+		s.openings.pausedUntil = now.Add(openingWindow)
 	}
 	if s.condition != Unknown || c != Healthy {
 		s.urgent = 3
