--- a/internal/faultmatrix/observer.go
+++ b/internal/faultmatrix/observer.go
@@ -18,6 +18,10 @@
 	// which its load may exceed what it bears: nobody can know before its
 	// first cold answer and the next heartbeats.
 	suddenGrace = 500 * time.Millisecond
+	// openingWindow is a second less what the delay between instance and
+	// server varies (0.3 ms), so that evenly spaced openings at the limit are
+	// not reported.
+	openingWindow = time.Second - time.Millisecond
 	// quiet is the fault-free time at the end of a run in which every flow
 	// must get an echo.
 	quiet = 3 * time.Second
@@ -131,7 +135,7 @@
 		return
 	}
 	f.arrivals = append(f.arrivals, o.s.now)
-	for o.s.now.Sub(f.arrivals[0]) >= time.Second {
+	for o.s.now.Sub(f.arrivals[0]) >= openingWindow {
 		f.arrivals = f.arrivals[1:]
 	}
 	if len(f.arrivals) > coldOpenings && !f.inGrace() {
