--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/integrii/flaggy"
+
+	"cuminshift/internal/findings"
 )
 
 // Exit codes; they are listed in the help text.
@@ -137,13 +139,23 @@
 		code = coded.code
 	}
 	if e.output == "json" {
-		printJSON(e.stdout, map[string]any{"error": err.Error(), "exit": code})
+		printJSON(e.stdout, failure(err, code))
 	} else {
 		fmt.Fprintln(e.stderr, "cuminctl:", strings.TrimRight(err.Error(), "\n"))
 	}
 	return code
 }
 
+// failure is the one JSON document that a failed command prints.
+func failure(err error, code int) map[string]any {
+	out := map[string]any{"error": strings.TrimRight(err.Error(), "\n"), "exit": code}
+	var invalid *findings.Error
+	if errors.As(err, &invalid) {
+		out["error"], out["valid"], out["findings"] = fmt.Sprintf("%d findings", len(invalid.Findings)), false, invalid.Findings
+	}
+	return out
+}
+
 func newParser(o *options) (*flaggy.Parser, []command) {
 	o.output, o.callers, o.plans, o.wait, o.operator = "table", defaultCallers, defaultPlans, defaultWait, os.Getenv("USER")
 	p := flaggy.NewParser("cuminctl")
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"encoding/json"
 	"encoding/pem"
 	"errors"
 	"math/rand/v2"
@@ -89,6 +90,10 @@
 	return connect.NewResponse(s), nil
 }
 
+func (e *entry) Explain(context.Context, *connect.Request[pb.ExplainRequest]) (*connect.Response[pb.ExplainResponse], error) {
+	return connect.NewResponse(&pb.ExplainResponse{Journal: []*pb.JournalEntry{{Part: "entry", Event: "refused", Cause: "NO_SERVER", Count: 17}}}), nil
+}
+
 const callersYAML = `callers:
   - {name: north, plan: gold, prefixes: [10.0.0.0/16]}
   - {name: south, plan: gold, prefixes: [10.1.0.0/16]}
@@ -165,6 +170,8 @@
 	s.run(ExitOK, "apply --operator ana --dry-run", "+ caller north", "nothing was changed")
 	s.run(ExitOK, "apply --operator ana --summary first", "accepted as version 1", "in force", "unreachable, not confirmed: sur")
 	s.run(ExitOK, "diff", "files are based on version 1", "no changes")
+	s.run(ExitOK, "apply --operator ana", "nothing to accept; the newest version is 1")
+	s.run(ExitUsage, "diff --base x", "--base is a version number")
 
 	// Two operators start from version 1.
 	s.run(ExitOK, "export --callers bruno.yaml --plans bruno-plans.yaml", "wrote version 1")
@@ -213,6 +220,46 @@
 	}
 }
 
+// Guards against "in force" for a data centre that has not been heard yet, and
+// against an endless wait for one that is cut off.
+func TestDataCentreWithoutSummary(t *testing.T) {
+	status := &pb.StatusResponse{DataCentre: "norte", Instances: []*pb.InstanceStatus{{Instance: "e1", ConfigVersion: 1}}}
+	centres := []string{"norte", "sur"}
+	if p := progressOf(status, 1, centres, true); len(p.waiting) != 1 || p.waiting[0] != "sur" || len(p.unreachable) != 0 {
+		t.Errorf("at first: %+v", p)
+	}
+	if p := progressOf(status, 1, centres, false); len(p.waiting) != 0 || len(p.unreachable) != 1 || p.unreachable[0] != "sur" {
+		t.Errorf("later: %+v", p)
+	}
+}
+
+// Guards against JSON output that programs cannot read as one document.
+func TestFindingsAreOneDocument(t *testing.T) {
+	t.Chdir(t.TempDir())
+	s := session{t, ""}
+	s.write("callers.yaml", strings.Replace(callersYAML, "10.1.0.0", "10.0.0.0", 1))
+	s.write("plans.yaml", plansYAML)
+	var out, errs bytes.Buffer
+	Main(context.Background(), []string{"validate", "--output", "json"}, &out, &errs)
+	var got struct {
+		Findings []struct{ Line int }
+		Exit     int
+	}
+	if err := json.Unmarshal(out.Bytes(), &got); err != nil || got.Exit != ExitInvalid || len(got.Findings) != 1 || got.Findings[0].Line != 3 {
+		t.Errorf("%v, %+v in\n%s", err, got, &out)
+	}
+}
+
+// Guards against repetitions that explain does not show.
+func TestExplainShowsCounts(t *testing.T) {
+	e := &entry{}
+	mux := http.NewServeMux()
+	mux.Handle(cuminshiftv1connect.NewOperatorHandler(e))
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	session{t, strings.TrimPrefix(server.URL, "http://")}.run(ExitOK, "explain refused", "COUNT", "17")
+}
+
 // Guards against a command line that cannot reach, or does not authenticate,
 // entry instances whose settings demand client certificates.
 func TestClientCertificate(t *testing.T) {
--- a/internal/ctl/edit.go
+++ b/internal/ctl/edit.go
@@ -16,6 +16,13 @@
 // pollPeriod is the pause between looks at the progress of an edit.
 const pollPeriod = 200 * time.Millisecond
 
+// unheardWait is the time for which a data centre without a summary is awaited.
+// Instances know no other data centre before their first configuration, and
+// then exchange summaries; without the wait, the first edit counted as in force
+// before any other data centre had been asked. Instances themselves take a
+// data centre as unreachable after the same 3 s.
+const unheardWait = 3 * time.Second
+
 func runValidate(_ context.Context, e *env) error {
 	files, err := readFiles(e.callers, e.plans, true)
 	if err != nil {
@@ -39,7 +46,10 @@
 		return err
 	}
 	changes := lists.Diff(contentOf(current), files.over(contentOf(current)))
-	base, _ := files.baseVersion(e.base, current.GetRoot().GetVersion())
+	base, err := files.baseVersion(e.base, current.GetRoot().GetVersion())
+	if err != nil && e.base != "" {
+		return err
+	}
 	if e.output == "json" {
 		printJSON(e.stdout, map[string]any{"version": current.GetRoot().GetVersion(), "base": base, "changes": changes})
 		return nil
@@ -63,15 +73,15 @@
 		return err
 	}
 	req := &pb.EditRequest{BaseVersion: base, Callers: files.callers.List, Plans: files.plans.List}
-	resp, err := e.submit(ctx, req)
+	resp, err := e.submit(ctx, req, centresOf(files.over(contentOf(current)).Plans))
 	if err != nil || e.dryRun {
 		return err
 	}
 	return e.updateBase(ctx, files, resp.GetVersion())
 }
 
-// submit sends the edit and waits until it is in force.
-func (e *env) submit(ctx context.Context, req *pb.EditRequest) (*pb.EditResponse, error) {
+// submit sends the edit and waits until it is in force in the data centres.
+func (e *env) submit(ctx context.Context, req *pb.EditRequest, centres []string) (*pb.EditResponse, error) {
 	if e.operator == "" {
 		return nil, exitf(ExitUsage, "--operator is required")
 	}
@@ -94,8 +104,12 @@
 		}
 		return resp, nil
 	}
-	e.progress("accepted as version %d (edit %s)\n", resp.GetVersion(), req.GetEditId())
-	unreachable, err := e.awaitInForce(ctx, resp.GetVersion())
+	if len(resp.GetChanges()) == 0 && e.editID == "" {
+		e.progress("nothing to accept; the newest version is %d\n", resp.GetVersion())
+	} else {
+		e.progress("accepted as version %d (edit %s)\n", resp.GetVersion(), req.GetEditId())
+	}
+	unreachable, err := e.awaitInForce(ctx, resp.GetVersion(), centres)
 	if err != nil {
 		return nil, err
 	}
@@ -114,14 +128,15 @@
 }
 
 // awaitInForce waits until all live instances of all reachable data centres
-// have reported the version, and returns the unreachable ones.
-func (e *env) awaitInForce(ctx context.Context, version uint64) (unreachable []string, err error) {
+// have reported the version, and returns the unreachable ones. centres are the
+// data centres that have to report.
+func (e *env) awaitInForce(ctx context.Context, version uint64, centres []string) (unreachable []string, err error) {
 	deadline, start := time.Now().Add(e.wait), time.Now()
 	shown := ""
 	for {
 		p := progress{}
 		if status, err := e.client.status(ctx); err == nil {
-			p = progressOf(status, version)
+			p = progressOf(status, version, centres, time.Since(start) < unheardWait)
 		} else {
 			p.waiting = []string{"an entry instance to answer"}
 		}
@@ -152,8 +167,9 @@
 }
 
 // progressOf names the instances and data centres that do not have the version.
-// A data centre whose summary counts no live instances is unreachable.
-func progressOf(s *pb.StatusResponse, version uint64) progress {
+// A data centre whose summary counts no live instances is unreachable, and so
+// is one without a summary, unless awaitUnheard.
+func progressOf(s *pb.StatusResponse, version uint64, centres []string, awaitUnheard bool) progress {
 	var p progress
 	for _, i := range s.GetInstances() {
 		if i.GetState() != pb.InstanceState_INSTANCE_STATE_LEAVING && i.GetConfigVersion() < version {
@@ -172,9 +188,31 @@
 			p.waiting = append(p.waiting, dc.GetDataCentre())
 		}
 	}
+	for _, name := range centres {
+		heard := slices.ContainsFunc(s.GetDataCentres(), func(dc *pb.DataCentreSummary) bool { return dc.GetDataCentre() == name })
+		switch {
+		case heard || name == s.GetDataCentre():
+		case awaitUnheard:
+			p.waiting = append(p.waiting, name)
+		default:
+			p.unreachable = append(p.unreachable, name)
+		}
+	}
 	return p
 }
 
+// centresOf returns the data centres that have a site, sorted.
+func centresOf(plans *pb.PlanList) []string {
+	var out []string
+	for _, service := range plans.GetServices() {
+		for _, site := range service.GetSites() {
+			out = append(out, site.GetDataCentre())
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 func runMark(ctx context.Context, e *env) error {
 	if e.markTo != "in" && e.markTo != "out" {
 		return exitf(ExitUsage, "mark ends with in or out, not %q", e.markTo)
@@ -202,6 +240,6 @@
 	if e.summary == "" {
 		e.summary = fmt.Sprintf("mark %s %s %s", e.markKind, e.markName, e.markTo)
 	}
-	_, err = e.submit(ctx, &pb.EditRequest{BaseVersion: current.GetRoot().GetVersion(), Marks: marks})
+	_, err = e.submit(ctx, &pb.EditRequest{BaseVersion: current.GetRoot().GetVersion(), Marks: marks}, centresOf(current.GetPlans()))
 	return err
 }
--- a/internal/ctl/files.go
+++ b/internal/ctl/files.go
@@ -97,10 +97,9 @@
 	}
 	found.Sort()
 	if e.output == "json" {
-		printJSON(e.stdout, map[string]any{"valid": false, "findings": found})
-	} else {
-		fmt.Fprint(e.stdout, found)
+		return &exitError{ExitInvalid, &findings.Error{Findings: found}}
 	}
+	fmt.Fprint(e.stdout, found)
 	return exitf(ExitInvalid, "%d findings", len(found))
 }
 
--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -139,9 +139,9 @@
 		fmt.Fprintln(e.stdout, line)
 	}
 	if len(r.GetJournal()) > 0 {
-		rows := [][]string{{"TIME", "PART", "EVENT", "CAUSE"}}
+		rows := [][]string{{"TIME", "PART", "EVENT", "COUNT", "CAUSE"}}
 		for _, j := range r.GetJournal() {
-			rows = append(rows, []string{timeOf(j.GetUnixMs()), j.GetPart(), j.GetEvent(), j.GetCause()})
+			rows = append(rows, []string{timeOf(j.GetUnixMs()), j.GetPart(), j.GetEvent(), fmt.Sprint(j.GetCount()), j.GetCause()})
 		}
 		fmt.Fprintln(e.stdout)
 		table(e.stdout, rows)
