Wake the matrix store's watches when stale reads end

A watch that began before the reads became stale stayed silent until its timeout, and removing a watch while the list was walked skipped others, so edits spread later than the store allows.

--- a/internal/faultmatrix/fakes.go
+++ b/internal/faultmatrix/fakes.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -47,6 +48,17 @@
 		f.frozen[k] = o
 	}
 	f.stale = on
+	f.wake()
+}
+
+// wake answers the watches whose object is newer than they know.
+func (f *fakeStore) wake() {
+	// finish removes watches from the list.
+	for _, w := range slices.Clone(f.watches) {
+		if f.read(w.call.Key).version > w.call.After {
+			f.finish(w)
+		}
+	}
 }
 
 func (f *fakeStore) read(key string) object {
@@ -103,11 +115,7 @@
 	} else {
 		f.answer(n, inc, StoreReply{Token: c.Token, Version: o.version}, time.Millisecond)
 	}
-	for _, w := range f.watches {
-		if w.call.Key == c.Key && f.read(c.Key).version > w.call.After {
-			f.finish(w)
-		}
-	}
+	f.wake()
 }
 
 func (f *fakeStore) finish(w *watch) {
@@ -122,13 +130,7 @@
 		r.Version, r.Value = o.version, o.value
 	}
 	f.answer(w.n, w.inc, r, time.Millisecond)
-	kept := f.watches[:0]
-	for _, o := range f.watches {
-		if !o.done {
-			kept = append(kept, o)
-		}
-	}
-	f.watches = append([]*watch(nil), kept...)
+	f.watches = slices.DeleteFunc(f.watches, func(o *watch) bool { return o.done })
 }
 
 // fakeServer is a backend server.
