--- a/internal/admission/ramp.go
+++ b/internal/admission/ramp.go
@@ -14,7 +14,11 @@
 	slots int
 	cold  bool
 	// clean counts answers without a sign of trouble since the last step.
-	clean              int
+	clean int
+	// probing is set when a warm server was taken over without a handover: it
+	// may have gone cold since it was last heard. The first clean answer ends
+	// it.
+	probing            bool
 	steppedAt, resetAt time.Time
 	latency            serverhealth.LatencyWatch
 }
@@ -39,6 +43,14 @@
 	r.slots, r.clean, r.resetAt, r.steppedAt = coldSlots(info), 0, now, now
 }
 
+// probe limits a server believed to be warm to what it bears when cold, until
+// an answer shows that it is warm.
+func (r *ramp) probe(info *model.BackendServer) {
+	if slots := max(1, coldSlots(info)); !r.cold && r.slots > slots {
+		r.probing, r.slots = true, slots
+	}
+}
+
 func (r *ramp) resize(info *model.BackendServer) {
 	r.slots = min(max(r.slots, coldSlots(info)), info.Slots)
 }
@@ -81,6 +93,9 @@
 		r.cold = true
 		return
 	}
+	if r.probing {
+		r.probing, r.slots = false, info.Slots
+	}
 	r.clean++
 	if r.clean >= r.slots && now.Sub(r.steppedAt) >= cfg.RampInterval {
 		r.cold = false
--- a/internal/admission/takeover.go
+++ b/internal/admission/takeover.go
@@ -118,6 +118,7 @@
 // is known only from reports.
 func (a *Admitter) takeOver(now time.Time, s *server) {
 	s.phase = owned
+	s.ramp.probe(s.info)
 	s.memory.lossyUntil = now.Add(a.cfg.RequestMemory)
 	s.unreported = max(0, coldSlots(s.info)-len(s.grants))
 	// The dead admitter may have granted until its lease ended, which is
