--- a/internal/placement/ramp.go
+++ b/internal/placement/ramp.go
@@ -132,7 +132,7 @@
 			t.judged = true
 			p.resumeRamp(now, svc, t, fair)
 		case !wasUsable:
-			p.setRamp(now, svc, t, max(svc.startShare(t, fair), len(t.buckets)), EventRampStarted, "server added or back")
+			p.setRamp(now, svc, t, max(p.startShare(now, svc, t, fair), len(t.buckets)), EventRampStarted, "server added or back")
 		case t.cold() && !mostlyCold:
 			p.setBack(now, svc, t, fair)
 		case t.ramp.on:
@@ -157,11 +157,25 @@
 		}
 		return
 	}
-	if start := svc.startShare(t, fair); !t.ramp.on || t.ramp.allowed > start {
+	start := p.startShare(now, svc, t, fair)
+	switch {
+	case !t.ramp.on || t.ramp.allowed > 2*start:
 		p.setRamp(now, svc, t, start, EventRampSetBack, t.condition.String())
+	case t.ramp.allowed < start/2:
+		p.setRamp(now, svc, t, start, EventRampRaised, "bears more than its share brings")
+	case p.quiet(now, t) && 2*t.ramp.allowed < int(fair):
+		p.setRamp(now, svc, t, 2*t.ramp.allowed, EventRampRaised, "no traffic")
 	}
 }
 
+// quiet reports whether a share has brought neither answers nor refusals for
+// so long that it cannot show whether the server is still cold.
+func (p *Publisher) quiet(now time.Time, t *target) bool {
+	answers, refusals := p.evidence(t)
+	return now.Sub(t.ramp.at) >= quietFactor*p.cfg.RampInterval && len(t.buckets) >= t.ramp.allowed &&
+		answers == t.ramp.answers && refusals == t.ramp.refusals
+}
+
 // overwhelmed reports whether a server has refused more than refusalShare in
 // the present interval.
 func (p *Publisher) overwhelmed(t *target) bool {
@@ -180,6 +194,10 @@
 // measureRate counts the answers of a service per second. They include the
 // answers to requests, so that the rate of openings is not underestimated.
 func (p *Publisher) measureRate(now time.Time, svc *service) {
+	if p.in.Reports == nil {
+		svc.rateKnown = false
+		return
+	}
 	elapsed := now.Sub(svc.rateAt)
 	if !svc.rateAt.IsZero() && elapsed < rateInterval {
 		return
@@ -195,15 +213,19 @@
 	svc.rateAt, svc.rateAnswers = now, total
 }
 
+// aliveWithin is how recent an answer must be for a server to get more than
+// the least share at the start of a ramp; one that was silent may be dead.
+const aliveWithin = 3 * time.Second
+
 // startShare returns the number of buckets with which a ramp starts: those
 // that bring what a cold server bears, as far as the rate is known, and at
 // most the fair share.
-func (s *service) startShare(t *target, fair float64) int {
-	if !s.rateKnown || t.server == nil {
+func (p *Publisher) startShare(now time.Time, svc *service, t *target, fair float64) int {
+	if !svc.rateKnown || t.server == nil || now.Sub(p.in.Reports.lastAnswer(t.id)) >= aliveWithin {
 		return rampStart
 	}
 	bears := coldShare * float64(t.server.ColdOpeningsPerSecond)
-	share := bears / max(s.rate, bears) * float64(s.n)
+	share := bears / max(svc.rate, bears) * float64(svc.n)
 	return max(rampStart, int(min(share, fair)))
 }
 
--- a/internal/placement/shed_test.go
+++ b/internal/placement/shed_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"testing"
+	"time"
 
+	pb "cuminshift/internal/gen/cuminshift/v1"
 	"cuminshift/internal/model"
 )
 
@@ -10,19 +12,27 @@
 // bears more than the whole service gets: it then had no flow for minutes
 // (fault matrix, seed 1, ramp).
 func TestFirstShareFollowsTheRate(t *testing.T) {
+	now := time.Unix(1000, 0)
+	reports := NewReports()
+	reports.Add(now, "a", 1, []*pb.ServerReport{{Server: 7, Answers: 1}})
+	reports.Add(now, "a", 1, []*pb.ServerReport{{Server: 7, Answers: 2}})
+	p := &Publisher{in: Input{Reports: reports}}
 	s := &service{n: 1024, rateKnown: true}
-	target := &target{server: serverWithColdOpenings(10)}
+	target := &target{id: 7, server: serverWithColdOpenings(10)}
 	for _, c := range []struct {
 		rate float64
 		want int
 	}{{2, 256}, {50, 102}, {500, 10}, {100_000, 1}} {
 		s.rate = c.rate
-		if got := s.startShare(target, 256); got != c.want {
+		if got := p.startShare(now, s, target, 256); got != c.want {
 			t.Errorf("%g openings per second: got %d buckets, want %d", c.rate, got, c.want)
 		}
 	}
+	if got := p.startShare(now.Add(time.Minute), s, target, 256); got != rampStart {
+		t.Errorf("server without recent answers: got %d buckets, want %d", got, rampStart)
+	}
 	s.rateKnown = false
-	if got := s.startShare(target, 256); got != rampStart {
+	if got := p.startShare(now, s, target, 256); got != rampStart {
 		t.Errorf("unknown rate: got %d buckets, want %d", got, rampStart)
 	}
 }
