--- a/cmd/cuminshift-entry/main.go
+++ b/cmd/cuminshift-entry/main.go
@@ -30,6 +30,10 @@
 	flaggy.SetDescription("entry instance of the cuminshift layer-4 load balancer")
 	flaggy.String(&file, "s", "settings", "settings file (YAML, see docs/settings.md)")
 	flaggy.Parse()
+	if file == "" {
+		flaggy.ShowHelp("--settings is missing")
+		os.Exit(exitBadSettings)
+	}
 	os.Exit(run(file))
 }
 
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -107,6 +107,8 @@
 	// counted are the flows that this instance counts against a limit.
 	counted map[flowtable.Key]string
 
+	// lastHeard is when each instance last sent a batch.
+	lastHeard map[model.InstanceID]time.Time
 	// reports and empty are what heartbeats said, for the publisher.
 	reports *placement.Reports
 	empty   []placement.EmptyBuckets
@@ -162,6 +164,7 @@
 		counted:   map[flowtable.Key]string{},
 		running:   map[requests.Key]*runningRequest{},
 		mail:      map[model.InstanceID][]*pb.PeerMessage{},
+		lastHeard: map[model.InstanceID]time.Time{},
 		metrics:   metrics.NewRegistry(),
 		latency:   map[model.ServiceID]metrics.Histogram{},
 	}
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -23,8 +23,6 @@
 	countHeldFull
 	countHeldTimeout
 	countNoAddress
-	countFenced
-	countResolves
 	countCrossService
 	countNotInPlan
 	countStale
@@ -49,8 +47,6 @@
 	"held_full",
 	"held_timeout",
 	"peer_no_address",
-	"fenced_packets",
-	"resolves",
 	"cross_service_pins",
 	"answers_not_in_plan",
 	"packets_after_pause",
--- a/internal/entry/packets.go
+++ b/internal/entry/packets.go
@@ -223,6 +223,7 @@
 		c.cancel(now, h, server)
 	case pb.Kind_KIND_CLOSE:
 		c.toServer(h, server)
+		c.burn.Good(now, h.key.Service, burn.BrokenFlows, 1)
 		c.observeEnd(now, h.key, server.ID)
 		c.closeFlow(now, h.key, h.use)
 	default:
@@ -368,6 +369,7 @@
 		c.learn(now, key, server.ID)
 		c.act(SendToCaller{Address: p.Caller, Data: ev.Data})
 	case pb.Kind_KIND_CLOSE:
+		c.burn.Good(now, key.Service, burn.BrokenFlows, 1)
 		c.observeEnd(now, key, server.ID)
 		c.closeFlow(now, key, use)
 		c.act(SendToCaller{Address: p.Caller, Data: ev.Data})
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -50,6 +50,7 @@
 	if from == c.cfg.Self {
 		return
 	}
+	c.lastHeard[from] = now
 	if batch.GetAddress() != "" {
 		c.directory.heard(now, from, model.DataCentre(batch.GetDataCentre()), batch.GetAddress())
 	}
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -14,6 +14,10 @@
 	"cuminshift/internal/model"
 )
 
+// FlowsGauge is the one entry of Status's counters that is a gauge: the flows
+// that this instance knows.
+const FlowsGauge = "flows"
+
 // Metrics returns the registry of histograms.
 func (c *Core) Metrics() metrics.Registry {
 	return c.metrics
@@ -51,7 +55,7 @@
 		Servers:       c.serverStatus(now),
 		Counters:      c.counts.snapshot(),
 	}
-	s.Counters["flows"] = uint64(c.flows.Len())
+	s.Counters[FlowsGauge] = uint64(c.flows.Len())
 	if c.catalog != nil {
 		s.DataCentres = append(s.DataCentres, c.ownSummary(now))
 	}
@@ -86,6 +90,9 @@
 			s = &pb.InstanceStatus{}
 		}
 		s.Instance, s.State = string(m.Instance), m.State
+		if at, ok := c.lastHeard[m.Instance]; ok {
+			s.LastHeardMs = uint64(max(0, now.Sub(at).Milliseconds()))
+		}
 		if m.Instance == c.cfg.Self {
 			s.ConfigVersion, s.Generation = c.holder.Current().Version, c.state.Version.Generation
 			s.UptimeS = uint32(now.Sub(c.cfg.Started) / time.Second)
@@ -115,7 +122,7 @@
 			Service:      c.catalog.Services[server.Service].Name,
 			Server:       server.Name,
 			Condition:    c.health.Condition(id),
-			OpenFlows:    c.reports.OpenFlows(id),
+			OpenFlows:    max(0, c.reports.OpenFlows(id)),
 			BusySlots:    uint32(grants.Outstanding),
 			AllowedSlots: uint32(grants.Allowed),
 			Buckets:      buckets[id],
--- a/internal/entry/tick.go
+++ b/internal/entry/tick.go
@@ -179,7 +179,7 @@
 	}, c.state)
 	c.empty = nil
 	for _, e := range events {
-		c.journal.Add(now, "map", e.Name+" "+c.serverName(e.Server), e.Cause)
+		c.journal.Add(now, "map", c.eventText(e), e.Cause)
 	}
 	if update == nil {
 		return
@@ -190,6 +190,17 @@
 	c.applyUpdate(now, c.cfg.Self, update)
 }
 
+// eventText names a decision of the publisher and what it is about.
+func (c *Core) eventText(e placement.Event) string {
+	switch {
+	case e.Server != 0:
+		return e.Name + " " + c.serverName(e.Server)
+	case c.catalog != nil && c.catalog.Services[e.Service] != nil:
+		return e.Name + " " + c.catalog.Services[e.Service].Name
+	}
+	return e.Name
+}
+
 // servingCatalog returns the catalog that placement works on; nil before the
 // first configuration is known.
 func (c *Core) servingCatalog() *model.Catalog {
--- a/internal/shell/edit.go
+++ b/internal/shell/edit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -10,6 +11,7 @@
 
 	"cuminshift/internal/config"
 	"cuminshift/internal/editerr"
+	"cuminshift/internal/entry"
 	pb "cuminshift/internal/gen/cuminshift/v1"
 	"cuminshift/internal/storeclient"
 )
@@ -48,7 +50,8 @@
 		ID: r.GetEditId(), Operator: r.GetOperator(), Summary: r.GetSummary(), BaseVersion: r.GetBaseVersion(),
 		Callers: r.GetCallers(), Plans: r.GetPlans(), Marks: r.GetMarks(), DryRun: r.GetDryRun(),
 	})
-	done, err := storeclient.RunEdit(ctx, o.sh.platform.store, editor, func(context.Context) uint64 {
+	store := &writtenConfig{Store: o.sh.platform.store, shards: map[string][]byte{}}
+	done, err := storeclient.RunEdit(ctx, store, editor, func(context.Context) uint64 {
 		return o.sh.core.InForce(time.Now())
 	})
 	if err != nil {
@@ -56,7 +59,50 @@
 		return nil, editerr.Encode(err)
 	}
 	if !r.GetDryRun() {
+		store.adopt(o.sh)
 		o.sh.log.Info("config: edit accepted", zap.Uint64(logVersion, done.Version), zap.String(logOperator, r.GetOperator()))
 	}
 	return connect.NewResponse(&pb.EditResponse{Version: done.Version, Changes: done.Changes}), nil
 }
+
+// writtenConfig remembers what an edit wrote, so that the instance holds the
+// new version at once. While the store's reads are stale, the readers' watches
+// would not show it, and peers learn it from this instance.
+type writtenConfig struct {
+	storeclient.Store
+	mu     sync.Mutex
+	root   []byte
+	shards map[string][]byte
+}
+
+// Put writes an object and remembers it when the write succeeded.
+func (w *writtenConfig) Put(ctx context.Context, key string, value []byte, ifVersion *uint64) (uint64, error) {
+	version, err := w.Store.Put(ctx, key, value, ifVersion)
+	if err == nil {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if key == config.RootKey {
+			w.root = value
+		} else {
+			w.shards[key] = value
+		}
+	}
+	return version, err
+}
+
+// adopt passes the written version to the core.
+func (w *writtenConfig) adopt(sh *Shell) {
+	if w.root == nil {
+		return
+	}
+	sh.handle(entry.StoreRootRead{Value: w.root})
+	shards := map[string][]byte{}
+	for _, hash := range sh.core.MissingShards() {
+		if data, ok := w.shards[config.ShardKey(hash)]; ok {
+			shards[hash] = data
+		}
+	}
+	if len(shards) > 0 {
+		sh.handle(entry.StoreShardsRead{Shards: shards})
+	}
+}
--- a/internal/shell/operator.go
+++ b/internal/shell/operator.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 	"go.uber.org/zap"
 
+	"cuminshift/internal/entry"
 	pb "cuminshift/internal/gen/cuminshift/v1"
 	"cuminshift/internal/gen/cuminshift/v1/cuminshiftv1connect"
 )
@@ -32,9 +33,9 @@
 	sh *Shell
 }
 
-func (o *operator) Status(context.Context, *connect.Request[pb.StatusRequest]) (*connect.Response[pb.StatusResponse], error) {
+func (o *operator) Status(ctx context.Context, _ *connect.Request[pb.StatusRequest]) (*connect.Response[pb.StatusResponse], error) {
 	status := o.sh.core.Status(time.Now())
-	status.StoreReachable = o.sh.platform.reachable.Load()
+	status.StoreReachable = o.sh.check(ctx)
 	status.Counters["control_bytes_sent"] = o.sh.control.Sent.Load()
 	status.Counters["control_bytes_received"] = o.sh.control.Received.Load()
 	return connect.NewResponse(status), nil
@@ -54,6 +55,10 @@
 	registry := metrics.NewRegistry()
 	status := sh.core.Status(time.Now())
 	for name, value := range status.Counters {
+		if name == entry.FlowsGauge {
+			metrics.GetOrRegisterGauge(name, registry).Update(int64(value))
+			continue
+		}
 		metrics.GetOrRegisterCounter(name, registry).Inc(int64(value))
 	}
 	metrics.GetOrRegisterCounter("control_bytes_sent", registry).Inc(int64(sh.control.Sent.Load()))
--- a/internal/shell/platform.go
+++ b/internal/shell/platform.go
@@ -28,6 +28,8 @@
 	watchWait = 5 * time.Second
 	// storeBackoff spaces calls while the store fails.
 	storeBackoff = 500 * time.Millisecond
+	// storeCheckTimeout bounds the check for a status report.
+	storeCheckTimeout = 500 * time.Millisecond
 	// readerCheck is how often an instance that is not a reader checks
 	// whether it has become one.
 	readerCheck = 200 * time.Millisecond
@@ -125,6 +127,16 @@
 	return version, nil
 }
 
+// check asks the store whether it answers; only readers know it from their
+// watch.
+func (sh *Shell) check(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeCheckTimeout)
+	defer cancel()
+	_, _, err := sh.platform.store.Get(ctx, config.RootKey)
+	sh.platform.setReachable(err == nil)
+	return err == nil
+}
+
 // setReachable logs each change of the store's reachability.
 func (p *platform) setReachable(ok bool) {
 	if p.reachable.Swap(ok) == ok {
--- a/internal/shell/shell.go
+++ b/internal/shell/shell.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	stdlog "log"
 	"net"
 	"net/http"
 	"net/netip"
@@ -95,7 +96,7 @@
 	group.Go(func() error { sh.pollInstanceList(serving); return nil })
 	group.Go(func() error { sh.readStore(serving); return nil })
 	group.Go(func() error { sh.pollEndpoints(serving); return nil })
-	server := &http.Server{Handler: sh.operatorHandler(), ReadHeaderTimeout: operatorTimeout, ReadTimeout: operatorTimeout}
+	server := &http.Server{Handler: sh.operatorHandler(), ReadHeaderTimeout: operatorTimeout, ReadTimeout: operatorTimeout, ErrorLog: stdLog(sh.log)}
 	group.Go(func() error {
 		if err := server.Serve(operatorListener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "operator: serve")
@@ -128,6 +129,13 @@
 // leaveTimeout bounds a planned stop.
 const leaveTimeout = 30 * time.Second
 
+// stdLog passes the operator server's own lines on, with its prefix.
+func stdLog(log *zap.Logger) *stdlog.Logger {
+	l := zap.NewStdLog(log)
+	l.SetPrefix("operator: ")
+	return l
+}
+
 func (sh *Shell) readCallerPackets(ctx context.Context) {
 	var p packet.Packet
 	serveDatagrams(ctx, sh.packets, func(_ netip.AddrPort, data []byte) {
--- a/internal/shell/tls.go
+++ b/internal/shell/tls.go
@@ -38,24 +38,34 @@
 func (t *transport) current() (*tls.Config, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	loaded, err := t.load()
+	if err != nil && t.config != nil {
+		// Broken files while running: the certificate in use stays.
+		return t.config, nil
+	}
+	return loaded, err
+}
+
+// load reads the files when one has changed.
+func (t *transport) load() (*tls.Config, error) {
 	changed, err := newest(t.files.CertificateFile, t.files.KeyFile, t.files.ClientCAFile)
 	if err != nil {
-		return t.config, err
+		return nil, err
 	}
 	if t.config != nil && !changed.After(t.loaded) {
 		return t.config, nil
 	}
 	certificate, err := tls.LoadX509KeyPair(t.files.CertificateFile, t.files.KeyFile)
 	if err != nil {
-		return t.config, errors.Wrap(err, "tls: load certificate")
+		return nil, errors.Wrap(err, "tls: load certificate")
 	}
 	ca, err := os.ReadFile(t.files.ClientCAFile)
 	if err != nil {
-		return t.config, errors.Wrap(err, "tls: load client CA")
+		return nil, errors.Wrap(err, "tls: load client CA")
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(ca) {
-		return t.config, errors.Newf("tls: no certificate in %s", t.files.ClientCAFile)
+		return nil, errors.Newf("tls: no certificate in %s", t.files.ClientCAFile)
 	}
 	t.loaded = changed
 	t.config = &tls.Config{
