--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -9,8 +9,10 @@
 package entry
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -241,7 +243,9 @@
 
 // takeActions returns the collected actions, with one batch for each peer.
 func (c *Core) takeActions() []Action {
-	for to, messages := range c.mail {
+	// In order, so that equal events give equal actions.
+	for _, to := range slices.Sorted(maps.Keys(c.mail)) {
+		messages := c.mail[to]
 		delete(c.mail, to)
 		address, ok := c.directory.peerAddress(to)
 		if !ok {
--- a/internal/entry/flows.go
+++ b/internal/entry/flows.go
@@ -31,6 +31,11 @@
 	at  time.Time
 }
 
+type expiredOpening struct {
+	key  flowtable.Key
+	sent sentOpening
+}
+
 func newOpenings() openings {
 	return openings{sent: map[flowtable.Key]sentOpening{}}
 }
@@ -53,8 +58,8 @@
 }
 
 // expired returns the openings that went unanswered for openingTimeout.
-func (o *openings) expired(now time.Time) map[flowtable.Key]sentOpening {
-	var out map[flowtable.Key]sentOpening
+func (o *openings) expired(now time.Time) []expiredOpening {
+	var out []expiredOpening
 	n := 0
 	for _, due := range o.order {
 		if now.Sub(due.at) < openingTimeout {
@@ -62,10 +67,7 @@
 		}
 		n++
 		if s, ok := o.sent[due.key]; ok && s.at.Equal(due.at) {
-			if out == nil {
-				out = map[flowtable.Key]sentOpening{}
-			}
-			out[due.key] = s
+			out = append(out, expiredOpening{due.key, s})
 			delete(o.sent, due.key)
 		}
 	}
@@ -74,7 +76,8 @@
 }
 
 func (c *Core) expireOpenings(now time.Time) {
-	for key, s := range c.openings.expired(now) {
+	for _, o := range c.openings.expired(now) {
+		key, s := o.key, o.sent
 		c.health.Observe(now, s.server, pathOf(key.Flow), serverhealth.Observation{Kind: serverhealth.TimedOut})
 		if s.counted {
 			c.postAll(c.limits.CloseFlow(now, s.caller, key.Service))
--- a/internal/entry/tick.go
+++ b/internal/entry/tick.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"cuminshift/internal/admission"
@@ -75,8 +77,8 @@
 	if c.catalog == nil {
 		return
 	}
-	for id, s := range c.catalog.Servers {
-		if s.DataCentre == c.cfg.DataCentre {
+	for _, id := range slices.Sorted(maps.Keys(c.catalog.Servers)) {
+		if c.catalog.Servers[id].DataCentre == c.cfg.DataCentre {
 			c.postAll(c.admitter.Observe(now, id, c.health.Recent(now, id)))
 		}
 	}
--- a/internal/steering/resolve.go
+++ b/internal/steering/resolve.go
@@ -210,6 +210,10 @@
 }
 
 func (s *Steering) handlePinReply(now time.Time, from model.InstanceID, reply *pb.PinReply) {
+	if reply.GetQuery() == 0 {
+		s.takeHints(now, reply)
+		return
+	}
 	a := s.asks[reply.GetQuery()]
 	if a == nil || !slices.Contains(a.missing, from) {
 		return
@@ -273,6 +277,9 @@
 		server = 0
 	}
 	s.settle(now, r, server)
+	if r.opening && server != 0 && b.Phase == dcstate.Active {
+		s.hint(r.key, server)
+	}
 }
 
 // unvouched reports whether this instance joined so recently that it does not
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -177,8 +177,11 @@
 	// additions are exceptions to add to the filters that others may have.
 	additions  map[bucketID][]uint32
 	lastShared time.Time
-	links      map[linkID]*link
-	received   map[linkID]*receipt
+	// hints are flows to tell the other instances of, see hint.
+	hints    groups
+	hintedAt time.Time
+	links    map[linkID]*link
+	received map[linkID]*receipt
 	// sequence numbers RecordBatch, OwnershipHandover and PinQuery messages.
 	sequence uint64
 
--- a/internal/steering/tick.go
+++ b/internal/steering/tick.go
@@ -62,6 +62,7 @@
 		s.askedElsewhere.rotate()
 	}
 	s.shareAdditions(now)
+	s.sendHints(now)
 	s.sendLinks(now)
 	return s.flush(now)
 }
