--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -186,7 +186,7 @@
 	})
 	c.publisher = placement.NewPublisher(placement.Config{Self: cfg.Self, DataCentre: cfg.DataCentre, FlowIdleTimeout: cfg.FlowIdle})
 	c.steering = steering.New(steering.Config{
-		Self: cfg.Self, Incarnation: cfg.Incarnation, Belongs: c.belongs, Fenced: c.members.Fenced, FlowIdleTimeout: cfg.FlowIdle,
+		Self: cfg.Self, Incarnation: cfg.Incarnation, Belongs: c.belongs, MayOpen: c.mayOpen, Fenced: c.members.Fenced, FlowIdleTimeout: cfg.FlowIdle,
 	}, c.flows)
 	c.coordinator = requests.New(requests.Config{Self: cfg.Self, Rand: rand.New(rand.NewPCG(cfg.Seed, 2))})
 	c.admitter = admission.New(admission.Config{Self: cfg.Self, Fenced: c.members.Fenced, DeadAfter: cfg.DeadAfter}, cfg.Incarnation)
--- a/internal/entry/packets.go
+++ b/internal/entry/packets.go
@@ -24,6 +24,8 @@
 	use    model.Use
 	// server is the flow's server, once steering has named it.
 	server model.ServerID
+	// known is set for an opening whose flow this instance knows already.
+	known bool
 	// counted is set when the limits count the opening or request.
 	counted bool
 }
@@ -114,6 +116,7 @@
 		return
 	}
 	if _, known := c.flows.Peek(h.key.Service, h.key.Flow); known {
+		h.known = true
 		c.steer(now, h)
 		return
 	}
@@ -235,30 +238,24 @@
 	c.act(SendToServer{Server: server.ID, Address: server.Address, Path: pathOf(h.key.Flow), Data: h.data})
 }
 
-// forwardOpening sends an opening unless the server is in cold start and this
-// instance's share of what it bears is used up. The pin of a refused opening
-// stays, like the owner's record: another copy may have been sent to the
-// server by another instance, and a repetition must not go elsewhere.
+// forwardOpening sends an opening. Steering has asked mayOpen about a new
+// flow; a copy of an opening that is under way counts as well, and is dropped
+// where the server does not bear it: refusing it would be untrue.
 func (c *Core) forwardOpening(now time.Time, h *heldPacket, server *model.BackendServer) {
-	repeated := !c.openings.start(now, h, server.ID)
-	if !c.openingAllowed(now, server) {
-		if repeated {
-			// The first copy is at the server; refusing this one would be
-			// untrue, and sending it would be more than the server bears.
-			c.uncount(now, h)
-			return
-		}
-		c.openings.end(h.key)
-		c.refuse(now, h, pb.Reason_REASON_OVERLOAD)
+	c.openings.start(now, h, server.ID)
+	if h.known && !c.mayOpen(now, server.ID) {
+		c.uncount(now, h)
 		return
 	}
 	c.health.Observe(now, server.ID, pathOf(h.key.Flow), serverhealth.Observation{Kind: serverhealth.Sent})
 	c.toServer(h, server)
 }
 
-func (c *Core) openingAllowed(now time.Time, server *model.BackendServer) bool {
+// mayOpen reports whether this instance's share of what a server in cold start
+// bears allows another opening.
+func (c *Core) mayOpen(now time.Time, id model.ServerID) bool {
 	instances, rank := c.knownInstances(now)
-	return c.health.OpeningAllowed(now, server.ID, instances, rank)
+	return c.health.OpeningAllowed(now, id, instances, rank)
 }
 
 // refuse answers an opening or a request that was not passed to a server.
--- a/internal/faultmatrix/product_test.go
+++ b/internal/faultmatrix/product_test.go
@@ -30,6 +30,7 @@
 	{"pins of openings refused for a draining server kept", 1, Cell{"record-handover", []string{"store-answer-lost"}}},
 	{"bursts of openings on a cold server", 3, Cell{"ramp", []string{"store-slow"}}},
 	{"cancellations to a data centre that is out", 2, Cell{"answer-under-way", []string{"instance-frozen", "centre-out-and-back"}}},
+	{"pins of openings refused during an announced move", 21, Cell{"start-up", []string{"store-answer-lost"}}},
 	{"relays to an instance that died", 3, Cell{"flow-opening", []string{"instance-killed"}}},
 }
 
--- a/internal/steering/filter_test.go
+++ b/internal/steering/filter_test.go
@@ -112,3 +112,21 @@
 		t.Errorf("%d records after the end of the only flow, want 0", owned)
 	}
 }
+
+// Guards against the pin of an opening that was refused for a draining or cold
+// server: the flow opens at another server later, and its packets went to the
+// pinned one (fault matrix, seed 21, I1, start-up x [store-answer-lost]).
+func TestRefusedOpeningLeavesNothing(t *testing.T) {
+	owner, other, now := filterPair(time.Unix(1000, 0))
+	for _, s := range []*Steering{owner, other} {
+		s.cfg.MayOpen = func(time.Time, model.ServerID) bool { return false }
+		before := s.table.Len()
+		actions := s.Packet(now, Packet{Service: filterService, Flow: 5, Opening: true, Token: 1})
+		if len(actions) != 1 {
+			t.Fatalf("%s: got %d actions, want a refusal", s.cfg.Self, len(actions))
+		}
+		if _, refused := actions[0].(Refuse); !refused || s.table.Len() != before {
+			t.Errorf("%s: got %T and %d new pins, want Refuse and none", s.cfg.Self, actions[0], s.table.Len()-before)
+		}
+	}
+}
--- a/internal/steering/hold.go
+++ b/internal/steering/hold.go
@@ -85,6 +85,10 @@
 			return
 		}
 		if !b.Questionable() || w.opening() && b.OpensDirectly() && !s.newlyMoved(now, id) || !w.opening() && s.atBase(id, w.key.Flow) {
+			if w.opening() && s.belongs(w.key.Service, b.Base) && !s.mayOpen(now, b.Base) {
+				s.fail(w, pb.Reason_REASON_OVERLOAD)
+				return
+			}
 			s.finish(now, w, b.Base, false)
 			return
 		}
@@ -121,7 +125,7 @@
 func (s *Steering) finish(now time.Time, w *wait, server model.ServerID, recorded bool) {
 	switch {
 	case server == 0:
-		s.fail(w, pb.Reason_REASON_PEER_UNREACHABLE)
+		s.fail(w, pb.Reason_REASON_OVERLOAD)
 		return
 	case !s.belongs(w.key.Service, server):
 		s.fail(w, pb.Reason_REASON_NO_SERVER)
--- a/internal/steering/resolve.go
+++ b/internal/steering/resolve.go
@@ -273,7 +273,7 @@
 	if r.opening {
 		server = b.OpeningServer()
 	}
-	if !s.belongs(r.key.Service, server) {
+	if !s.belongs(r.key.Service, server) || r.opening && !s.mayOpen(now, server) {
 		server = 0
 	}
 	s.settle(now, r, server)
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -32,6 +32,11 @@
 	// Fenced reports whether the instance's lease has expired. A fenced
 	// instance forwards pinned flows and decides nothing else.
 	Fenced func(now time.Time) bool
+	// MayOpen reports whether a flow may be opened at the server now, and counts
+	// it: a server in cold start bears few. The instance that decides about an
+	// opening asks before it pins or records anything, so that a refused
+	// opening leaves nothing behind. Nil means always.
+	MayOpen func(now time.Time, server model.ServerID) bool
 	// FlowIdleTimeout ends flows without packets.
 	FlowIdleTimeout time.Duration
 	// HoldTimeout limits how long a packet waits for a resolve reply.
@@ -257,6 +262,10 @@
 	return s.cfg.Fenced != nil && s.cfg.Fenced(now)
 }
 
+func (s *Steering) mayOpen(now time.Time, server model.ServerID) bool {
+	return s.cfg.MayOpen == nil || s.cfg.MayOpen(now, server)
+}
+
 // belongs reports whether the server exists and is one of the service's.
 func (s *Steering) belongs(service model.ServiceID, server model.ServerID) bool {
 	return server != 0 && s.cfg.Belongs(service, server)
