--- a/internal/dcstate/state.go
+++ b/internal/dcstate/state.go
@@ -163,12 +163,19 @@
 	return New(v, members, services), true
 }
 
+// MaxBuckets bounds the buckets of a service, so that a damaged update cannot
+// exhaust the memory; 5,000 servers take 524,288.
+const MaxBuckets = 1 << 22
+
 func applyService(services map[model.ServiceID][]Bucket, c *pb.ServiceChange) {
 	id := model.ServiceID(c.GetService())
 	if c.GetRemoved() {
 		delete(services, id)
 		return
 	}
+	if c.GetBuckets() > MaxBuckets {
+		return
+	}
 	buckets := make([]Bucket, c.GetBuckets())
 	if old := services[id]; len(old) == len(buckets) {
 		copy(buckets, old)
