--- a/internal/measure/cmd/measure/main.go
+++ b/internal/measure/cmd/measure/main.go
@@ -18,7 +18,7 @@
 	flaggy.SetName("measure")
 	flaggy.SetDescription("prints the project's figures beside baselines")
 	flaggy.UInt64(&seed, "s", "seed", "seed of the random choices")
-	flaggy.String(&only, "o", "only", "run only this part: broken, imbalance, alerts, centre or edits")
+	flaggy.String(&only, "o", "only", "run only this part: broken, control, imbalance, alerts, centre or edits")
 	flaggy.String(&file, "f", "file", "file for the table")
 	flaggy.Parse()
 
@@ -27,6 +27,7 @@
 		run  func(uint64, func(measure.Figure))
 	}{
 		{"broken", measure.BrokenFlows},
+		{"control", measure.Control},
 		{"imbalance", measure.Imbalance},
 		{"alerts", measure.AlertWaits},
 		{"centre", measure.DataCentreOut},
--- a/internal/measure/figures.go
+++ b/internal/measure/figures.go
@@ -106,6 +106,27 @@
 	return o
 }
 
+// Control measures control bytes with timing nearer to real sessions: a packet
+// each 10 s and an idle timeout of 60 s. With the short timeout of the other
+// scenarios, pins expire and are asked for again all the time.
+func Control(seed uint64, report func(Figure)) {
+	s := today
+	s.idle, s.data = 60*time.Second, 10*time.Second
+	f := newFleet(s, productScheme, seed)
+	f.startFlows(rise)
+	f.runFor(rise + s.idle + 10*time.Second)
+	rate := func(name string, d time.Duration) {
+		before := f.controlBytes()
+		f.runFor(d)
+		report(Figure{Name: name, Value: float64(f.controlBytes()-before) / d.Seconds() / float64(s.instances), Unit: "B/s/instance", Goal: "7000"})
+	}
+	rate("control-long-sessions-steady", 10*time.Second)
+	f.control.drain(f.centres[0].servers[3])
+	rate("control-long-sessions-drain-first-5s", 5*time.Second)
+	rate("control-long-sessions-drain-next-25s", 25*time.Second)
+	report(Figure{Name: "broken-flows-long-sessions", Value: float64(f.tally.broken), Unit: "flows", Goal: "0"})
+}
+
 func (f *fleet) controlBytes() uint64 {
 	var n uint64
 	for _, c := range f.centres {
