Let no instance publish before it could know its peers

Ruled out: fencing, since a publisher acknowledges itself. It now waits for the list and dead_after, or 10 s without a list.

--- a/internal/faultmatrix/product_test.go
+++ b/internal/faultmatrix/product_test.go
@@ -31,6 +31,7 @@
 	{"bursts of openings on a cold server", 3, Cell{"ramp", []string{"store-slow"}}},
 	{"cancellations to a data centre that is out", 2, Cell{"answer-under-way", []string{"instance-frozen", "centre-out-and-back"}}},
 	{"pins of openings refused during an announced move", 21, Cell{"start-up", []string{"store-answer-lost"}}},
+	{"a map of its own by an instance that knew no peers", 41, Cell{"edit-spreading", []string{"centre-cut-from-platform", "instance-joins"}}},
 	{"relays to an instance that died", 3, Cell{"flow-opening", []string{"instance-killed"}}},
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -143,10 +143,12 @@
 	peers map[model.InstanceID]*peerInfo
 	// order holds the peers and this instance in publisher ranking; it is nil
 	// when it must be sorted again.
-	order     []model.InstanceID
-	rank      map[model.InstanceID]int
-	listed    map[model.InstanceID]bool
-	haveList  bool
+	order    []model.InstanceID
+	rank     map[model.InstanceID]int
+	listed   map[model.InstanceID]bool
+	haveList bool
+	// firstList is when the instance list was first read.
+	firstList time.Time
 	out       map[model.InstanceID]bool
 	local     Local
 	leaving   bool
@@ -298,7 +300,9 @@
 // centre. The list seeds addresses and removes no live instance.
 func (m *Membership) SetInstanceList(now time.Time, list []Listed) {
 	m.observeTime(now)
-	m.haveList = true
+	if !m.haveList {
+		m.haveList, m.firstList = true, now
+	}
 	clear(m.listed)
 	for _, l := range list {
 		if l.Instance != m.cfg.Self && !l.Leaving {
--- a/internal/membership/role.go
+++ b/internal/membership/role.go
@@ -158,11 +158,27 @@
 	}
 }
 
+// withoutList is the time after which an instance that has never read the
+// instance list takes itself to be alone.
+const withoutList = 10 * time.Second
+
+// knowsPeers reports whether the instance has had time to hear the others. One
+// that started while the platform was out of reach knows no addresses: it may
+// get a configuration before the instance list, and would then publish a map
+// of its own beside the one in force.
+func (m *Membership) knowsPeers(now time.Time) bool {
+	if m.haveList {
+		return now.Sub(m.firstList) >= m.cfg.DeadAfter
+	}
+	return now.Sub(m.cfg.Started) >= withoutList
+}
+
 // mayAppoint reports whether this instance may become publisher, or go on as
 // one before its first publication.
 func (m *Membership) mayAppoint(now time.Time) bool {
 	return m.headsRanking(now) &&
 		now.Sub(m.listenSince) >= m.cfg.DeadAfter &&
+		m.knowsPeers(now) &&
 		m.formerGone(now) &&
 		(m.publishing || now.Sub(m.silenceSince()) >= m.appointDelay(now)) &&
 		m.viewPermits(now) &&
