Tell a flow that a model server does not know from a shed request

That one shed request takes a warm server back to its cold slots remains, and is too much: see docs/design.md, what remains.

--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -146,7 +146,9 @@
 type tally struct {
 	opened, established, broken, refused, gaveUp int
 	// moved counts flows that a refusal sent to another data centre.
-	moved                              int
+	moved int
+	// shed counts requests that met a server without a free slot.
+	shed                               int
 	packets, forwarded                 uint64
 	requests, answered, requestRefused int
 	alertWaits                         []time.Duration
@@ -427,11 +429,19 @@
 		slots = coldSlots
 		s.coldPeak = max(s.coldPeak, float64(s.busy+1)/coldSlots)
 	}
-	if s.busy >= slots || !s.flows[p.Caller] {
-		answer.Kind, answer.Reason, answer.Outcome = pb.Kind_KIND_REFUSAL, pb.Reason_REASON_SHED, pb.Outcome_OUTCOME_DID_NOT_RUN
+	answer.Outcome = pb.Outcome_OUTCOME_DID_NOT_RUN
+	if !s.flows[p.Caller] {
+		answer.Kind, answer.Reason = pb.Kind_KIND_REFUSAL, pb.Reason_REASON_UNKNOWN_FLOW
 		s.answer(from, run, answer)
 		return
 	}
+	if s.busy >= slots {
+		answer.Kind, answer.Reason = pb.Kind_KIND_REFUSAL, pb.Reason_REASON_SHED
+		s.f.tally.shed++
+		s.answer(from, run, answer)
+		return
+	}
+	answer.Outcome = pb.Outcome_OUTCOME_UNSPECIFIED
 	if fl := s.f.flows[p.Caller]; fl != nil {
 		fl.serviceBegins(p.RequestID)
 	}
