--- a/internal/entry/flows.go
+++ b/internal/entry/flows.go
@@ -96,7 +96,7 @@
 func (c *Core) closeFlow(now time.Time, key flowtable.Key, use model.Use) {
 	c.steerActions(now, c.steering.Close(now, key.Service, key.Flow))
 	if _, here := c.counted[key]; !here && use.ConcurrentFlows > 0 {
-		c.tellFlowEnded(key)
+		c.notifyFlowEnded(key)
 	}
 	c.flowEnded(now, key)
 }
--- a/internal/entry/packets.go
+++ b/internal/entry/packets.go
@@ -121,11 +121,11 @@
 		return
 	}
 	c.counts.add(countOpenings)
-	c.decided(now, h, c.limits.Open(now, h.caller.Name, h.key.Service, h.use))
+	c.applyDecision(now, h, c.limits.Open(now, h.caller.Name, h.key.Service, h.use))
 }
 
-// decided continues a packet after the limits have answered.
-func (c *Core) decided(now time.Time, h *heldPacket, d limits.Decision) {
+// applyDecision continues a packet after the limits have answered.
+func (c *Core) applyDecision(now time.Time, h *heldPacket, d limits.Decision) {
 	switch d.Verdict {
 	case limits.Allowed:
 		h.counted = h.limited()
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -170,9 +170,9 @@
 // in larger data centres its count ends by idle expiry.
 const maxFlowsEndedPeers = 16
 
-// tellFlowEnded tells the other instances that a flow ended which one of them
+// notifyFlowEnded tells the other instances that a flow ended which one of them
 // may count against a limit.
-func (c *Core) tellFlowEnded(key flowtable.Key) {
+func (c *Core) notifyFlowEnded(key flowtable.Key) {
 	if len(c.state.Members) > maxFlowsEndedPeers {
 		return
 	}
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -42,7 +42,7 @@
 	}
 	c.counts.add(countRequests)
 	d := c.limits.StartRequest(now, h.caller.Name, h.key.Service, h.use)
-	c.decided(now, h, d)
+	c.applyDecision(now, h, d)
 }
 
 func requestKey(h *heldPacket) requests.Key {
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -134,7 +134,7 @@
 	byAddr   map[netip.AddrPort]*server
 	flows    map[netip.AddrPort]*flow
 	nextPort uint32
-	control  *operatorDesk
+	control  *operatorModel
 	tally    tally
 	// stopped ends the callers' new openings.
 	stopped bool
@@ -165,7 +165,7 @@
 	for d := range s.centres {
 		f.addCentre(d)
 	}
-	f.control = newOperatorDesk(f)
+	f.control = newOperatorModel(f)
 	for _, c := range f.centres {
 		for n := range s.instances {
 			i := &instance{id: model.InstanceID(fmt.Sprintf("%s-%d", c.name, n+1)), dc: c, listed: true}
--- a/internal/measure/flows.go
+++ b/internal/measure/flows.go
@@ -188,7 +188,7 @@
 			fl.f.tally.requestRefused++
 		}
 	case p.Reason == pb.Reason_REASON_DATA_CENTRE_OUT:
-		fl.moveOn()
+		fl.reopenElsewhere()
 	case fl.state == opening:
 		fl.f.tally.refused++
 	case p.Reason == pb.Reason_REASON_UNKNOWN_FLOW:
@@ -196,8 +196,8 @@
 	}
 }
 
-// moveOn opens a flow again in the next data centre.
-func (fl *flow) moveOn() {
+// reopenElsewhere opens a flow again in the next data centre.
+func (fl *flow) reopenElsewhere() {
 	f, dc := fl.f, (fl.dc+1)%len(fl.f.centres)
 	if _, known := f.flows[fl.caller]; !known {
 		return
--- a/internal/measure/desk.go
+++ b/internal/measure/operator.go
@@ -36,8 +36,8 @@
 	return o.version + 1, nil
 }
 
-// operatorDesk holds the lists and makes edits.
-type operatorDesk struct {
+// operatorModel holds the lists and makes edits.
+type operatorModel struct {
 	f       *fleet
 	store   *memoryStore
 	version uint64
@@ -49,17 +49,17 @@
 	accepted time.Time
 }
 
-func newOperatorDesk(f *fleet) *operatorDesk {
-	d := &operatorDesk{f: f, store: &memoryStore{objects: map[string]object{}}, marks: &pb.Marks{}, draining: map[string]bool{}, absent: map[string]bool{}}
+func newOperatorModel(f *fleet) *operatorModel {
+	d := &operatorModel{f: f, store: &memoryStore{objects: map[string]object{}}, marks: &pb.Marks{}, draining: map[string]bool{}, absent: map[string]bool{}}
 	d.apply()
 	return d
 }
 
-func (d *operatorDesk) callers() *pb.CallerList {
+func (d *operatorModel) callers() *pb.CallerList {
 	return &pb.CallerList{Callers: []*pb.CallerEntry{{Name: "all", Plan: "all", Prefixes: []string{"10.1.0.0/16"}}}}
 }
 
-func (d *operatorDesk) plans() *pb.PlanList {
+func (d *operatorModel) plans() *pb.PlanList {
 	service := &pb.ServiceEntry{Name: serviceName}
 	for _, c := range d.f.centres {
 		site := &pb.ServiceSite{DataCentre: string(c.name), Address: c.address.String()}
@@ -79,7 +79,7 @@
 }
 
 // apply makes an edit of both lists and the marks.
-func (d *operatorDesk) apply() {
+func (d *operatorModel) apply() {
 	d.edits++
 	editor := config.NewEditor(config.EditorConfig{Deadline: time.Now().Add(time.Minute), Rand: rand.New(rand.NewPCG(uint64(d.edits), 5))}, config.Edit{
 		ID: fmt.Sprint("edit-", d.edits), Operator: "measure", Summary: "measure", BaseVersion: d.version,
@@ -92,7 +92,7 @@
 	d.version, d.accepted = done.Version, d.f.now
 }
 
-func (d *operatorDesk) drain(s *server) {
+func (d *operatorModel) drain(s *server) {
 	s.drain = true
 	d.draining[s.entry.Name] = true
 	d.apply()
@@ -100,13 +100,13 @@
 }
 
 // toggleDrain drains a server or ends its drain.
-func (d *operatorDesk) toggleDrain(s *server) {
+func (d *operatorModel) toggleDrain(s *server) {
 	s.drain = !s.drain
 	d.draining[s.entry.Name] = s.drain
 	d.apply()
 }
 
-func (d *operatorDesk) add(c *centre) *server {
+func (d *operatorModel) add(c *centre) *server {
 	s := d.f.newServer(c, len(c.servers))
 	s.goCold(10 * time.Second)
 	c.servers = append(c.servers, s)
@@ -115,7 +115,7 @@
 	return s
 }
 
-func (d *operatorDesk) mark(dc model.DataCentre, out bool) {
+func (d *operatorModel) mark(dc model.DataCentre, out bool) {
 	d.marks = &pb.Marks{}
 	if out {
 		d.marks.DataCentresOut = []string{string(dc)}
