--- a/internal/measure/operator.go
+++ b/internal/measure/operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"cuminshift/internal/config"
@@ -14,6 +15,7 @@
 
 // memoryStore is an object store without faults.
 type memoryStore struct {
+	mu      sync.Mutex
 	objects map[string]object
 }
 
@@ -23,11 +25,16 @@
 }
 
 func (m *memoryStore) Get(_ context.Context, key string) ([]byte, uint64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	o := m.objects[key]
 	return o.value, o.version, nil
 }
 
 func (m *memoryStore) Put(_ context.Context, key string, value []byte, ifVersion *uint64) (uint64, error) {
+	// An edit writes its shards in parallel.
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	o := m.objects[key]
 	if ifVersion != nil && *ifVersion != o.version {
 		return 0, &storeclient.Conflict{Key: key}
