Serve the users' platform through platform/: steering by token

Cause: the product spoke its own packet format only, and steering by bucket maps needs records, owners and a publisher. The platform returns a 32-bit token in every packet of a flow, so the token names the server and no instance keeps a record.

New decision packages: token, registry, routing, reach, selection, coldstart, source and their composition gateway (events in, actions out). gatewayshell binds sockets, platform/ translates header, store and settings.

Ruled out: the present core behind an adapter; it needs the servers' answers to pass through the instance, which they do not on this platform.

Before: nothing ran on the platform.

--- /dev/null
+++ b/internal/flow/track.go
@@ -0,0 +1,91 @@
+package flow
+
+import "time"
+
+// Track is what an instance remembers of one flow. It sees only the packets
+// of the caller: progress of the server shows in the acknowledgements.
+type Track struct {
+	// Opened is set once the caller has answered the server's acceptance.
+	Opened bool
+	// Seen is the time of the last packet.
+	Seen time.Time
+	// OpeningAt is the time of the first copy of the opening.
+	OpeningAt time.Time
+	// Ack is the caller's highest acknowledgement.
+	Ack uint32
+	// Waiting is set from a payload packet until the server shows progress;
+	// WaitingSince is the time of the first one.
+	Waiting      bool
+	WaitingSince time.Time
+
+	// end is the sequence number after the last byte of payload; endSet says
+	// that there was one.
+	end    uint32
+	endSet bool
+	// lastAt is the time at which payload up to end was first seen.
+	lastAt time.Time
+}
+
+// Observation is what one packet says about the flow's server.
+type Observation struct {
+	// Progress: the server has accepted the flow or sent bytes since the
+	// last packet.
+	Progress bool
+	// Repeat: the caller repeats a packet first sent at RepeatOf, which the
+	// server has not acknowledged to it.
+	Repeat   bool
+	RepeatOf time.Time
+	// Asked: the flow turned from idle to waiting; Answered is the opposite.
+	Asked, Answered bool
+}
+
+// Observe takes the next packet of the flow.
+func (t *Track) Observe(now time.Time, s *Segment) Observation {
+	defer func() { t.Seen = now }()
+	if s.Opening {
+		return t.opening(now, s)
+	}
+	var o Observation
+	if !t.Opened {
+		t.Opened = true
+		t.Ack = s.Ack
+		o.Progress = true
+	} else if after(s.Ack, t.Ack) {
+		t.Ack = s.Ack
+		o.Progress = true
+	}
+	if o.Progress && t.Waiting {
+		t.Waiting = false
+		o.Answered = true
+	}
+	if s.Length > 0 {
+		t.payload(now, s, &o)
+	}
+	return o
+}
+
+func (t *Track) opening(now time.Time, s *Segment) Observation {
+	if t.OpeningAt.IsZero() {
+		t.OpeningAt = now
+	}
+	if s.Copy == 0 {
+		return Observation{}
+	}
+	return Observation{Repeat: true, RepeatOf: t.OpeningAt}
+}
+
+func (t *Track) payload(now time.Time, s *Segment, o *Observation) {
+	end := s.Seq + uint32(s.Length)
+	if t.endSet && !after(end, t.end) {
+		o.Repeat, o.RepeatOf = true, t.lastAt
+		return
+	}
+	t.end, t.endSet, t.lastAt = end, true, now
+	if !t.Waiting {
+		t.Waiting, t.WaitingSince = true, now
+		o.Asked = true
+	}
+}
+
+// after compares sequence numbers, which wrap around.
+func after(a, b uint32) bool { return int32(a-b) > 0 }
--- /dev/null
+++ b/internal/gateway/events.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"net/netip"
+	"time"
+
+	"cuminshift/internal/flow"
+	"cuminshift/internal/reach"
+	"cuminshift/internal/source"
+)
+
+// Event is something that the instance learns.
+type Event interface{ event() }
+
+type (
+	// Updated is what a source returned; the knowledge of it is current as of
+	// AsOf.
+	Updated struct {
+		Kind   source.Kind
+		Update source.Update
+		AsOf   time.Time
+	}
+	// Probed is the outcome of a Probe.
+	Probed struct {
+		Server string
+		Result reach.ProbeResult
+	}
+	// Tick comes at TickInterval.
+	Tick struct{}
+	// StopRequested begins a planned stop.
+	StopRequested struct{}
+)
+
+func (Updated) event()       {}
+func (Probed) event()        {}
+func (Tick) event()          {}
+func (StopRequested) event() {}
+
+// Action is something to be done.
+type Action interface{ action() }
+
+type (
+	// Probe asks for a request to a server's health endpoint; its outcome
+	// comes back as Probed.
+	Probe struct {
+		Server  string
+		Address netip.AddrPort
+		Path    string
+	}
+	// ResetFlow asks for a reset to a flow's caller.
+	ResetFlow struct {
+		Flow   flow.Key
+		Ack    uint32
+		Server string
+		Reason Reason
+	}
+	// Note is a change of what the instance believes, for the log.
+	Note struct {
+		// Subject is the server, data centre or version that changed.
+		Subject string
+		// What happened, in the log's words.
+		What string
+		// Cause is the input that decided.
+		Cause string
+		// Age is the age of the knowledge behind the change.
+		Age time.Duration
+	}
+)
+
+func (Probe) action()     {}
+func (ResetFlow) action() {}
+func (Note) action()      {}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,154 @@
+// Package gateway composes the decisions of an entry instance that steers by
+// token: which server a new flow goes to, where its later packets go, and when
+// a flow is refused or given up. Packets and events come in with the time;
+// verdicts and actions go out. It has no sockets, clocks or goroutines.
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"cuminshift/internal/flow"
+	"cuminshift/internal/model"
+	"cuminshift/internal/registry"
+	"cuminshift/internal/routing"
+	"cuminshift/internal/selection"
+	"cuminshift/internal/source"
+	"cuminshift/internal/token"
+)
+
+// Config is what an instance knows at its start.
+type Config struct {
+	DataCentre model.DataCentre
+	// FreshFor is the age up to which the configuration and the registry
+	// count as current: a refusal needs current knowledge.
+	FreshFor time.Duration
+	// FlowLifetime is the age at which the platform may discard a flow.
+	FlowLifetime time.Duration
+	// ColdSlack is the number of openings a second that a cold server takes
+	// from all instances together beyond what it says it bears.
+	ColdSlack float64
+	// Instances is the number of instances to share cold servers among.
+	Instances int
+}
+
+// Verdict is the decision about one packet.
+type Verdict struct {
+	Kind VerdictKind
+	// Server and Token are set for Forward.
+	Server *registry.Record
+	Token  token.Token
+	// Ack is the acknowledgement that a reset has to match, for Reset.
+	Ack    uint32
+	Reason Reason
+	// Opening is set for the first copy of an opening.
+	Opening bool
+}
+
+// VerdictKind says what is done with a packet.
+type VerdictKind uint8
+
+// Kinds of verdicts.
+const (
+	Drop VerdictKind = iota
+	Forward
+	Reset
+)
+
+// String returns the name used in logs.
+func (k VerdictKind) String() string { return [...]string{"drop", "forward", "reset"}[k] }
+
+// Reason is the cause of a verdict or of a reset.
+type Reason uint8
+
+// Reasons.
+const (
+	// ReasonNone: the packet is forwarded as usual.
+	ReasonNone Reason = iota
+	// NotLoaded: the configuration or the registry is not known yet.
+	NotLoaded
+	// NotFresh: no route or server is known, but the knowledge may be old.
+	NotFresh
+	// NoRoute: no route to the address is in force.
+	NoRoute
+	// RouteDropped: a newer configuration has no route to the address.
+	RouteDropped
+	// NoServer: the service has no server that takes new flows.
+	NoServer
+	// NoToken: the packet names no server.
+	NoToken
+	// UnknownToken: no server known here has the token.
+	UnknownToken
+	// WrongService: the token names a server that the route never led to.
+	WrongService
+	// ServerLost: the flow's server ended or is not reached.
+	ServerLost
+	// Repeated: a copy of an opening went to another server.
+	Repeated
+)
+
+// String returns the name used in logs.
+func (r Reason) String() string {
+	return [...]string{"none", "not loaded", "not fresh", "no route", "route dropped", "no server", "no token",
+		"unknown token", "wrong service", "server lost", "repeated"}[r]
+}
+
+// Core holds the state of one instance. Its methods may be called from several
+// goroutines; mu guards all state and is the only lock.
+type Core struct {
+	mu  sync.Mutex
+	cfg Config
+
+	routes    routing.Table
+	servers   *registry.Registry
+	withdrawn map[model.DataCentre]bool
+	// returnedAt is the time at which a data centre came back into service.
+	returnedAt map[model.DataCentre]time.Time
+	// confirmed holds the times up to which each source is known to be current.
+	confirmed [source.Kinds]time.Time
+	stopping  bool
+
+	backends map[*registry.Record]*backend
+	services map[string][]*backend
+	tokens   *token.Index[*backend]
+	flows    map[flow.Key]*tracked
+
+	// candidates and choices are scratch space of choose.
+	candidates []selection.Candidate
+	choices    []*backend
+}
+
+// New returns the core of an instance that knows nothing yet.
+func New(cfg Config) *Core {
+	return &Core{
+		cfg:        cfg,
+		servers:    registry.New(),
+		withdrawn:  map[model.DataCentre]bool{},
+		returnedAt: map[model.DataCentre]time.Time{},
+		backends:   map[*registry.Record]*backend{},
+		services:   map[string][]*backend{},
+		tokens:     token.NewIndex[*backend](),
+		flows:      map[flow.Key]*tracked{},
+	}
+}
+
+// Ready reports whether the instance takes traffic: it knows a configuration
+// and the servers, and is not about to stop.
+func (c *Core) Ready() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.loaded() && !c.stopping
+}
+
+func (c *Core) loaded() bool { return c.routes.Current() != nil && c.servers.Loaded() }
+
+func (c *Core) fresh(now time.Time, s source.Kind) bool {
+	return !c.confirmed[s].IsZero() && now.Sub(c.confirmed[s]) <= c.cfg.FreshFor
+}
+
+// Flows returns the number of flows that the instance tracks.
+func (c *Core) Flows() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.flows)
+}
--- /dev/null
+++ b/internal/gateway/handle.go
@@ -0,0 +1,264 @@
+package gateway
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"cuminshift/internal/model"
+	"cuminshift/internal/reach"
+	"cuminshift/internal/registry"
+	"cuminshift/internal/routing"
+	"cuminshift/internal/source"
+)
+
+// TickInterval is the time between two Ticks: a fraction of the callers'
+// first repeat after 200 ms.
+const TickInterval = 100 * time.Millisecond
+
+// closingFor is the time for which a flow that the caller has closed is still
+// led to its server: longer than the callers' longest interval of repeats.
+const closingFor = 2 * time.Second
+
+// Handle takes an event.
+func (c *Core) Handle(now time.Time, e Event) []Action {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch e := e.(type) {
+	case Updated:
+		return c.updated(now, e)
+	case Probed:
+		return c.probed(now, e)
+	case Tick:
+		return c.tick(now)
+	case StopRequested:
+		c.stopping = true
+	}
+	return nil
+}
+
+// updated takes what a source returned.
+func (c *Core) updated(now time.Time, e Updated) []Action {
+	if e.AsOf.After(c.confirmed[e.Kind]) {
+		c.confirmed[e.Kind] = e.AsOf
+	}
+	u := &e.Update
+	switch e.Kind {
+	case source.Configuration:
+		if u.Configuration != nil {
+			return c.configuration(now, u.Configuration)
+		}
+	case source.Registry:
+		c.servers.Answered(now)
+		return c.registryChanges(now, u)
+	case source.Withdrawals:
+		return c.withdraw(now, u)
+	}
+	return nil
+}
+
+func (c *Core) age(now time.Time, s source.Kind) time.Duration {
+	if c.confirmed[s].IsZero() {
+		return 0
+	}
+	return now.Sub(c.confirmed[s])
+}
+
+// configuration takes a version; flows whose route it drops are reset.
+func (c *Core) configuration(now time.Time, next *routing.Configuration) []Action {
+	before := c.routes.Current()
+	if !c.routes.Update(next) {
+		return nil
+	}
+	actions := []Action{Note{Subject: fmt.Sprint(next.Version), What: "configuration in force",
+		Cause: fmt.Sprintf("%d routes", len(next.Routes)), Age: c.age(now, source.Configuration)}}
+	if before == nil {
+		return actions
+	}
+	for _, t := range c.flows {
+		if t.closing || next.Route(t.key.Service()) != nil {
+			continue
+		}
+		actions = append(actions, c.giveUp(t, RouteDropped))
+	}
+	return actions
+}
+
+func (c *Core) giveUp(t *tracked, reason Reason) Action {
+	a := ResetFlow{Flow: t.key, Ack: t.Ack, Server: t.backend.record.Name, Reason: reason}
+	c.drop(t)
+	return a
+}
+
+func (c *Core) registryChanges(now time.Time, u *source.Update) []Action {
+	var changes []registry.Change
+	listed := make(map[string]bool, len(u.Servers))
+	for i := range u.Servers {
+		change := &u.Servers[i]
+		if change.Removed {
+			changes = append(changes, c.servers.Remove(now, change.Entry.Name)...)
+			continue
+		}
+		listed[change.Entry.Name] = true
+		changes = append(changes, c.servers.Put(now, change.Entry)...)
+	}
+	if u.Full {
+		changes = append(changes, c.servers.Keep(now, listed)...)
+	}
+	return c.changes(now, changes)
+}
+
+// changes follows the registry.
+func (c *Core) changes(now time.Time, changes []registry.Change) []Action {
+	var actions []Action
+	for _, change := range changes {
+		r := change.Record
+		switch change.Kind {
+		case registry.Added:
+			c.addBackend(r)
+		case registry.Restarted:
+			actions = append(actions, c.restarted(r)...)
+		case registry.Departed:
+			actions = append(actions, c.departed(r)...)
+		case registry.Forgotten:
+			c.removeBackend(r)
+		}
+		actions = append(actions, Note{Subject: r.Name, What: "server " + change.Kind.String(),
+			Cause: fmt.Sprintf("service %s in %s at %s, draining %t", r.Service, r.DataCentre, r.Address, r.Draining), Age: c.age(now, source.Registry)})
+	}
+	if len(changes) > 0 {
+		c.indexServices()
+	}
+	return actions
+}
+
+// restarted gives up the flows of the server's earlier incarnation.
+func (c *Core) restarted(r *registry.Record) []Action {
+	b := c.backends[r]
+	b.reach = reach.Evidence{}
+	var actions []Action
+	for _, t := range b.open {
+		actions = append(actions, c.giveUp(t, ServerLost))
+	}
+	return actions
+}
+
+// departed asks whether a server whose entry went still lives: the entry of a
+// live server goes as well when it cannot write.
+func (c *Core) departed(r *registry.Record) []Action {
+	b := c.backends[r]
+	if len(b.open) == 0 || !b.reach.Doubt() {
+		return nil
+	}
+	return []Action{c.probe(b)}
+}
+
+func (c *Core) probe(b *backend) Action {
+	path := "/"
+	if s, ok := c.routes.Current().Services[b.record.Service]; ok {
+		path = s.HealthPath
+	}
+	return Probe{Server: b.record.Name, Address: b.record.Address, Path: path}
+}
+
+func (c *Core) withdraw(now time.Time, u *source.Update) []Action {
+	var actions []Action
+	listed := make(map[model.DataCentre]bool, len(u.DataCentres))
+	for _, change := range u.DataCentres {
+		listed[change.DataCentre] = change.Withdrawn
+		actions = append(actions, c.mark(now, change)...)
+	}
+	if !u.Full {
+		return actions
+	}
+	for _, dc := range slices.Sorted(maps.Keys(c.withdrawn)) {
+		if !listed[dc] {
+			actions = append(actions, c.mark(now, source.DataCentreChange{DataCentre: dc})...)
+		}
+	}
+	return actions
+}
+
+// mark takes a data centre out of service or back.
+func (c *Core) mark(now time.Time, change source.DataCentreChange) []Action {
+	if c.withdrawn[change.DataCentre] == change.Withdrawn {
+		return nil
+	}
+	if change.Withdrawn {
+		c.withdrawn[change.DataCentre] = true
+		return []Action{c.withdrawalNote(now, change.DataCentre, "data centre withdrawn")}
+	}
+	delete(c.withdrawn, change.DataCentre)
+	c.returnedAt[change.DataCentre] = now
+	return []Action{c.withdrawalNote(now, change.DataCentre, "data centre back in service")}
+}
+
+func (c *Core) withdrawalNote(now time.Time, dc model.DataCentre, what string) Action {
+	return Note{Subject: string(dc), What: what, Cause: "operator", Age: c.age(now, source.Withdrawals)}
+}
+
+func (c *Core) probed(now time.Time, e Probed) []Action {
+	for r, b := range c.backends {
+		if r.Name == e.Server {
+			before := b.reach.State()
+			failed := b.reach.Failed()
+			b.reach.Probed(now, e.Result)
+			actions := c.afterEvidence(now, b, before, false, "probe: "+e.Result.String())
+			if !failed && b.reach.Failed() {
+				actions = append(actions, c.giveUpAll(b)...)
+			}
+			return actions
+		}
+	}
+	return nil
+}
+
+// giveUpAll resets the flows of a server that is not reached, idle ones
+// included, so that the callers' next requests open new flows at once.
+func (c *Core) giveUpAll(b *backend) []Action {
+	actions := make([]Action, 0, len(b.open))
+	for _, t := range b.open {
+		actions = append(actions, c.giveUp(t, ServerLost))
+	}
+	return actions
+}
+
+func (c *Core) afterEvidence(now time.Time, b *backend, before reach.State, probe bool, cause string) []Action {
+	var actions []Action
+	if state := b.reach.State(); state != before {
+		actions = append(actions, Note{Subject: b.record.Name, What: "server " + state.String(), Cause: cause, Age: now.Sub(b.reach.Alive())})
+	}
+	if probe {
+		actions = append(actions, c.probe(b))
+	}
+	return actions
+}
+
+func (c *Core) reached(now time.Time, b *backend, cause string) Action {
+	return Note{Subject: b.record.Name, What: "server " + b.reach.State().String(), Cause: cause}
+}
+
+func (c *Core) tick(now time.Time) []Action {
+	actions := c.changes(now, c.servers.Tick(now))
+	for _, b := range c.backends {
+		before := b.reach.State()
+		probe := b.reach.Tick(now)
+		actions = append(actions, c.afterEvidence(now, b, before, probe, "time")...)
+	}
+	c.expireFlows(now)
+	return actions
+}
+
+// expireFlows drops flows that ended or may be discarded.
+func (c *Core) expireFlows(now time.Time) {
+	idle := c.cfg.FlowLifetime
+	if cfg := c.routes.Current(); cfg != nil && cfg.IdleTimeout > 0 {
+		idle = min(idle, cfg.IdleTimeout)
+	}
+	for _, t := range c.flows {
+		if quiet := now.Sub(t.Seen); quiet > idle || (t.closing && quiet > closingFor) {
+			c.drop(t)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gatewayshell/follow.go
@@ -0,0 +1,64 @@
+package gatewayshell
+
+import (
+	"context"
+	"time"
+
+	"cuminshift/internal/gateway"
+	"cuminshift/internal/source"
+)
+
+// follow keeps one source current until ctx ends.
+func (sh *Shell) follow(ctx context.Context, k source.Kind) {
+	var schedule source.Schedule
+	for {
+		call := schedule.Next()
+		if !sleepUntil(ctx, call.NotBefore) {
+			return
+		}
+		sent := time.Now()
+		u, err := sh.call(ctx, k, call)
+		now := time.Now()
+		if err != nil {
+			if ctx.Err() != nil {
+				return
+			}
+			sh.parts.Store.Reconnect(k)
+			sh.counters.storeErrors.Inc(1)
+			if schedule.Failed(now, err) {
+				sh.log.lost(k, err)
+			}
+			continue
+		}
+		if schedule.Returned(now, &u) {
+			sh.log.regained(k)
+		}
+		sh.log.rejected(u.Rejected)
+		sh.handle(gateway.Updated{Kind: k, Update: u, AsOf: sent})
+	}
+}
+
+func (sh *Shell) call(ctx context.Context, k source.Kind, call source.Call) (source.Update, error) {
+	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
+	defer cancel()
+	sh.counters.storeCalls.Inc(1)
+	if call.Read {
+		return sh.parts.Store.Read(ctx, k)
+	}
+	return sh.parts.Store.Watch(ctx, k, call.Since, call.Wait)
+}
+
+func sleepUntil(ctx context.Context, t time.Time) bool {
+	d := time.Until(t)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/gatewayshell/log.go
@@ -0,0 +1,148 @@
+package gatewayshell
+
+import (
+	"sync"
+
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+
+	"cuminshift/internal/flow"
+	"cuminshift/internal/gateway"
+	"cuminshift/internal/source"
+)
+
+// Names of log fields.
+const (
+	logFlow    = "flow"
+	logServer  = "server"
+	logReason  = "reason"
+	logVerdict = "verdict"
+	logCause   = "cause"
+	logAge     = "age_ms"
+	logSubject = "subject"
+	logSource  = "source"
+	logOmitted = "omitted"
+	logCopy    = "copy"
+)
+
+const (
+	// flowLinesPerSecond and flowLinesBurst bound the lines about flows; at
+	// 300 bytes each they take 15 KB/s.
+	flowLinesPerSecond = 50
+	flowLinesBurst     = 200
+	// openingLinesPerSecond samples the usual openings.
+	openingLinesPerSecond = 5
+	// maxRejections bounds the remembered rejected objects.
+	maxRejections = 1024
+)
+
+// decisionLog writes one line for each decision, within bounds.
+type decisionLog struct {
+	log      *zap.Logger
+	flows    *rate.Limiter
+	openings *rate.Limiter
+
+	mu      sync.Mutex
+	omitted int64
+	// seen holds the rejected objects that were logged.
+	seen map[source.Rejection]bool
+}
+
+func newDecisionLog(log *zap.Logger) *decisionLog {
+	return &decisionLog{
+		log:      log,
+		flows:    rate.NewLimiter(flowLinesPerSecond, flowLinesBurst),
+		openings: rate.NewLimiter(openingLinesPerSecond, openingLinesPerSecond),
+		seen:     map[source.Rejection]bool{},
+	}
+}
+
+func (l *decisionLog) started(s *Settings) {
+	l.log.Info("gateway: started", zap.String("instance", string(s.Instance)), zap.String("data_centre", string(s.DataCentre)),
+		zap.String("packets", s.PacketAddress.String()), zap.String("store", s.StoreAddress.String()))
+}
+
+func (l *decisionLog) stopping() { l.log.Info("gateway: planned stop, not ready") }
+
+func (l *decisionLog) stopped(err error) {
+	l.log.Info("gateway: stopped", zap.Error(err), zap.Int64(logOmitted, l.takeOmitted()))
+}
+
+func (l *decisionLog) failed(what string, err error) {
+	l.log.Warn("gateway: "+what, zap.Error(err))
+}
+
+func (l *decisionLog) lost(k source.Kind, err error) {
+	l.log.Warn("store: lost", zap.Stringer(logSource, k), zap.Error(err))
+}
+
+func (l *decisionLog) regained(k source.Kind) {
+	l.log.Info("store: regained", zap.Stringer(logSource, k))
+}
+
+// rejected logs each object that was not understood once.
+func (l *decisionLog) rejected(all []source.Rejection) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range all {
+		if l.seen[r] || len(l.seen) >= maxRejections {
+			continue
+		}
+		l.seen[r] = true
+		l.log.Warn("store: object not used", zap.String(logSubject, r.Name), zap.String(logCause, r.Cause))
+	}
+}
+
+func (l *decisionLog) note(n gateway.Note) {
+	l.log.Info("belief: "+n.What, zap.String(logSubject, n.Subject), zap.String(logCause, n.Cause), zap.Int64(logAge, n.Age.Milliseconds()))
+}
+
+func (l *decisionLog) malformed(err error) {
+	if l.flows.Allow() {
+		l.log.Warn("packet: malformed", zap.Error(err))
+	} else {
+		l.omit()
+	}
+}
+
+// verdict logs refusals, resets, dropped packets and a sample of the openings.
+func (l *decisionLog) verdict(s *flow.Segment, v *gateway.Verdict) {
+	if v.Reason == gateway.ReasonNone {
+		if !v.Opening || !l.openings.Allow() {
+			return
+		}
+	} else if !l.flows.Allow() {
+		l.omit()
+		return
+	}
+	fields := []zap.Field{zap.Stringer(logFlow, s.Key), zap.Stringer(logVerdict, v.Kind), zap.Stringer(logReason, v.Reason)}
+	if v.Server != nil {
+		fields = append(fields, zap.String(logServer, v.Server.Name))
+	}
+	if s.Opening {
+		fields = append(fields, zap.Uint32(logCopy, s.Copy))
+	}
+	l.log.Info("flow: packet", fields...)
+}
+
+func (l *decisionLog) reset(a gateway.ResetFlow) {
+	if !l.flows.Allow() {
+		l.omit()
+		return
+	}
+	l.log.Info("flow: given up", zap.Stringer(logFlow, a.Flow), zap.String(logServer, a.Server), zap.Stringer(logReason, a.Reason))
+}
+
+func (l *decisionLog) omit() {
+	l.mu.Lock()
+	l.omitted++
+	l.mu.Unlock()
+}
+
+func (l *decisionLog) takeOmitted() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := l.omitted
+	l.omitted = 0
+	return n
+}
--- /dev/null
+++ b/internal/gatewayshell/packets.go
@@ -0,0 +1,82 @@
+package gatewayshell
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cuminshift/internal/flow"
+	"cuminshift/internal/gateway"
+)
+
+// readPackets is one packet worker.
+func (sh *Shell) readPackets(ctx context.Context) error {
+	in, out := make([]byte, maxPacket), make([]byte, 0, maxPacket)
+	var s flow.Segment
+	for {
+		n, _, err := sh.packets.ReadFromUDPAddrPort(in)
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case errors.Is(err, net.ErrClosed):
+			return errors.Wrap(err, "gateway: read packet")
+		case err != nil:
+			// An earlier packet was rejected by its receiver's host.
+			sh.counters.socketErrors.Inc(1)
+			continue
+		}
+		sh.counters.packets.Inc(1)
+		if err := sh.parts.Codec.Decode(in[:n], &s); err != nil {
+			sh.counters.malformed.Inc(1)
+			sh.log.malformed(err)
+			continue
+		}
+		sh.packet(in[:n], out, &s)
+	}
+}
+
+func (sh *Shell) packet(b, out []byte, s *flow.Segment) {
+	now := time.Now()
+	sh.lastPacket.store(now)
+	v, actions := sh.core.Packet(now, s)
+	switch v.Kind {
+	case gateway.Forward:
+		sh.counters.forwarded.Inc(1)
+		sh.write(sh.parts.Codec.AppendForward(out, b, v.Server.Fence, v.Token), v.Server.Address)
+	case gateway.Reset:
+		sh.counters.resets.Inc(1)
+		sh.sendReset(s.Key, v.Ack)
+	case gateway.Drop:
+		sh.counters.dropped.Inc(1)
+	}
+	sh.log.verdict(s, &v)
+	sh.do(actions)
+}
+
+func (sh *Shell) sendReset(k flow.Key, ack uint32) {
+	to := netip.AddrPortFrom(k.Caller().Addr(), sh.settings.PacketAddress.Port())
+	sh.write(sh.parts.Codec.AppendReset(nil, k, ack), to)
+}
+
+// write sends a datagram. A failure counts; the caller repeats what is lost.
+func (sh *Shell) write(b []byte, to netip.AddrPort) {
+	if _, err := sh.packets.WriteToUDPAddrPort(b, to); err != nil {
+		sh.counters.socketErrors.Inc(1)
+	}
+}
+
+// atomicTime is a time that several goroutines share.
+type atomicTime struct{ p atomic.Pointer[time.Time] }
+
+func (t *atomicTime) store(now time.Time) { t.p.Store(&now) }
+
+func (t *atomicTime) load() time.Time {
+	if p := t.p.Load(); p != nil {
+		return *p
+	}
+	return time.Time{}
+}
--- /dev/null
+++ b/internal/gatewayshell/probe.go
@@ -0,0 +1,66 @@
+package gatewayshell
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cuminshift/internal/gateway"
+	"cuminshift/internal/reach"
+)
+
+// probeTimeout bounds a probe: a connection within a region takes at most 4 ms,
+// and a server that is up answers within its health check's 1 ms and a queue.
+const probeTimeout = 200 * time.Millisecond
+
+// prober asks servers' health endpoints.
+type prober struct {
+	client   *http.Client
+	identity func(http.Header) string
+	done     func(gateway.Event)
+}
+
+func newProber(identity func(http.Header) string, done func(gateway.Event)) *prober {
+	return &prober{
+		identity: identity,
+		done:     done,
+		client: &http.Client{
+			Timeout:       probeTimeout,
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+			Transport: &http.Transport{
+				DialContext:       (&net.Dialer{Timeout: probeTimeout}).DialContext,
+				DisableKeepAlives: true,
+			},
+		},
+	}
+}
+
+// start begins a probe; its outcome goes to done.
+func (p *prober) start(a gateway.Probe) {
+	go func() {
+		p.done(gateway.Probed{Server: a.Server, Result: p.ask(a)})
+	}()
+}
+
+func (p *prober) ask(a gateway.Probe) reach.ProbeResult {
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+a.Address.String()+a.Path, nil)
+	if err != nil {
+		return reach.NoAnswer
+	}
+	response, err := p.client.Do(request)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return reach.Refused
+	case err != nil:
+		return reach.NoAnswer
+	}
+	defer response.Body.Close()
+	if name := p.identity(response.Header); name != "" && name != a.Server {
+		return reach.OtherServer
+	}
+	return reach.Answered
+}
--- /dev/null
+++ b/internal/gatewayshell/ready.go
@@ -0,0 +1,35 @@
+package gatewayshell
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// readyTimeout bounds one readiness check, which comes twice a second.
+const readyTimeout = 2 * time.Second
+
+// serveReady answers the fabric's readiness checks and serves the metrics.
+func (sh *Shell) serveReady(ctx context.Context, l net.Listener) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc(sh.parts.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !sh.core.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("/metrics", sh.serveMetrics)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: readyTimeout}
+	go func() {
+		<-ctx.Done()
+		if err := server.Close(); err != nil {
+			sh.log.failed("readiness server: close", err)
+		}
+	}()
+	if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "gateway: serve readiness checks")
+	}
+	return nil
+}
--- a/internal/shell/metrics.go
+++ b/internal/metricstext/metricstext.go
@@ -1,4 +1,5 @@
-package shell
+// Package metricstext writes metrics in the Prometheus text format.
+package metricstext
 
 import (
 	"fmt"
@@ -14,9 +15,9 @@
 // quantiles are the quantiles reported for each histogram.
 var quantiles = []float64{0.5, 0.9, 0.99}
 
-// writePrometheus writes a registry in the Prometheus text format, sorted by
+// Write writes a registry in the Prometheus text format, sorted by
 // name. No library for it is available through the module proxy.
-func writePrometheus(w io.Writer, registry metrics.Registry) error {
+func Write(w io.Writer, registry metrics.Registry) error {
 	var names []string
 	registry.Each(func(name string, _ any) { names = append(names, name) })
 	sort.Strings(names)
--- /dev/null
+++ b/internal/reach/reach.go
@@ -0,0 +1,188 @@
+// Package reach decides from the callers' half of the flows, and from probes
+// where these decide something, whether an instance reaches a server.
+//
+// An instance does not see the answers of a server. A caller that repeats a
+// packet says that an answer is missing; an acknowledgement that moves on
+// says that the server answered.
+package reach
+
+import "time"
+
+// State is what an instance believes of its way to a server.
+type State uint8
+
+// States.
+const (
+	Reachable State = iota
+	// Suspect: a packet was repeated and the server has shown no life since.
+	Suspect
+	// Unreachable: packets and, if it was asked, the probe got no answer.
+	Unreachable
+	// Ended: another server answers at the address.
+	Ended
+)
+
+// String returns the name used in logs.
+func (s State) String() string {
+	return [...]string{"reachable", "suspect", "unreachable", "ended"}[s]
+}
+
+const (
+	// stallsWithoutProbe is the number of repeats without any progress that
+	// need no probe to count as unreachable: with 1% of datagrams lost, one
+	// server in 10^8 openings meets them by chance.
+	stallsWithoutProbe = 4
+	// firstHold is the time for which an unreachable server is not tried
+	// again; it doubles up to maxHold with each failed trial.
+	firstHold = 400 * time.Millisecond
+	maxHold   = 1600 * time.Millisecond
+	// suspectFor ends a suspicion to which nothing is added; one and a half
+	// times the callers' second interval between repeats.
+	suspectFor = 600 * time.Millisecond
+)
+
+// ProbeResult is the outcome of a probe of a server's health endpoint.
+type ProbeResult uint8
+
+// Outcomes of probes.
+const (
+	// Answered: the server answered, healthy or not.
+	Answered ProbeResult = iota + 1
+	// Refused: the connection was rejected.
+	Refused
+	// NoAnswer: nothing came back in time.
+	NoAnswer
+	// OtherServer: another server answered at the address.
+	OtherServer
+)
+
+// String returns the name used in logs.
+func (p ProbeResult) String() string {
+	return [...]string{"none", "answered", "refused", "no answer", "other server"}[p]
+}
+
+// Evidence is what one instance has seen of one server.
+type Evidence struct {
+	state State
+	// alive is the time of the last progress of any flow at the server.
+	alive time.Time
+	// since is the time of the present state.
+	since  time.Time
+	stalls int
+	// probing is set while a probe is under way; probed is the time of the
+	// last outcome.
+	probing bool
+	failed  bool
+	hold    time.Duration
+	retryAt time.Time
+}
+
+// State returns what is believed now.
+func (e *Evidence) State() State { return e.state }
+
+// Failed reports that flows and a probe agree that the server is not reached;
+// only then are its flows given up.
+func (e *Evidence) Failed() bool {
+	return e.state == Ended || (e.state == Unreachable && e.failed)
+}
+
+// Alive returns the time of the last progress.
+func (e *Evidence) Alive() time.Time { return e.alive }
+
+// Progress notes that the server answered a caller.
+func (e *Evidence) Progress(now time.Time) {
+	e.alive = now
+	if e.state == Reachable {
+		return
+	}
+	e.set(Reachable, now)
+	e.hold = 0
+}
+
+// Stall notes that a caller repeats a packet first sent at sent. It reports
+// whether the server is to be probed.
+func (e *Evidence) Stall(now, sent time.Time) (probe bool) {
+	if !e.alive.Before(sent) || e.state == Ended {
+		return false
+	}
+	e.stalls++
+	switch {
+	case e.state == Reachable:
+		e.set(Suspect, now)
+		e.stalls = 1
+	case e.state == Suspect && e.stalls >= stallsWithoutProbe:
+		e.unreachable(now)
+	}
+	return e.startProbe()
+}
+
+// Probed notes the outcome of a probe.
+func (e *Evidence) Probed(now time.Time, result ProbeResult) {
+	e.probing = false
+	switch result {
+	case OtherServer:
+		e.set(Ended, now)
+	case Answered:
+		e.failed = false
+		if e.state == Unreachable {
+			e.set(Suspect, now)
+			e.stalls = 0
+		}
+	case Refused, NoAnswer:
+		if e.state == Suspect || e.state == Unreachable {
+			e.unreachable(now)
+			e.failed = true
+		}
+	}
+}
+
+// Tick ends suspicions and reports whether the server is to be probed.
+func (e *Evidence) Tick(now time.Time) (probe bool) {
+	switch e.state {
+	case Suspect:
+		if !e.probing && now.Sub(e.since) > suspectFor {
+			e.set(Reachable, now)
+		}
+	case Unreachable:
+		if !now.Before(e.retryAt) {
+			return e.startProbe()
+		}
+	}
+	return false
+}
+
+func (e *Evidence) startProbe() bool {
+	if e.probing {
+		return false
+	}
+	e.probing = true
+	return true
+}
+
+func (e *Evidence) unreachable(now time.Time) {
+	if e.hold == 0 {
+		e.hold = firstHold
+	} else {
+		e.hold = min(2*e.hold, maxHold)
+	}
+	e.retryAt = now.Add(e.hold)
+	if e.state != Unreachable {
+		e.set(Unreachable, now)
+	}
+}
+
+func (e *Evidence) set(s State, now time.Time) {
+	e.state, e.since = s, now
+	if s == Reachable {
+		e.stalls, e.failed = 0, false
+	}
+}
+
+// Doubt begins a probe of a server that something else than a flow speaks
+// against, unless one is under way.
+func (e *Evidence) Doubt() (probe bool) {
+	if e.state == Reachable {
+		e.state = Suspect
+	}
+	return e.startProbe()
+}
--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,209 @@
+// Package registry keeps what the platform's registry says of backend servers
+// and decides how long a server counts after its entry is gone.
+package registry
+
+import (
+	"net/netip"
+	"sort"
+	"time"
+
+	"cuminshift/internal/model"
+)
+
+const (
+	// LapseGrace is the time after the registry's return in which entries that
+	// lapsed during its outage come back; the platform's pages give about two
+	// seconds.
+	LapseGrace = 2500 * time.Millisecond
+	// OutageMin is the shortest silence of the registry during which entries
+	// of live servers may lapse: the platform removes an entry after three
+	// heartbeats of silence.
+	OutageMin = time.Second
+	// ForgetAfter is the time for which a departed server's flows are still
+	// led to it; the platform's longest flow lifetime.
+	ForgetAfter = 60 * time.Second
+)
+
+// Entry is what a backend server says of itself.
+type Entry struct {
+	// Name is unique among all servers, also of the past.
+	Name string
+	// Fence is the number that a server expects in front of its packets.
+	Fence      uint64
+	Service    string
+	DataCentre model.DataCentre
+	Address    netip.AddrPort
+	Slots      int
+	Draining   bool
+	// ColdFor is the time for which the server stays slow, as of its entry.
+	ColdFor time.Duration
+	// Incarnation is the server's start in Unix milliseconds.
+	Incarnation int64
+}
+
+// Record is a server with its presence in the registry.
+type Record struct {
+	Entry
+	// Listed is set while the registry has an entry of the server.
+	Listed bool
+	// ColdUntil is the end of the cold start.
+	ColdUntil time.Time
+	// Departed is the time at which the entry went; zero while it is listed.
+	Departed time.Time
+	// lapseUntil is the time until which the server counts as present though
+	// its entry went during an outage.
+	lapseUntil time.Time
+}
+
+// Openable reports whether new flows may be opened at the server: it is
+// listed, or may have lapsed, and is not draining.
+func (r *Record) Openable(now time.Time) bool {
+	return !r.Draining && (r.Listed || now.Before(r.lapseUntil))
+}
+
+// Gone reports whether the server's entry went for good.
+func (r *Record) Gone(now time.Time) bool {
+	return !r.Listed && !now.Before(r.lapseUntil)
+}
+
+// ChangeKind says what happened to a record.
+type ChangeKind uint8
+
+// Kinds of changes.
+const (
+	Added ChangeKind = iota + 1
+	Updated
+	// Restarted: the server has started anew under its name and holds no flow.
+	Restarted
+	Departed
+	// Lapsed: the entry went while the registry was out; the server counts as
+	// present for LapseGrace.
+	Lapsed
+	// Forgotten: the record is dropped.
+	Forgotten
+)
+
+// String returns the name used in logs.
+func (k ChangeKind) String() string {
+	return [...]string{"none", "added", "updated", "restarted", "departed", "lapsed", "forgotten"}[k]
+}
+
+// Change is one change of a record.
+type Change struct {
+	Kind   ChangeKind
+	Record *Record
+}
+
+// Registry is one instance's copy of the registry.
+type Registry struct {
+	records map[string]*Record
+	// reachable is the last time at which the registry answered, returned
+	// the end of its last outage.
+	reachable, returned time.Time
+	loaded              bool
+}
+
+// New returns an empty registry.
+func New() *Registry {
+	return &Registry{records: map[string]*Record{}}
+}
+
+// Loaded reports whether a full list was taken.
+func (g *Registry) Loaded() bool { return g.loaded }
+
+// Answered notes that the registry answered. A silence of OutageMin or more
+// before it counts as an outage.
+func (g *Registry) Answered(now time.Time) {
+	if !g.reachable.IsZero() && now.Sub(g.reachable) >= OutageMin+answerInterval {
+		g.returned = now
+	}
+	g.reachable = now
+}
+
+// answerInterval is the longest regular pause between two answers: the wait
+// of a watch.
+const answerInterval = 1500 * time.Millisecond
+
+// Keep takes the names in a full list: servers that are not among them went.
+func (g *Registry) Keep(now time.Time, listed map[string]bool) []Change {
+	g.loaded = true
+	var changes []Change
+	for _, name := range g.names() {
+		if !listed[name] {
+			changes = g.remove(now, name, changes)
+		}
+	}
+	return changes
+}
+
+// Put takes a new or changed entry.
+func (g *Registry) Put(now time.Time, e Entry) []Change { return g.put(now, e, nil) }
+
+// Remove takes the end of an entry.
+func (g *Registry) Remove(now time.Time, name string) []Change { return g.remove(now, name, nil) }
+
+func (g *Registry) put(now time.Time, e Entry, changes []Change) []Change {
+	r := g.records[e.Name]
+	if r == nil {
+		r = &Record{Entry: e, Listed: true, ColdUntil: now.Add(e.ColdFor)}
+		g.records[e.Name] = r
+		return append(changes, Change{Added, r})
+	}
+	if r.Listed && r.Entry == e {
+		return changes
+	}
+	kind := Updated
+	if e.Incarnation != r.Incarnation {
+		kind = Restarted
+	}
+	r.Entry, r.Listed = e, true
+	r.ColdUntil = now.Add(e.ColdFor)
+	r.Departed, r.lapseUntil = time.Time{}, time.Time{}
+	return append(changes, Change{kind, r})
+}
+
+func (g *Registry) remove(now time.Time, name string, changes []Change) []Change {
+	r := g.records[name]
+	if r == nil || !r.Listed {
+		return changes
+	}
+	r.Listed, r.Departed = false, now
+	if !g.returned.IsZero() && now.Sub(g.returned) < LapseGrace {
+		r.lapseUntil = g.returned.Add(LapseGrace)
+		return append(changes, Change{Lapsed, r})
+	}
+	return append(changes, Change{Departed, r})
+}
+
+// Tick drops records of servers that departed long ago and reports lapsed
+// entries that did not come back.
+func (g *Registry) Tick(now time.Time) []Change {
+	var changes []Change
+	for _, name := range g.names() {
+		r := g.records[name]
+		switch {
+		case r.Listed:
+		case !r.lapseUntil.IsZero() && !now.Before(r.lapseUntil):
+			r.lapseUntil = time.Time{}
+			changes = append(changes, Change{Departed, r})
+		case now.Sub(r.Departed) > ForgetAfter:
+			delete(g.records, name)
+			changes = append(changes, Change{Forgotten, r})
+		}
+	}
+	return changes
+}
+
+// names returns the names in order, so that a run repeats.
+func (g *Registry) names() []string {
+	names := make([]string, 0, len(g.records))
+	for name := range g.records {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Lapsing reports whether the entry went during an outage and the server still
+// counts as present.
+func (r *Record) Lapsing() bool { return !r.lapseUntil.IsZero() }
--- /dev/null
+++ b/internal/selection/selection.go
@@ -0,0 +1,81 @@
+// Package selection chooses the server of a new flow.
+//
+// A flow stays at its server, so the choice balances open flows; requests
+// under way break ties between servers with as many flows. Servers of the own
+// data centre come first, since a flow to another one breaks when the data
+// centres lose each other and each byte between them costs.
+package selection
+
+import "cuminshift/internal/reach"
+
+// Candidate is a server to which a new flow may be opened.
+type Candidate struct {
+	// Local: the server is in the instance's own data centre.
+	Local bool
+	// Reach is what the instance believes of its way to the server.
+	Reach reach.State
+	// Cold: the server has just started and bears little; ColdRoom says that
+	// its share of openings is not used up.
+	Cold, ColdRoom bool
+	// Flows are open flows, Busy requests under way, as seen from here, and
+	// Slots the requests that the server works on at a time.
+	Flows, Busy, Slots int
+	// Tie breaks ties; it depends on the flow and the server only, so that
+	// copies of an opening at two instances tend to meet one server.
+	Tie uint64
+}
+
+// Weights of the score, in units of open flows per slot.
+const (
+	// busyWeight counts a request under way against open flows: a caller with
+	// long flows sends on one flow in about 4 at a time.
+	busyWeight = 2
+	// remoteFlows is how many flows per slot more a local server may have
+	// before a server of another data centre is chosen: the number of flows
+	// at which a local server is in use all the time.
+	remoteFlows = 12
+	// coldFlows keeps flows from a cold server, whose work takes 1.6 times
+	// as long, while warm ones have room.
+	coldFlows = 6
+	// suspectFlows keeps flows from a server that may not answer.
+	suspectFlows = 1000
+	// unreachableFlows is the last resort: a wrong belief that none is
+	// reachable must not leave a service without servers.
+	unreachableFlows = 1000 * 1000
+)
+
+// None means that no candidate may be used.
+const None = -1
+
+// Choose returns the index of the best candidate, or None.
+func Choose(candidates []Candidate) int {
+	best, bestScore := None, 0.0
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Reach == reach.Ended || (c.Cold && !c.ColdRoom) {
+			continue
+		}
+		score := c.score()
+		if best == None || score < bestScore || (score == bestScore && c.Tie < candidates[best].Tie) {
+			best, bestScore = i, score
+		}
+	}
+	return best
+}
+
+func (c *Candidate) score() float64 {
+	score := float64(c.Flows+busyWeight*c.Busy) / float64(max(c.Slots, 1))
+	if !c.Local {
+		score += remoteFlows
+	}
+	if c.Cold {
+		score += coldFlows
+	}
+	switch c.Reach {
+	case reach.Suspect:
+		score += suspectFlows
+	case reach.Unreachable:
+		score += unreachableFlows
+	}
+	return score
+}
--- a/internal/shell/operator.go
+++ b/internal/shell/operator.go
@@ -12,6 +12,7 @@
 	"cuminshift/internal/entry"
 	pb "cuminshift/internal/gen/cuminshift/v1"
 	"cuminshift/internal/gen/cuminshift/v1/cuminshiftv1connect"
+	"cuminshift/internal/metricstext"
 )
 
 const (
@@ -67,10 +68,10 @@
 	metrics.GetOrRegisterGauge("state_generation", registry).Update(int64(status.Generation))
 	metrics.GetOrRegisterGauge("live_instances", registry).Update(int64(len(status.Instances)))
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	if err := writePrometheus(w, registry); err != nil {
+	if err := metricstext.Write(w, registry); err != nil {
 		sh.log.Debug("operator: metrics not written", zap.Error(err))
 	}
-	if err := writePrometheus(w, sh.core.Metrics()); err != nil {
+	if err := metricstext.Write(w, sh.core.Metrics()); err != nil {
 		sh.log.Debug("operator: metrics not written", zap.Error(err))
 	}
 }
