Withdraw an instance that reaches no server; give flows up on three signs

Ruled out: resets alone, since the next flow meets the same cut. Change: package readiness; a silent server has the others of its data centre probed; flows are given up on three signs in place of one repeat and one probe, because 1% of packets are lost; a copy of an opening goes to another server when the first has answered nobody since.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 
 	"cuminshift/internal/flow"
 	"cuminshift/internal/model"
+	"cuminshift/internal/readiness"
 	"cuminshift/internal/registry"
 	"cuminshift/internal/routing"
 	"cuminshift/internal/selection"
@@ -107,6 +108,9 @@
 	// confirmed holds the times up to which each source is known to be current.
 	confirmed [source.Kinds]time.Time
 	stopping  bool
+	able      readiness.Judge
+	// demand counts the recent openings of each service.
+	demand map[string]float64
 
 	backends map[*registry.Record]*backend
 	services map[string][]*backend
@@ -123,6 +127,7 @@
 	return &Core{
 		cfg:        cfg,
 		servers:    registry.New(),
+		demand:     map[string]float64{},
 		withdrawn:  map[model.DataCentre]bool{},
 		returnedAt: map[model.DataCentre]time.Time{},
 		backends:   map[*registry.Record]*backend{},
@@ -133,11 +138,11 @@
 }
 
 // Ready reports whether the instance takes traffic: it knows a configuration
-// and the servers, and is not about to stop.
+// and the servers, reaches servers for most callers and is not about to stop.
 func (c *Core) Ready() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.loaded() && !c.stopping
+	return c.loaded() && !c.stopping && c.able.Able()
 }
 
 func (c *Core) loaded() bool { return c.routes.Current() != nil && c.servers.Loaded() }
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -8,6 +8,7 @@
 
 	"cuminshift/internal/model"
 	"cuminshift/internal/reach"
+	"cuminshift/internal/readiness"
 	"cuminshift/internal/registry"
 	"cuminshift/internal/routing"
 	"cuminshift/internal/source"
@@ -17,6 +18,14 @@
 // first repeat after 200 ms.
 const TickInterval = 100 * time.Millisecond
 
+const (
+	// maxDoubtProbes bounds the probes that one silent server sets off.
+	maxDoubtProbes = 64
+	// aliveWithin is how recently a server must have answered a caller not to
+	// be doubted when another one of its data centre falls silent.
+	aliveWithin = 100 * time.Millisecond
+)
+
 // closingFor is the time for which a flow that the caller has closed is still
 // led to its server: longer than the callers' longest interval of repeats.
 const closingFor = 2 * time.Second
@@ -120,7 +129,7 @@
 		case registry.Restarted:
 			actions = append(actions, c.restarted(r)...)
 		case registry.Departed:
-			actions = append(actions, c.departed(r)...)
+			actions = append(actions, c.departed(now, r)...)
 		case registry.Forgotten:
 			c.removeBackend(r)
 		}
@@ -146,9 +155,9 @@
 
 // departed asks whether a server whose entry went still lives: the entry of a
 // live server goes as well when it cannot write.
-func (c *Core) departed(r *registry.Record) []Action {
+func (c *Core) departed(now time.Time, r *registry.Record) []Action {
 	b := c.backends[r]
-	if len(b.open) == 0 || !b.reach.Doubt() {
+	if len(b.open) == 0 || !b.reach.Doubt(now) {
 		return nil
 	}
 	return []Action{c.probe(b)}
@@ -203,17 +212,38 @@
 		if r.Name == e.Server {
 			before := b.reach.State()
 			failed := b.reach.Failed()
-			b.reach.Probed(now, e.Result)
-			actions := c.afterEvidence(now, b, before, false, "probe: "+e.Result.String())
+			again := b.reach.Probed(now, e.Result)
+			actions := c.afterEvidence(now, b, before, again, "probe: "+e.Result.String())
 			if !failed && b.reach.Failed() {
 				actions = append(actions, c.giveUpAll(b)...)
+				if e.Result == reach.NoAnswer {
+					actions = append(actions, c.doubtDataCentre(now, b)...)
+				}
 			}
-			return actions
+			return append(actions, c.judge(now)...)
 		}
 	}
 	return nil
 }
 
+// doubtDataCentre probes the other servers of a silent server's data centre that
+// have shown no life since: the data centre may be cut off or without power.
+func (c *Core) doubtDataCentre(now time.Time, silent *backend) []Action {
+	var actions []Action
+	for r, b := range c.backends {
+		if len(actions) >= maxDoubtProbes {
+			break
+		}
+		if b == silent || r.DataCentre != silent.record.DataCentre || !r.Listed || b.reach.State() != reach.Reachable {
+			continue
+		}
+		if now.Sub(b.reach.Alive()) > aliveWithin && b.reach.Doubt(now) {
+			actions = append(actions, c.probe(b))
+		}
+	}
+	return actions
+}
+
 // giveUpAll resets the flows of a server that is not reached, idle ones
 // included, so that the callers' next requests open new flows at once.
 func (c *Core) giveUpAll(b *backend) []Action {
@@ -247,7 +277,49 @@
 		actions = append(actions, c.afterEvidence(now, b, before, probe, "time")...)
 	}
 	c.expireFlows(now)
-	return actions
+	c.decayDemand()
+	return append(actions, c.judge(now)...)
+}
+
+// demandDecay is the factor by which the memory of openings shrinks each tick:
+// half of it is lost in 3.4 s.
+const demandDecay = 0.98
+
+func (c *Core) decayDemand() {
+	if !c.able.Able() {
+		// While the instance is withdrawn no callers come.
+		return
+	}
+	for service := range c.demand {
+		c.demand[service] *= demandDecay
+	}
+}
+
+// judge decides whether the instance can serve most of its callers.
+func (c *Core) judge(now time.Time) []Action {
+	demands := make([]readiness.Demand, 0, len(c.demand))
+	for service, openings := range c.demand {
+		demands = append(demands, readiness.Demand{Openings: openings, Served: c.reaches(now, service)})
+	}
+	if !c.able.Update(now, demands) {
+		return nil
+	}
+	what := "instance reaches servers again"
+	if !c.able.Able() {
+		what = "instance reaches no servers for most callers"
+	}
+	return []Action{Note{Subject: string(c.cfg.DataCentre), What: what, Cause: "flows and probes"}}
+}
+
+// reaches reports whether a server of the service may take new flows and is
+// not known to be out of reach.
+func (c *Core) reaches(now time.Time, service string) bool {
+	for _, b := range c.services[service] {
+		if b.record.Openable(now) && !c.withdrawn[b.record.DataCentre] && !b.reach.Failed() {
+			return true
+		}
+	}
+	return false
 }
 
 // expireFlows drops flows that ended or may be discarded.
--- a/internal/gateway/packets.go
+++ b/internal/gateway/packets.go
@@ -32,18 +32,20 @@
 		return c.refuse(now, s, NoRoute, source.Configuration), nil
 	}
 	t := c.flows[s.Key]
-	var actions []Action
-	if t != nil && t.backend != nil {
-		o := t.Observe(now, s)
-		actions = c.evidence(now, t.backend, o)
-		if c.keeps(now, t, route) {
-			return c.forward(t, Verdict{}), actions
-		}
-	} else {
+	if t == nil {
 		t = &tracked{key: s.Key}
-		t.Observe(now, s)
 	}
+	o := t.Observe(now, s)
 	old := t.backend
+	var actions []Action
+	if old != nil {
+		if !o.Repeat || c.keeps(now, t, route) {
+			return c.forward(t, Verdict{}), c.evidence(now, old, o)
+		}
+		// Detached, so that it is not given up with the server's other flows.
+		c.detach(t)
+		actions = c.evidence(now, old, o)
+	}
 	b := c.choose(now, s, route, old)
 	if b == nil {
 		c.drop(t)
@@ -62,10 +64,10 @@
 }
 
 // keeps reports whether a copy of an opening goes to the server of the first
-// copy: the server still takes new flows, and nothing speaks against it.
+// copy: the server still takes new flows and has answered a caller since.
 func (c *Core) keeps(now time.Time, t *tracked, route *routing.Route) bool {
 	r := t.backend.record
-	return r.Openable(now) && !c.withdrawn[r.DataCentre] && route.Leads(r.Service) && t.backend.reach.State() == reach.Reachable
+	return r.Openable(now) && !c.withdrawn[r.DataCentre] && route.Leads(r.Service) && t.backend.reach.Alive().After(t.OpeningAt)
 }
 
 // refuse answers with a reset when the knowledge behind it is current, and
@@ -82,6 +84,7 @@
 // the server of an earlier copy.
 func (c *Core) choose(now time.Time, s *flow.Segment, route *routing.Route, avoid *backend) *backend {
 	first := route.Pick(s.Key.Hash())
+	c.demand[first]++
 	if b := c.chooseOf(now, s, first, avoid); b != nil {
 		return b
 	}
@@ -240,7 +243,11 @@
 	if !o.Repeat {
 		return nil
 	}
-	before := b.reach.State()
+	before, failed := b.reach.State(), b.reach.Failed()
 	probe := b.reach.Stall(now, o.RepeatOf)
-	return c.afterEvidence(now, b, before, probe, "callers repeat packets")
+	actions := c.afterEvidence(now, b, before, probe, "callers repeat packets")
+	if !failed && b.reach.Failed() {
+		actions = append(actions, c.giveUpAll(b)...)
+	}
+	return actions
 }
--- a/internal/gatewayshell/probe.go
+++ b/internal/gatewayshell/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"syscall"
 	"time"
 
@@ -14,8 +15,8 @@
 )
 
 // probeTimeout bounds a probe: a connection within a region takes at most 4 ms,
-// and a server that is up answers within its health check's 1 ms and a queue.
-const probeTimeout = 200 * time.Millisecond
+// and the health check of a server that is up 1 ms.
+const probeTimeout = 120 * time.Millisecond
 
 // prober asks servers' health endpoints.
 type prober struct {
@@ -51,10 +52,16 @@
 	if err != nil {
 		return reach.NoAnswer
 	}
-	response, err := p.client.Do(request)
+	connected := false
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
+	response, err := p.client.Do(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return reach.Refused
+	case err != nil && connected:
+		// The server's host accepted the connection; the health check waits
+		// for a slot.
+		return reach.Answered
 	case err != nil:
 		return reach.NoAnswer
 	}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -35,7 +35,11 @@
 	// firstHold is the time for which an unreachable server is not tried
 	// again; it doubles up to maxHold with each failed trial.
 	firstHold = 400 * time.Millisecond
-	maxHold   = 1600 * time.Millisecond
+	maxHold   = 800 * time.Millisecond
+	// signsToFail is the number of signs, repeats and probes without an
+	// answer, at which flows are given up. One packet in 100 is lost, so three
+	// signs meet by chance once in 10^6 repeats.
+	signsToFail = 3
 	// suspectFor ends a suspicion to which nothing is added; one and a half
 	// times the callers' second interval between repeats.
 	suspectFor = 600 * time.Millisecond
@@ -69,10 +73,12 @@
 	// since is the time of the present state.
 	since  time.Time
 	stalls int
-	// probing is set while a probe is under way; probed is the time of the
-	// last outcome.
+	// probing is set while a probe is under way; silent counts the probes
+	// without an answer since the server last showed life.
 	probing bool
-	failed  bool
+	silent  int
+	// failed is set when flows and probes agree.
+	failed bool
 	hold    time.Duration
 	retryAt time.Time
 }
@@ -106,36 +112,62 @@
 		return false
 	}
 	e.stalls++
+	if e.state == Unreachable && e.silent > 0 {
+		e.failed = e.silent+e.stalls >= signsToFail
+	}
 	switch {
+	case e.state != Unreachable && e.stalls >= stallsWithoutProbe:
+		// The endpoint's word does not outweigh what the flows show.
+		e.unreachable(now)
 	case e.state == Reachable:
 		e.set(Suspect, now)
-		e.stalls = 1
-	case e.state == Suspect && e.stalls >= stallsWithoutProbe:
-		e.unreachable(now)
 	}
 	return e.startProbe()
 }
 
-// Probed notes the outcome of a probe.
-func (e *Evidence) Probed(now time.Time, result ProbeResult) {
+// Probed notes the outcome of a probe. It reports whether the server is to be
+// probed again at once.
+func (e *Evidence) Probed(now time.Time, result ProbeResult) (probe bool) {
 	e.probing = false
 	switch result {
 	case OtherServer:
 		e.set(Ended, now)
 	case Answered:
-		e.failed = false
-		if e.state == Unreachable {
-			e.set(Suspect, now)
-			e.stalls = 0
-		}
-	case Refused, NoAnswer:
-		if e.state == Suspect || e.state == Unreachable {
+		e.answered(now)
+	case Refused:
+		if e.state != Reachable && e.state != Ended {
 			e.unreachable(now)
 			e.failed = true
 		}
+	case NoAnswer:
+		return e.noAnswer(now)
+	}
+	return false
+}
+
+func (e *Evidence) answered(now time.Time) {
+	e.failed, e.silent = false, 0
+	switch e.state {
+	case Suspect:
+		// The endpoint's word ends the suspicion; the stalls still count.
+		e.state, e.since = Reachable, now
+	case Unreachable:
+		// The next flows are the trial; stalls start anew.
+		e.stalls = 0
+		e.set(Suspect, now)
 	}
 }
 
+func (e *Evidence) noAnswer(now time.Time) (probe bool) {
+	if e.state == Reachable || e.state == Ended {
+		return false
+	}
+	e.silent++
+	e.unreachable(now)
+	e.failed = e.silent+e.stalls >= signsToFail
+	return !e.failed && e.startProbe()
+}
+
 // Tick ends suspicions and reports whether the server is to be probed.
 func (e *Evidence) Tick(now time.Time) (probe bool) {
 	switch e.state {
@@ -174,15 +206,18 @@
 func (e *Evidence) set(s State, now time.Time) {
 	e.state, e.since = s, now
 	if s == Reachable {
-		e.stalls, e.failed = 0, false
+		e.stalls, e.silent, e.failed = 0, 0, false
 	}
 }
 
-// Doubt begins a probe of a server that something else than a flow speaks
-// against, unless one is under way.
-func (e *Evidence) Doubt() (probe bool) {
+// Doubt notes that something else than its flows speaks against the server. It
+// reports whether the server is to be probed.
+func (e *Evidence) Doubt(now time.Time) (probe bool) {
+	if e.state == Ended || e.probing {
+		return false
+	}
 	if e.state == Reachable {
-		e.state = Suspect
+		e.state, e.since = Suspect, now
 	}
 	return e.startProbe()
 }
--- /dev/null
+++ b/internal/readiness/readiness.go
@@ -0,0 +1,64 @@
+// Package readiness decides whether an instance offers itself to the fabric.
+//
+// An instance that reaches no server for most of its callers reports not
+// ready. When all instances of a data centre do, the fabric sends their
+// callers to the nearest other data centre, which may reach servers. The load
+// it answers: a data centre whose own servers are out of service or dead and
+// which is cut off from the others.
+package readiness
+
+import "time"
+
+const (
+	// ableAfter is how long servers must be reached again before the instance
+	// returns, so that it does not come and go: one readiness check.
+	ableAfter = 500 * time.Millisecond
+	// enough is the part of the openings for which a server must be reached.
+	enough = 0.5
+)
+
+// Demand is the recent demand for one service and whether it can be met.
+type Demand struct {
+	// Openings is the number of recent openings.
+	Openings float64
+	// Served: a server of the service is reached.
+	Served bool
+}
+
+// Judge holds an instance's judgement of itself.
+type Judge struct {
+	unable bool
+	// pending is the time from which the opposite judgement holds.
+	pending time.Time
+}
+
+// Able reports whether the instance can serve most of its callers.
+func (j *Judge) Able() bool { return !j.unable }
+
+// Update takes the present demand and reports whether the judgement changed.
+func (j *Judge) Update(now time.Time, demands []Demand) (changed bool) {
+	unable := !served(demands)
+	if unable == j.unable {
+		j.pending = time.Time{}
+		return false
+	}
+	if j.pending.IsZero() {
+		j.pending = now
+	}
+	if j.unable && now.Sub(j.pending) < ableAfter {
+		return false
+	}
+	j.unable, j.pending = unable, time.Time{}
+	return true
+}
+
+func served(demands []Demand) bool {
+	total, met := 0.0, 0.0
+	for _, d := range demands {
+		total += d.Openings
+		if d.Served {
+			met += d.Openings
+		}
+	}
+	return total == 0 || met >= enough*total
+}
