Settle unknown tokens by a read of the registry; weigh demand in requests

Change: a read after the packet tells a new server from one that left, unless entries may have lapsed in an outage. Outages are measured from the first call that failed. Demand counts requests.

--- /dev/null
+++ b/internal/coldstart/coldstart_test.go
@@ -0,0 +1,52 @@
+package coldstart
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// The instances' limits add up to what the server bears, whatever their number.
+func TestLimitsAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		perSecond := rapid.Float64Range(0, 500).Draw(t, "perSecond")
+		slack := rapid.Float64Range(0, 20).Draw(t, "slack")
+		n := rapid.IntRange(1, 800).Draw(t, "instances")
+		sum := 0
+		for rank := range n {
+			sum += Limit(perSecond, slack, n, rank)
+		}
+		if sum != int(perSecond+slack) {
+			t.Fatalf("the shares add up to %d, the server bears %d", sum, int(perSecond+slack))
+		}
+	})
+}
+
+// No span of one second holds more openings than the limit.
+func TestShareHoldsInAnySecond(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(1, 9).Draw(t, "limit")
+		gaps := rapid.SliceOfN(rapid.IntRange(0, 400), 1, 200).Draw(t, "gaps")
+		var s Share
+		var taken []time.Time
+		now := time.Unix(1000, 0)
+		for _, gap := range gaps {
+			now = now.Add(time.Duration(gap) * time.Millisecond)
+			if !s.Room(now, limit) {
+				continue
+			}
+			s.Use(now)
+			taken = append(taken, now)
+			inWindow := 0
+			for _, u := range taken {
+				if now.Sub(u) <= time.Second {
+					inWindow++
+				}
+			}
+			if inWindow > limit {
+				t.Fatalf("%d openings within a second, limit %d", inWindow, limit)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/flow/track_test.go
@@ -0,0 +1,69 @@
+package flow
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func TestTrackTellsProgressFromRepeats(t *testing.T) {
+	steps := []struct {
+		name                              string
+		ms                                int
+		s                                 Segment
+		progress, repeat, asked, answered bool
+		repeatOf                          int
+	}{
+		{name: "opening", ms: 0, s: Segment{Opening: true}},
+		{name: "copy of the opening", ms: 200, s: Segment{Opening: true, Copy: 1}, repeat: true, repeatOf: 0},
+		{name: "accepted", ms: 203, s: Segment{Seq: 1, Ack: 100}, progress: true},
+		{name: "request", ms: 204, s: Segment{Seq: 1, Ack: 100, Length: 50}, asked: true},
+		{name: "second part", ms: 205, s: Segment{Seq: 51, Ack: 100, Length: 50}},
+		{name: "repeat of the first part", ms: 405, s: Segment{Seq: 1, Ack: 100, Length: 50}, repeat: true, repeatOf: 205},
+		{name: "answer begins", ms: 410, s: Segment{Seq: 101, Ack: 1300}, progress: true, answered: true},
+		{name: "older acknowledgement", ms: 411, s: Segment{Seq: 101, Ack: 100}},
+		{name: "next request acknowledges too", ms: 500, s: Segment{Seq: 101, Ack: 2500, Length: 10}, progress: true, asked: true},
+	}
+	var tr Track
+	for _, step := range steps {
+		o := tr.Observe(at(step.ms), &step.s)
+		if o.Progress != step.progress || o.Repeat != step.repeat || o.Asked != step.asked || o.Answered != step.answered {
+			t.Errorf("%s: %+v", step.name, o)
+		}
+		if o.Repeat && !o.RepeatOf.Equal(at(step.repeatOf)) {
+			t.Errorf("%s: repeat of %v", step.name, o.RepeatOf)
+		}
+	}
+}
+
+// A flow whose first packets another instance took begins in the middle.
+func TestTrackOfAFlowTakenOver(t *testing.T) {
+	var tr Track
+	if o := tr.Observe(at(0), &Segment{Seq: 500, Ack: 9000, Length: 20}); !o.Asked || o.Repeat {
+		t.Fatalf("first packet seen: %+v", o)
+	}
+	if o := tr.Observe(at(200), &Segment{Seq: 500, Ack: 9000, Length: 20}); !o.Repeat {
+		t.Fatalf("its repeat: %+v", o)
+	}
+}
+
+func TestSequenceNumbersWrap(t *testing.T) {
+	var tr Track
+	tr.Observe(at(0), &Segment{Seq: 0xffffff00, Ack: 0xfffffff0})
+	if o := tr.Observe(at(1), &Segment{Seq: 0xffffff00, Ack: 5}); !o.Progress {
+		t.Fatal("an acknowledgement beyond the wrap is no progress")
+	}
+}
+
+func TestKeyKeepsAddresses(t *testing.T) {
+	k := Key{CallerIP: 0x64400007, CallerPort: 40001, ServiceIP: 0xc6120001, ServicePort: 443}
+	if got := NewKey(k.Caller(), k.Service()); got != k {
+		t.Fatalf("%v became %v", k, got)
+	}
+	if k.String() != "100.64.0.7:40001>198.18.0.1:443" {
+		t.Fatal(k.String())
+	}
+}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -20,6 +20,11 @@
 		Update source.Update
 		AsOf   time.Time
 	}
+	// Unanswered says that a call for a source, made at Sent, failed.
+	Unanswered struct {
+		Kind source.Kind
+		Sent time.Time
+	}
 	// Probed is the outcome of a Probe.
 	Probed struct {
 		Server string
@@ -32,6 +37,7 @@
 )
 
 func (Updated) event()       {}
+func (Unanswered) event()    {}
 func (Probed) event()        {}
 func (Tick) event()          {}
 func (StopRequested) event() {}
@@ -47,6 +53,8 @@
 		Address netip.AddrPort
 		Path    string
 	}
+	// Refresh asks for a read of a source.
+	Refresh struct{ Kind source.Kind }
 	// ResetFlow asks for a reset to a flow's caller.
 	ResetFlow struct {
 		Flow   flow.Key
@@ -68,5 +76,6 @@
 )
 
 func (Probe) action()     {}
+func (Refresh) action()   {}
 func (ResetFlow) action() {}
 func (Note) action()      {}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,15 +107,18 @@
 	returnedAt map[model.DataCentre]time.Time
 	// confirmed holds the times up to which each source is known to be current.
 	confirmed [source.Kinds]time.Time
+	// revisions are the store's revisions up to which each source was taken.
+	revisions [source.Kinds]source.Revision
 	stopping  bool
 	able      readiness.Judge
-	// demand counts the recent openings of each service.
+	// demand counts the recent requests for each service.
 	demand map[string]float64
 
 	backends map[*registry.Record]*backend
 	services map[string][]*backend
 	tokens   *token.Index[*backend]
 	flows    map[flow.Key]*tracked
+	unknown  unknownFlows
 
 	// candidates and choices are scratch space of choose.
 	candidates []selection.Candidate
@@ -134,6 +137,7 @@
 		services:   map[string][]*backend{},
 		tokens:     token.NewIndex[*backend](),
 		flows:      map[flow.Key]*tracked{},
+		unknown:    unknownFlows{flows: map[flow.Key]unknownFlow{}},
 	}
 }
 
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -37,6 +37,10 @@
 	switch e := e.(type) {
 	case Updated:
 		return c.updated(now, e)
+	case Unanswered:
+		if e.Kind == source.Registry {
+			c.servers.Unanswered(e.Sent)
+		}
 	case Probed:
 		return c.probed(now, e)
 	case Tick:
@@ -52,14 +56,36 @@
 	if e.AsOf.After(c.confirmed[e.Kind]) {
 		c.confirmed[e.Kind] = e.AsOf
 	}
-	u := &e.Update
-	switch e.Kind {
+	var actions []Action
+	if e.Kind == source.Registry {
+		c.servers.Answered(now)
+	}
+	if c.newer(e.Kind, &e.Update) {
+		actions = c.take(now, e.Kind, &e.Update)
+	}
+	if e.Kind == source.Registry && e.Update.Full {
+		actions = append(actions, c.settleUnknown(now, e.AsOf)...)
+	}
+	return actions
+}
+
+// newer reports whether an update holds anything that was not taken yet, and
+// notes its revision. Updates reach the instance on several ways.
+func (c *Core) newer(k source.Kind, u *source.Update) bool {
+	if u.Empty() || u.Revision < c.revisions[k] || (u.Revision == c.revisions[k] && c.revisions[k] != 0) {
+		return false
+	}
+	c.revisions[k] = u.Revision
+	return true
+}
+
+func (c *Core) take(now time.Time, k source.Kind, u *source.Update) []Action {
+	switch k {
 	case source.Configuration:
 		if u.Configuration != nil {
 			return c.configuration(now, u.Configuration)
 		}
 	case source.Registry:
-		c.servers.Answered(now)
 		return c.registryChanges(now, u)
 	case source.Withdrawals:
 		return c.withdraw(now, u)
@@ -214,11 +240,11 @@
 			failed := b.reach.Failed()
 			again := b.reach.Probed(now, e.Result)
 			actions := c.afterEvidence(now, b, before, again, "probe: "+e.Result.String())
+			if before != reach.Unreachable && e.Result == reach.NoAnswer {
+				actions = append(actions, c.doubtDataCentre(now, b)...)
+			}
 			if !failed && b.reach.Failed() {
 				actions = append(actions, c.giveUpAll(b)...)
-				if e.Result == reach.NoAnswer {
-					actions = append(actions, c.doubtDataCentre(now, b)...)
-				}
 			}
 			return append(actions, c.judge(now)...)
 		}
@@ -278,10 +304,12 @@
 	}
 	c.expireFlows(now)
 	c.decayDemand()
+	c.expireUnknown(now)
+	actions = append(actions, c.refresh(now)...)
 	return append(actions, c.judge(now)...)
 }
 
-// demandDecay is the factor by which the memory of openings shrinks each tick:
+// demandDecay is the factor by which the memory of requests shrinks each tick:
 // half of it is lost in 3.4 s.
 const demandDecay = 0.98
 
@@ -298,8 +326,8 @@
 // judge decides whether the instance can serve most of its callers.
 func (c *Core) judge(now time.Time) []Action {
 	demands := make([]readiness.Demand, 0, len(c.demand))
-	for service, openings := range c.demand {
-		demands = append(demands, readiness.Demand{Openings: openings, Served: c.reaches(now, service)})
+	for service, requests := range c.demand {
+		demands = append(demands, readiness.Demand{Requests: requests, Served: c.reaches(now, service)})
 	}
 	if !c.able.Update(now, demands) {
 		return nil
@@ -315,7 +343,7 @@
 // not known to be out of reach.
 func (c *Core) reaches(now time.Time, service string) bool {
 	for _, b := range c.services[service] {
-		if b.record.Openable(now) && !c.withdrawn[b.record.DataCentre] && !b.reach.Failed() {
+		if b.record.Openable(now) && !c.withdrawn[b.record.DataCentre] && b.reach.State() != reach.Unreachable && b.reach.State() != reach.Ended {
 			return true
 		}
 	}
--- a/internal/gateway/packets.go
+++ b/internal/gateway/packets.go
@@ -84,7 +84,10 @@
 // the server of an earlier copy.
 func (c *Core) choose(now time.Time, s *flow.Segment, route *routing.Route, avoid *backend) *backend {
 	first := route.Pick(s.Key.Hash())
-	c.demand[first]++
+	if !c.reaches(now, first) {
+		// No request will show the demand.
+		c.demand[first]++
+	}
 	if b := c.chooseOf(now, s, first, avoid); b != nil {
 		return b
 	}
@@ -137,6 +140,9 @@
 	if t == nil || t.backend == nil || (s.Token != token.None && !c.names(s.Token, t.backend)) {
 		found, reason := c.resolve(s)
 		if found == nil {
+			if reason == UnknownToken {
+				return Verdict{Reason: reason}, c.remember(now, s)
+			}
 			return Verdict{Reason: reason}, nil
 		}
 		if t == nil {
@@ -215,6 +221,7 @@
 	}
 	if t.Waiting {
 		t.backend.busy++
+		c.demand[t.backend.record.Service]++
 	} else {
 		t.backend.busy--
 	}
--- a/internal/gatewayshell/follow.go
+++ b/internal/gatewayshell/follow.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"cuminshift/internal/gateway"
 	"cuminshift/internal/source"
 )
@@ -28,6 +30,9 @@
 			if schedule.Failed(now, err) {
 				sh.log.lost(k, err)
 			}
+			if !errors.Is(err, source.ErrHistoryGone) {
+				sh.handle(gateway.Unanswered{Kind: k, Sent: sent})
+			}
 			continue
 		}
 		if schedule.Returned(now, &u) {
@@ -38,6 +43,18 @@
 	}
 }
 
+// refresh reads a source once, beside the calls that follow it.
+func (sh *Shell) refresh(k source.Kind) {
+	sent := time.Now()
+	u, err := sh.call(context.Background(), k, source.Call{Read: true, Timeout: source.ReadTimeout})
+	if err != nil {
+		sh.counters.storeErrors.Inc(1)
+		sh.log.failed("read of the "+k.String(), err)
+		return
+	}
+	sh.handle(gateway.Updated{Kind: k, Update: u, AsOf: sent})
+}
+
 func (sh *Shell) call(ctx context.Context, k source.Kind, call source.Call) (source.Update, error) {
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
--- a/internal/gatewayshell/shell.go
+++ b/internal/gatewayshell/shell.go
@@ -175,6 +175,8 @@
 		case gateway.Probe:
 			sh.counters.probes.Inc(1)
 			sh.probes.start(a)
+		case gateway.Refresh:
+			go sh.refresh(a.Kind)
 		case gateway.ResetFlow:
 			sh.sendReset(a.Flow, a.Ack)
 			sh.log.reset(a)
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -78,7 +78,7 @@
 	probing bool
 	silent  int
 	// failed is set when flows and probes agree.
-	failed bool
+	failed  bool
 	hold    time.Duration
 	retryAt time.Time
 }
--- /dev/null
+++ b/internal/reach/reach_test.go
@@ -0,0 +1,138 @@
+package reach
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// One repeat among 100 packets is the usual loss: it must neither give flows
+// up nor keep new ones away once the probe was answered.
+func TestOneLostPacketCostsNothing(t *testing.T) {
+	var e Evidence
+	e.Progress(at(0))
+	if !e.Stall(at(210), at(10)) {
+		t.Fatal("the first repeat asks for no probe")
+	}
+	if e.Failed() {
+		t.Fatal("failed after one repeat")
+	}
+	e.Probed(at(212), Answered)
+	if e.State() != Reachable {
+		t.Fatalf("after the probe: %s", e.State())
+	}
+}
+
+// A repeat says nothing when the server answered somebody since.
+func TestRepeatOfAnAliveServer(t *testing.T) {
+	var e Evidence
+	e.Progress(at(100))
+	if e.Stall(at(210), at(10)) || e.State() != Reachable {
+		t.Fatal("a repeat counts against a server that answered since")
+	}
+}
+
+// Packet loss of 1% meets a lost probe once in 10,000 repeats; flows are not
+// given up on these two signs alone.
+func TestRepeatAndLostProbeKeepTheFlows(t *testing.T) {
+	var e Evidence
+	e.Stall(at(210), at(10))
+	again := e.Probed(at(330), NoAnswer)
+	if e.State() != Unreachable || e.Failed() {
+		t.Fatalf("after a repeat and a lost probe: %s, failed %t", e.State(), e.Failed())
+	}
+	if !again {
+		t.Fatal("the probe is not repeated at once")
+	}
+	e.Probed(at(331), Answered)
+	if e.Failed() || e.State() == Unreachable {
+		t.Fatalf("after the second probe: %s, failed %t", e.State(), e.Failed())
+	}
+}
+
+func TestSilentServerFailsWithinHalfASecond(t *testing.T) {
+	var e Evidence
+	e.Progress(at(0))
+	e.Stall(at(210), at(10))
+	e.Probed(at(330), NoAnswer)
+	e.Stall(at(340), at(140))
+	if !e.Failed() {
+		t.Fatal("two repeats and a probe without an answer do not give it up")
+	}
+}
+
+// The endpoint's word does not outweigh the flows.
+func TestLyingEndpoint(t *testing.T) {
+	var e Evidence
+	for i := range 4 {
+		e.Stall(at(210+10*i), at(10*i))
+		e.Probed(at(211+10*i), Answered)
+	}
+	if e.State() != Suspect && e.State() != Unreachable {
+		t.Fatalf("four repeats without any progress: %s", e.State())
+	}
+	if e.Failed() {
+		t.Fatal("flows are given up though the endpoint answers")
+	}
+}
+
+func TestAnotherServerAtTheAddress(t *testing.T) {
+	var e Evidence
+	e.Doubt(at(0))
+	e.Probed(at(2), OtherServer)
+	if e.State() != Ended || !e.Failed() {
+		t.Fatalf("%s", e.State())
+	}
+}
+
+// A refused connection counts only against a server already in doubt.
+func TestRefusedProbe(t *testing.T) {
+	var e Evidence
+	e.Doubt(at(0))
+	e.Probed(at(2), Refused)
+	if !e.Failed() {
+		t.Fatal("a refused connection does not give it up")
+	}
+}
+
+func TestServerComesBack(t *testing.T) {
+	var e Evidence
+	e.Doubt(at(0))
+	e.Probed(at(2), Refused)
+	tries := 0
+	for ms := 0; ms < 3000; ms += 100 {
+		if e.Tick(at(ms)) {
+			tries++
+			e.Probed(at(ms+1), Refused)
+		}
+	}
+	if tries < 3 || tries > 6 {
+		t.Fatalf("%d probes in 3 s", tries)
+	}
+	for ms := 3000; ms < 4000; ms += 100 {
+		if e.Tick(at(ms)) {
+			e.Probed(at(ms+1), Answered)
+			break
+		}
+	}
+	if e.State() == Unreachable || e.Failed() {
+		t.Fatalf("after it answered: %s", e.State())
+	}
+	e.Progress(at(4000))
+	if e.State() != Reachable {
+		t.Fatalf("after progress: %s", e.State())
+	}
+}
+
+func TestSuspicionEnds(t *testing.T) {
+	var e Evidence
+	e.Stall(at(200), at(0))
+	e.probing = false
+	e.Tick(at(900))
+	if e.State() != Reachable {
+		t.Fatalf("%s", e.State())
+	}
+}
--- a/internal/readiness/readiness.go
+++ b/internal/readiness/readiness.go
@@ -13,14 +13,15 @@
 	// ableAfter is how long servers must be reached again before the instance
 	// returns, so that it does not come and go: one readiness check.
 	ableAfter = 500 * time.Millisecond
-	// enough is the part of the openings for which a server must be reached.
+	// enough is the part of the requests for which a server must be reached.
 	enough = 0.5
 )
 
 // Demand is the recent demand for one service and whether it can be met.
 type Demand struct {
-	// Openings is the number of recent openings.
-	Openings float64
+	// Requests is the number of recent requests. Openings would weigh a
+	// service with a flow for each request above one with long flows.
+	Requests float64
 	// Served: a server of the service is reached.
 	Served bool
 }
@@ -55,9 +56,9 @@
 func served(demands []Demand) bool {
 	total, met := 0.0, 0.0
 	for _, d := range demands {
-		total += d.Openings
+		total += d.Requests
 		if d.Served {
-			met += d.Openings
+			met += d.Requests
 		}
 	}
 	return total == 0 || met >= enough*total
--- /dev/null
+++ b/internal/readiness/readiness_test.go
@@ -0,0 +1,43 @@
+package readiness
+
+import (
+	"testing"
+	"time"
+)
+
+func TestJudge(t *testing.T) {
+	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
+	var j Judge
+	if !j.Able() {
+		t.Fatal("an instance starts unable")
+	}
+	j.Update(at(0), nil)
+	if !j.Able() {
+		t.Fatal("an instance without callers is unable")
+	}
+	some := []Demand{{Requests: 90, Served: true}, {Requests: 10}}
+	if j.Update(at(100), some); !j.Able() {
+		t.Fatal("unable though most callers are served")
+	}
+	none := []Demand{{Requests: 40, Served: true}, {Requests: 60}}
+	if !j.Update(at(200), none) || j.Able() {
+		t.Fatal("able though most callers are not served")
+	}
+	// A server that comes and goes does not make the instance come and go.
+	for ms := 300; ms < 3000; ms += 200 {
+		demands := none
+		if ms%400 == 300 {
+			demands = some
+		}
+		if j.Update(at(ms), demands) {
+			t.Fatalf("judgement changed after %d ms", ms)
+		}
+	}
+	j.Update(at(3000), some)
+	if j.Update(at(3400), some) {
+		t.Fatal("able again too early")
+	}
+	if !j.Update(at(3500), some) || !j.Able() {
+		t.Fatal("not able again after servers were reached for half a second")
+	}
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -15,10 +15,10 @@
 	// lapsed during its outage come back; the platform's pages give about two
 	// seconds.
 	LapseGrace = 2500 * time.Millisecond
-	// OutageMin is the shortest silence of the registry during which entries
-	// of live servers may lapse: the platform removes an entry after three
-	// heartbeats of silence.
-	OutageMin = time.Second
+	// OutageMin is the shortest outage during which entries of live servers
+	// may lapse. The platform removes an entry after three missed heartbeats,
+	// of which two may have been missed before this instance noticed.
+	OutageMin = 500 * time.Millisecond
 	// ForgetAfter is the time for which a departed server's flows are still
 	// led to it; the platform's longest flow lifetime.
 	ForgetAfter = 60 * time.Second
@@ -97,10 +97,11 @@
 // Registry is one instance's copy of the registry.
 type Registry struct {
 	records map[string]*Record
-	// reachable is the last time at which the registry answered, returned
-	// the end of its last outage.
-	reachable, returned time.Time
-	loaded              bool
+	// outage is the begin of the present outage, returned the end of the
+	// last one.
+	outage, returned time.Time
+	// loaded is the time of the first full list.
+	loaded time.Time
 }
 
 // New returns an empty registry.
@@ -109,24 +110,35 @@
 }
 
 // Loaded reports whether a full list was taken.
-func (g *Registry) Loaded() bool { return g.loaded }
+func (g *Registry) Loaded() bool { return !g.loaded.IsZero() }
 
-// Answered notes that the registry answered. A silence of OutageMin or more
-// before it counts as an outage.
+// Settled reports whether a server without an entry is gone: no entry can have
+// lapsed in an outage that has just ended, also not in one that ended before
+// the first list.
+func (g *Registry) Settled(now time.Time) bool {
+	return g.Loaded() && now.Sub(g.loaded) >= LapseGrace && g.outage.IsZero() && now.Sub(g.returned) >= LapseGrace
+}
+
+// Unanswered notes that a call made at sent was not answered.
+func (g *Registry) Unanswered(sent time.Time) {
+	if g.outage.IsZero() {
+		g.outage = sent
+	}
+}
+
+// Answered notes that the registry answered.
 func (g *Registry) Answered(now time.Time) {
-	if !g.reachable.IsZero() && now.Sub(g.reachable) >= OutageMin+answerInterval {
+	if !g.outage.IsZero() && now.Sub(g.outage) >= OutageMin {
 		g.returned = now
 	}
-	g.reachable = now
+	g.outage = time.Time{}
 }
 
-// answerInterval is the longest regular pause between two answers: the wait
-// of a watch.
-const answerInterval = 1500 * time.Millisecond
-
 // Keep takes the names in a full list: servers that are not among them went.
 func (g *Registry) Keep(now time.Time, listed map[string]bool) []Change {
-	g.loaded = true
+	if g.loaded.IsZero() {
+		g.loaded = now
+	}
 	var changes []Change
 	for _, name := range g.names() {
 		if !listed[name] {
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,95 @@
+package registry
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestRegistry plays the registry's entries, outages and lapses in
+// testdata/registry. Commands:
+//
+//	put at=MS name=N [draining] [cold=MS] [born=N]
+//	remove at=MS name=N
+//	list at=MS names=(N,...)
+//	no-answer at=MS
+//	answer at=MS
+//	tick at=MS
+//	openable at=MS
+func TestRegistry(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		g := New()
+		entries := map[string]Entry{}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var ms int
+			d.ScanArgs(t, "at", &ms)
+			now := time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond)
+			switch d.Cmd {
+			case "put":
+				var e Entry
+				d.ScanArgs(t, "name", &e.Name)
+				e.Service, e.Slots = "campo", 3
+				e.Draining = d.HasArg("draining")
+				if d.HasArg("born") {
+					d.ScanArgs(t, "born", &e.Incarnation)
+				}
+				entries[e.Name] = e
+				return format(g.Put(now, e))
+			case "remove":
+				var name string
+				d.ScanArgs(t, "name", &name)
+				return format(g.Remove(now, name))
+			case "list":
+				listed := map[string]bool{}
+				for _, arg := range d.CmdArgs {
+					if arg.Key == "names" {
+						for _, name := range arg.Vals {
+							listed[name] = true
+						}
+					}
+				}
+				var changes []Change
+				for _, name := range sorted(listed) {
+					changes = append(changes, g.Put(now, entries[name])...)
+				}
+				return format(append(changes, g.Keep(now, listed)...))
+			case "no-answer":
+				g.Unanswered(now)
+				return ""
+			case "answer":
+				g.Answered(now)
+				return ""
+			case "tick":
+				return format(g.Tick(now))
+			case "openable":
+				var out []string
+				for _, name := range g.names() {
+					if g.records[name].Openable(now) {
+						out = append(out, name)
+					}
+				}
+				return strings.Join(out, " ")
+			}
+			return fmt.Sprintf("unknown command %s", d.Cmd)
+		})
+	})
+}
+
+func sorted(set map[string]bool) []string {
+	g := New()
+	for name := range set {
+		g.records[name] = nil
+	}
+	return g.names()
+}
+
+func format(changes []Change) string {
+	var out []string
+	for _, c := range changes {
+		out = append(out, c.Record.Name+" "+c.Kind.String())
+	}
+	return strings.Join(out, "\n")
+}
--- /dev/null
+++ b/internal/selection/selection_test.go
@@ -0,0 +1,47 @@
+package selection
+
+import (
+	"testing"
+
+	"cuminshift/internal/reach"
+)
+
+func TestChoose(t *testing.T) {
+	local := Candidate{Local: true, Slots: 3}
+	with := func(c Candidate, change func(*Candidate)) Candidate { change(&c); return c }
+	cases := []struct {
+		name string
+		all  []Candidate
+		want int
+	}{
+		{"nothing", nil, None},
+		{"fewest flows", []Candidate{with(local, func(c *Candidate) { c.Flows = 5 }), local}, 1},
+		{"own data centre", []Candidate{{Slots: 3}, with(local, func(c *Candidate) { c.Flows = 20 })}, 1},
+		{"other data centre when the own is in use", []Candidate{{Slots: 3}, with(local, func(c *Candidate) { c.Flows = 40 })}, 0},
+		{"busy server last", []Candidate{with(local, func(c *Candidate) { c.Flows, c.Busy = 4, 3 }), with(local, func(c *Candidate) { c.Flows = 5 })}, 1},
+		{"flows per slot", []Candidate{with(local, func(c *Candidate) { c.Flows, c.Slots = 2, 1 }), with(local, func(c *Candidate) { c.Flows, c.Slots = 4, 4 })}, 1},
+		{"cold without room", []Candidate{with(local, func(c *Candidate) { c.Cold = true })}, None},
+		{"cold with room", []Candidate{with(local, func(c *Candidate) { c.Cold, c.ColdRoom = true, true })}, 0},
+		{"warm before cold", []Candidate{with(local, func(c *Candidate) { c.Cold, c.ColdRoom = true, true }), with(local, func(c *Candidate) { c.Flows = 10 })}, 1},
+		{"suspect last", []Candidate{with(local, func(c *Candidate) { c.Reach = reach.Suspect }), {Slots: 3, Flows: 90}}, 1},
+		{"unreachable when nothing else is left", []Candidate{with(local, func(c *Candidate) { c.Reach = reach.Unreachable })}, 0},
+		{"never one that ended", []Candidate{with(local, func(c *Candidate) { c.Reach = reach.Ended })}, None},
+		{"tie", []Candidate{with(local, func(c *Candidate) { c.Tie = 2 }), with(local, func(c *Candidate) { c.Tie = 1 })}, 1},
+	}
+	for _, c := range cases {
+		if got := Choose(c.all); got != c.want {
+			t.Errorf("%s: %d, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	all := make([]Candidate, 500)
+	for i := range all {
+		all[i] = Candidate{Local: true, Flows: i % 7, Slots: 2, Tie: uint64(i)}
+	}
+	b.ReportAllocs()
+	for range b.N {
+		Choose(all)
+	}
+}
--- a/internal/source/schedule.go
+++ b/internal/source/schedule.go
@@ -15,8 +15,8 @@
 	// callMargin is the time beyond its wait in which a call has to answer;
 	// the store's slow answers take 300 ms.
 	callMargin = 700 * time.Millisecond
-	// readTimeout bounds a read of a source, a page of 1 MB included.
-	readTimeout = time.Second
+	// ReadTimeout bounds a read of a source, a page of 1 MB included.
+	ReadTimeout = time.Second
 	// changePause lets changes that follow each other return in one call.
 	changePause = 250 * time.Millisecond
 	// firstRetry and maxRetry bound the pause after a failed call.
@@ -48,7 +48,7 @@
 // Next returns the call to make.
 func (s *Schedule) Next() Call {
 	if !s.read {
-		return Call{Read: true, Timeout: readTimeout, NotBefore: s.notBefore}
+		return Call{Read: true, Timeout: ReadTimeout, NotBefore: s.notBefore}
 	}
 	return Call{Since: s.revision, Wait: watchWait, Timeout: watchWait + callMargin, NotBefore: s.notBefore}
 }
--- /dev/null
+++ b/internal/source/schedule_test.go
@@ -0,0 +1,83 @@
+package source
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cuminshift/internal/registry"
+)
+
+var start = time.Unix(1000, 0)
+
+func read(r Revision) *Update { return &Update{Full: true, Revision: r} }
+
+func change(r Revision) *Update {
+	return &Update{Revision: r, Servers: []ServerChange{{Entry: registry.Entry{Name: "a"}}}}
+}
+
+func TestReadsFirstThenWatches(t *testing.T) {
+	var s Schedule
+	if call := s.Next(); !call.Read {
+		t.Fatalf("first call: %+v", call)
+	}
+	s.Returned(start, read(530))
+	if call := s.Next(); call.Read || call.Since != 530 {
+		t.Fatalf("second call: %+v", call)
+	}
+	s.Returned(start, change(541))
+	if call := s.Next(); call.Since != 541 {
+		t.Fatalf("after a change: %+v", call)
+	}
+}
+
+// Around a compaction a watch returns nothing though there were changes, with
+// the store's newest revision. Moving on to it would lose the changes.
+func TestEmptyWatchDoesNotMoveTheRevision(t *testing.T) {
+	var s Schedule
+	s.Returned(start, read(530))
+	s.Returned(start, &Update{Revision: 560})
+	if call := s.Next(); call.Read || call.Since != 530 {
+		t.Fatalf("after an empty watch: %+v", call)
+	}
+}
+
+func TestHistoryGoneReadsAtOnce(t *testing.T) {
+	var s Schedule
+	s.Returned(start, read(530))
+	s.Failed(start, errors.Wrap(ErrHistoryGone, "watch"))
+	if call := s.Next(); !call.Read || call.NotBefore.After(start) {
+		t.Fatalf("after the history went: %+v", call)
+	}
+}
+
+func TestRetriesBackOff(t *testing.T) {
+	var s Schedule
+	now, calls := start, 0
+	for now.Before(start.Add(4 * time.Second)) {
+		s.Failed(now, ErrTurnedAway)
+		calls++
+		next := s.Next().NotBefore
+		if !next.After(now) {
+			t.Fatal("a failed call is repeated without a pause")
+		}
+		now = next
+	}
+	if calls > 14 {
+		t.Fatalf("%d calls in an outage of 4 s", calls)
+	}
+	if !s.Returned(now, read(1)) {
+		t.Fatal("the return of the source is not reported")
+	}
+}
+
+// A connection may go silent for good. What is believed then has to be checked
+// in time for a configuration to come into force within 3 s.
+func TestSilentConnectionIsNoticedInTime(t *testing.T) {
+	var s Schedule
+	s.Returned(start, read(530))
+	if call := s.Next(); call.Timeout > 2500*time.Millisecond || call.Timeout <= call.Wait {
+		t.Fatalf("%+v", call)
+	}
+}
--- /dev/null
+++ b/internal/token/token_test.go
@@ -0,0 +1,79 @@
+package token
+
+import (
+	"fmt"
+	"testing"
+)
+
+func TestTokensDependOnTheNameOnly(t *testing.T) {
+	if Of("i-7f3a91c2", 0) != Of("i-7f3a91c2", 0) {
+		t.Fatal("two derivations of one token differ")
+	}
+	if Of("i-7f3a91c2", 0) == Of("i-7f3a91c2", 1) {
+		t.Fatal("the variants of a token are equal")
+	}
+}
+
+// Two servers that share their first token get flows under the second ones.
+func TestCollidingServersStayApart(t *testing.T) {
+	a, b := collidingNames(t)
+	x := NewIndex[string]()
+	x.Add(a, a)
+	if got := x.For(a); got != Of(a, 0) {
+		t.Fatalf("a server alone got token %x, not its first", got)
+	}
+	x.Add(b, b)
+	for _, name := range []string{a, b} {
+		owners := x.Lookup(x.For(name))
+		if len(owners) != 1 || owners[0] != name {
+			t.Errorf("token of %s leads to %v", name, owners)
+		}
+	}
+	x.Remove(b, b)
+	if got := x.For(a); got != Of(a, 0) {
+		t.Errorf("after the other server went, the token is %x", got)
+	}
+}
+
+// collidingNames searches two names with the same first token; about 80,000
+// names hold such a pair.
+func collidingNames(t *testing.T) (string, string) {
+	t.Helper()
+	seen := map[Token]string{}
+	for i := range 1 << 20 {
+		name := fmt.Sprintf("i-%08x", i)
+		tok := Of(name, 0)
+		if other, ok := seen[tok]; ok {
+			return other, name
+		}
+		seen[tok] = name
+	}
+	t.Fatal("no two names collide")
+	return "", ""
+}
+
+func TestNoServerHasTheEmptyToken(t *testing.T) {
+	for i := range 1 << 16 {
+		if Of(fmt.Sprint(i), 0) == None {
+			t.Fatalf("server %d has the token of no server", i)
+		}
+	}
+}
+
+func BenchmarkLookup(b *testing.B) {
+	for _, n := range []int{18, 500, 5000} {
+		x := NewIndex[int]()
+		tokens := make([]Token, n)
+		for i := range n {
+			name := fmt.Sprintf("i-%08x", i)
+			x.Add(name, i)
+			tokens[i] = Of(name, 0)
+		}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportAllocs()
+			for i := range b.N {
+				x.Lookup(tokens[i%n])
+			}
+		})
+	}
+}
