Let instances follow one another, so that few call the store

Ruled out: readers chosen by rendezvous, which needs an agreed view of who lives; pushing, which needs to know the followers. Change: instances register in the store; the revision of the registration is their order. Each follows the first of its data centre that was registered before it and answers (package upstream), by a waiting net/rpc call, and reads for itself when what was passed on is older than a bound taken from the configuration's. Nobody follows in a circle. Servers that left are passed on to an instance that starts. Cold servers are shared among the registered instances. Watches wait 0.55 of a source's bound. rpcframe holds the net/rpc calls with deadlines for both interfaces.

--- /dev/null
+++ b/internal/feed/codec.go
@@ -0,0 +1,121 @@
+package feed
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/model"
+	"cuminshift/internal/registry"
+	"cuminshift/internal/routing"
+	"cuminshift/internal/source"
+)
+
+// Encode translates an update into its message.
+func Encode(k source.Kind, u *source.Update) *pb.FeedUpdate {
+	m := &pb.FeedUpdate{Kind: uint32(k), Full: u.Full, Revision: int64(u.Revision)}
+	if u.Configuration != nil {
+		m.Configuration = encodeConfiguration(u.Configuration)
+	}
+	for i := range u.Servers {
+		m.Servers = append(m.Servers, EncodeServer(&u.Servers[i].Entry, u.Servers[i].Removed))
+	}
+	for _, c := range u.DataCentres {
+		m.DataCentres = append(m.DataCentres, &pb.FeedDataCentre{DataCentre: string(c.DataCentre), Withdrawn: c.Withdrawn})
+	}
+	return m
+}
+
+func encodeConfiguration(c *routing.Configuration) *pb.FeedConfiguration {
+	m := &pb.FeedConfiguration{Version: c.Version, IdleTimeoutMs: uint32(c.IdleTimeout.Milliseconds())}
+	for address, route := range c.Routes {
+		r := &pb.FeedRoute{Name: route.Name, Address: address.String()}
+		for _, s := range route.Shares {
+			r.Shares = append(r.Shares, &pb.FeedShare{Service: s.Service, Weight: uint32(s.Weight)})
+		}
+		m.Routes = append(m.Routes, r)
+	}
+	for _, s := range c.Services {
+		m.Services = append(m.Services, &pb.FeedService{Name: s.Name, HealthPath: s.HealthPath, ColdOpenings: s.ColdOpenings})
+	}
+	return m
+}
+
+// EncodeServer translates an entry of a server.
+func EncodeServer(e *registry.Entry, removed bool) *pb.FeedServer {
+	if removed {
+		return &pb.FeedServer{Name: e.Name, Removed: true}
+	}
+	return &pb.FeedServer{
+		Name: e.Name, Fence: e.Fence, Service: e.Service, DataCentre: string(e.DataCentre), Address: e.Address.String(),
+		Slots: uint32(e.Slots), Draining: e.Draining, ColdMs: uint32(e.ColdFor.Milliseconds()), Incarnation: e.Incarnation,
+	}
+}
+
+// Decode translates a message back.
+func Decode(m *pb.FeedUpdate) (source.Kind, source.Update, error) {
+	k := source.Kind(m.Kind)
+	if m.Kind >= source.Kinds {
+		return 0, source.Update{}, errors.Newf("feed: unknown source %d", m.Kind)
+	}
+	u := source.Update{Full: m.Full, Revision: source.Revision(m.Revision)}
+	if m.Configuration != nil {
+		c, err := decodeConfiguration(m.Configuration)
+		if err != nil {
+			return 0, source.Update{}, err
+		}
+		u.Configuration = c
+	}
+	for _, s := range m.Servers {
+		e, err := DecodeServer(s)
+		if err != nil {
+			return 0, source.Update{}, err
+		}
+		u.Servers = append(u.Servers, source.ServerChange{Entry: e, Removed: s.Removed})
+	}
+	for _, c := range m.DataCentres {
+		u.DataCentres = append(u.DataCentres, source.DataCentreChange{DataCentre: model.DataCentre(c.DataCentre), Withdrawn: c.Withdrawn})
+	}
+	return k, u, nil
+}
+
+func decodeConfiguration(m *pb.FeedConfiguration) (*routing.Configuration, error) {
+	c := &routing.Configuration{
+		Version:     m.Version,
+		IdleTimeout: time.Duration(m.IdleTimeoutMs) * time.Millisecond,
+		Routes:      make(map[netip.AddrPort]*routing.Route, len(m.Routes)),
+		Services:    make(map[string]routing.Service, len(m.Services)),
+	}
+	for _, r := range m.Routes {
+		address, err := netip.ParseAddrPort(r.Address)
+		if err != nil {
+			return nil, errors.Wrapf(err, "feed: route %s", r.Name)
+		}
+		route := &routing.Route{Name: r.Name}
+		for _, s := range r.Shares {
+			route.Shares = append(route.Shares, routing.Share{Service: s.Service, Weight: int(s.Weight)})
+		}
+		c.Routes[address] = route
+	}
+	for _, s := range m.Services {
+		c.Services[s.Name] = routing.Service{Name: s.Name, HealthPath: s.HealthPath, ColdOpenings: s.ColdOpenings}
+	}
+	return c, nil
+}
+
+// DecodeServer translates an entry of a server back.
+func DecodeServer(m *pb.FeedServer) (registry.Entry, error) {
+	if m.Removed {
+		return registry.Entry{Name: m.Name}, nil
+	}
+	address, err := netip.ParseAddrPort(m.Address)
+	if err != nil {
+		return registry.Entry{}, errors.Wrapf(err, "feed: server %s", m.Name)
+	}
+	return registry.Entry{
+		Name: m.Name, Fence: m.Fence, Service: m.Service, DataCentre: model.DataCentre(m.DataCentre), Address: address,
+		Slots: int(m.Slots), Draining: m.Draining, ColdFor: time.Duration(m.ColdMs) * time.Millisecond, Incarnation: m.Incarnation,
+	}, nil
+}
--- /dev/null
+++ b/internal/feed/log.go
@@ -0,0 +1,59 @@
+// Package feed passes what one instance has learned from the platform's store
+// on to the other instances of its data centre, so that few of them call the
+// store.
+package feed
+
+import (
+	"cuminshift/internal/source"
+)
+
+// logLimit bounds the updates that are remembered of each source. An instance
+// that is further behind gets the whole state.
+const logLimit = 256
+
+// Log remembers the latest updates of each source.
+type Log struct {
+	kinds [source.Kinds]kindLog
+}
+
+type kindLog struct {
+	// base is the revision before the first remembered update.
+	base    source.Revision
+	updates []source.Update
+}
+
+// Append notes an update that was taken.
+func (l *Log) Append(k source.Kind, u source.Update) {
+	log := &l.kinds[k]
+	if u.Full {
+		log.base, log.updates = u.Revision, nil
+		return
+	}
+	log.updates = append(log.updates, u)
+	if extra := len(log.updates) - logLimit; extra > 0 {
+		log.base = log.updates[extra-1].Revision
+		log.updates = append([]source.Update(nil), log.updates[extra:]...)
+	}
+}
+
+// Since returns the changes after a revision as one update; ok is false when
+// they are no longer remembered. The update is empty when there are none.
+func (l *Log) Since(k source.Kind, since source.Revision) (u source.Update, ok bool) {
+	log := &l.kinds[k]
+	if since < log.base || since == 0 {
+		return source.Update{}, false
+	}
+	for i := range log.updates {
+		next := &log.updates[i]
+		if next.Revision <= since {
+			continue
+		}
+		u.Revision = next.Revision
+		if next.Configuration != nil {
+			u.Configuration = next.Configuration
+		}
+		u.Servers = append(u.Servers, next.Servers...)
+		u.DataCentres = append(u.DataCentres, next.DataCentres...)
+	}
+	return u, true
+}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -6,6 +6,7 @@
 
 	"cuminshift/internal/flow"
 	"cuminshift/internal/reach"
+	"cuminshift/internal/registry"
 	"cuminshift/internal/source"
 )
 
@@ -25,6 +26,12 @@
 		Kind source.Kind
 		Sent time.Time
 	}
+	// Departed are servers that left before this instance started, as another
+	// instance remembers them.
+	Departed struct{ Entries []registry.Entry }
+	// FleetSize says among how many instances cold servers are shared, and
+	// this one's place among them.
+	FleetSize struct{ Instances, Rank int }
 	// Probed is the outcome of a Probe.
 	Probed struct {
 		Server string
@@ -38,6 +45,8 @@
 
 func (Updated) event()       {}
 func (Unanswered) event()    {}
+func (Departed) event()      {}
+func (FleetSize) event()     {}
 func (Probed) event()        {}
 func (Tick) event()          {}
 func (StopRequested) event() {}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"cuminshift/internal/feed"
 	"cuminshift/internal/flow"
 	"cuminshift/internal/model"
 	"cuminshift/internal/readiness"
@@ -29,8 +30,9 @@
 	// ColdSlack is the number of openings a second that a cold server takes
 	// from all instances together beyond what it says it bears.
 	ColdSlack float64
-	// Instances is the number of instances to share cold servers among.
-	Instances int
+	// Instances is the number of instances to share cold servers among, and
+	// Rank this instance's place among them, from 0.
+	Instances, Rank int
 }
 
 // Verdict is the decision about one packet.
@@ -109,6 +111,7 @@
 	confirmed [source.Kinds]time.Time
 	// revisions are the store's revisions up to which each source was taken.
 	revisions [source.Kinds]source.Revision
+	log       feed.Log
 	stopping  bool
 	able      readiness.Judge
 	// demand counts the recent requests for each service.
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -41,6 +41,10 @@
 		if e.Kind == source.Registry {
 			c.servers.Unanswered(e.Sent)
 		}
+	case Departed:
+		return c.remember(now, e.Entries)
+	case FleetSize:
+		c.cfg.Instances, c.cfg.Rank = e.Instances, e.Rank
 	case Probed:
 		return c.probed(now, e)
 	case Tick:
@@ -76,6 +80,7 @@
 		return false
 	}
 	c.revisions[k] = u.Revision
+	c.log.Append(k, *u)
 	return true
 }
 
@@ -150,7 +155,7 @@
 	for _, change := range changes {
 		r := change.Record
 		switch change.Kind {
-		case registry.Added:
+		case registry.Added, registry.Remembered:
 			c.addBackend(r)
 		case registry.Restarted:
 			actions = append(actions, c.restarted(r)...)
--- a/internal/gateway/packets.go
+++ b/internal/gateway/packets.go
@@ -104,7 +104,7 @@
 func (c *Core) chooseOf(now time.Time, s *flow.Segment, service string, avoid *backend) *backend {
 	c.candidates, c.choices = c.candidates[:0], c.choices[:0]
 	hash := s.Key.Hash()
-	limit := coldstart.Limit(c.routes.Current().Services[service].ColdOpenings, c.cfg.ColdSlack, c.cfg.Instances, 0)
+	limit := coldstart.Limit(c.routes.Current().Services[service].ColdOpenings, c.cfg.ColdSlack, c.cfg.Instances, c.cfg.Rank)
 	for _, b := range c.services[service] {
 		r := b.record
 		if !r.Openable(now) || c.withdrawn[r.DataCentre] {
@@ -141,7 +141,7 @@
 		found, reason := c.resolve(s)
 		if found == nil {
 			if reason == UnknownToken {
-				return Verdict{Reason: reason}, c.remember(now, s)
+				return Verdict{Reason: reason}, c.doubtToken(now, s)
 			}
 			return Verdict{Reason: reason}, nil
 		}
--- /dev/null
+++ b/internal/gateway/share.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"time"
+
+	"cuminshift/internal/registry"
+	"cuminshift/internal/source"
+)
+
+// Revisions returns the store's revisions up to which each source is known.
+func (c *Core) Revisions() [source.Kinds]source.Revision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.revisions
+}
+
+// Ages returns the age of the knowledge of each source; ok is false before all
+// are known.
+func (c *Core) Ages(now time.Time) (ages [source.Kinds]time.Duration, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for k := range c.confirmed {
+		if c.confirmed[k].IsZero() {
+			return ages, false
+		}
+		ages[k] = now.Sub(c.confirmed[k])
+	}
+	return ages, true
+}
+
+// Changes returns what changed of a source after a revision: an empty update
+// when nothing did, the whole source when the changes are not remembered.
+func (c *Core) Changes(now time.Time, k source.Kind, since source.Revision) source.Update {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if since >= c.revisions[k] {
+		return source.Update{}
+	}
+	if u, ok := c.log.Since(k, since); ok {
+		return u
+	}
+	return c.snapshot(now, k)
+}
+
+func (c *Core) snapshot(now time.Time, k source.Kind) source.Update {
+	u := source.Update{Full: true, Revision: c.revisions[k]}
+	switch k {
+	case source.Configuration:
+		u.Configuration = c.routes.Current()
+	case source.Registry:
+		for _, e := range c.servers.Listed(now) {
+			u.Servers = append(u.Servers, source.ServerChange{Entry: e})
+		}
+	case source.Withdrawals:
+		for dc := range c.withdrawn {
+			u.DataCentres = append(u.DataCentres, source.DataCentreChange{DataCentre: dc, Withdrawn: true})
+		}
+	}
+	return u
+}
+
+// Departed returns the servers that left and may still have flows.
+func (c *Core) Departed() []registry.Entry {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.servers.Departed()
+}
+
+// remember takes servers that left before this instance started.
+func (c *Core) remember(now time.Time, entries []registry.Entry) []Action {
+	var changes []registry.Change
+	for _, e := range entries {
+		changes = append(changes, c.servers.Remember(now, e)...)
+	}
+	return c.changes(now, changes)
+}
--- a/internal/gateway/unknown.go
+++ b/internal/gateway/unknown.go
@@ -32,9 +32,9 @@
 	first, last time.Time
 }
 
-// remember notes a packet with an unknown token and asks for a read of the
+// doubtToken notes a packet with an unknown token and asks for a read of the
 // registry.
-func (c *Core) remember(now time.Time, s *flow.Segment) []Action {
+func (c *Core) doubtToken(now time.Time, s *flow.Segment) []Action {
 	u, ok := c.unknown.flows[s.Key]
 	if !ok {
 		if len(c.unknown.flows) >= maxUnknown {
--- a/internal/gatewayshell/counters.go
+++ b/internal/gatewayshell/counters.go
@@ -12,9 +12,9 @@
 type counters struct {
 	registry metrics.Registry
 
-	packets, forwarded, resets, dropped, malformed metrics.Counter
-	socketErrors, probes, storeCalls, storeErrors  metrics.Counter
-	flows                                          metrics.Gauge
+	packets, forwarded, resets, dropped, malformed           metrics.Counter
+	socketErrors, probes, storeCalls, storeErrors, feedCalls metrics.Counter
+	flows                                                    metrics.Gauge
 }
 
 func newCounters() *counters {
@@ -31,6 +31,7 @@
 		probes:       counter("probes"),
 		storeCalls:   counter("store_calls"),
 		storeErrors:  counter("store_errors"),
+		feedCalls:    counter("feed_calls"),
 		flows:        metrics.GetOrRegisterGauge("flows", r),
 	}
 }
--- /dev/null
+++ b/internal/gatewayshell/feedserver.go
@@ -0,0 +1,137 @@
+package gatewayshell
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"cuminshift/internal/feed"
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/rpcframe"
+	"cuminshift/internal/source"
+	"cuminshift/internal/upstream"
+)
+
+const (
+	// feedMethod is the net/rpc method of the feed.
+	feedMethod = "Feed.Changes"
+	// feedWait is how long a call waits for changes; with feedMargin it bounds
+	// how long a silent instance is followed.
+	feedWait = 500 * time.Millisecond
+	// feedMargin is the time beyond its wait in which a call has to answer.
+	feedMargin = 300 * time.Millisecond
+	// feedDialTimeout bounds the opening of a connection to an instance.
+	feedDialTimeout = 200 * time.Millisecond
+	// maxFollowers is the number of instances that one instance serves; above
+	// it a tree forms. 64 followers cost 128 small calls a second.
+	maxFollowers = 64
+)
+
+// Feed is the net/rpc receiver that passes on what this instance knows.
+type Feed struct {
+	shell     *Shell
+	followers atomic.Int32
+
+	mu sync.Mutex
+	// changed is closed, and replaced, when there is something new.
+	changed chan struct{}
+}
+
+func newFeed(sh *Shell) *Feed { return &Feed{shell: sh, changed: make(chan struct{})} }
+
+// notify wakes the calls that wait for changes.
+func (f *Feed) notify() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *Feed) wait() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// Changes answers an encoded FeedRequest with a FeedResponse.
+func (f *Feed) Changes(in rpcframe.Frame, out *rpcframe.Frame) error {
+	request := &pb.FeedRequest{}
+	if err := proto.Unmarshal(in.Payload, request); err != nil {
+		return errors.Wrap(err, "feed: request")
+	}
+	if len(request.Revisions) != source.Kinds {
+		return errors.Newf("feed: request with %d revisions", len(request.Revisions))
+	}
+	response := f.answer(request)
+	payload, err := proto.Marshal(response)
+	if err != nil {
+		return errors.Wrap(err, "feed: response")
+	}
+	out.Payload = payload
+	return nil
+}
+
+func (f *Feed) answer(request *pb.FeedRequest) *pb.FeedResponse {
+	defer f.followers.Add(-1)
+	if f.followers.Add(1) > maxFollowers || !f.shell.serving() {
+		return &pb.FeedResponse{Place: int64(f.shell.place()), FullUp: true}
+	}
+	timer := time.NewTimer(time.Duration(request.WaitMs) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		changed := f.wait()
+		if response := f.collect(request); len(response.Updates) > 0 || request.Departed {
+			return response
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return f.collect(request)
+		}
+	}
+}
+
+func (f *Feed) collect(request *pb.FeedRequest) *pb.FeedResponse {
+	now := time.Now()
+	response := &pb.FeedResponse{Place: int64(f.shell.place()), Instances: uint32(f.shell.fleet.Load())}
+	ages, ok := f.shell.core.Ages(now)
+	if !ok {
+		response.FullUp = true
+		return response
+	}
+	for k := range source.Kind(source.Kinds) {
+		response.AgesMs = append(response.AgesMs, uint32(ages[k].Milliseconds()))
+		if u := f.shell.core.Changes(now, k, source.Revision(request.Revisions[k])); !u.Empty() {
+			response.Updates = append(response.Updates, feed.Encode(k, &u))
+		}
+	}
+	if request.Departed {
+		for _, e := range f.shell.core.Departed() {
+			response.Departed = append(response.Departed, feed.EncodeServer(&e, false))
+		}
+	}
+	return response
+}
+
+// place returns the instance's place in the directory; 0 before it has one.
+func (sh *Shell) place() upstream.Place {
+	sh.upstreamMu.Lock()
+	defer sh.upstreamMu.Unlock()
+	return sh.upstream.Self()
+}
+
+// serving reports whether the instance passes on what it knows.
+func (sh *Shell) serving() bool { return !sh.stopping.Load() && sh.place() != 0 }
+
+// serveFeed answers other instances until ctx ends.
+func (sh *Shell) serveFeed(ctx context.Context) error {
+	listener, err := sh.listenPeer()
+	if err != nil {
+		return err
+	}
+	return rpcframe.Serve(ctx, listener, sh.feed, nil)
+}
--- a/internal/gatewayshell/follow.go
+++ b/internal/gatewayshell/follow.go
@@ -7,13 +7,18 @@
 	"github.com/cockroachdb/errors"
 
 	"cuminshift/internal/gateway"
+	"cuminshift/internal/model"
 	"cuminshift/internal/source"
 )
 
 // follow keeps one source current until ctx ends.
 func (sh *Shell) follow(ctx context.Context, k source.Kind) {
-	var schedule source.Schedule
+	schedule := source.NewSchedule(sh.timings[k])
 	for {
+		if !sh.waitWhileCovered(ctx, k) {
+			return
+		}
+		schedule.Resume(sh.core.Revisions()[k])
 		call := schedule.Next()
 		if !sleepUntil(ctx, call.NotBefore) {
 			return
@@ -40,6 +45,40 @@
 		}
 		sh.log.rejected(u.Rejected)
 		sh.handle(gateway.Updated{Kind: k, Update: u, AsOf: sent})
+		if !u.Empty() {
+			sh.feed.notify()
+		}
+	}
+}
+
+// waitWhileCovered waits while another instance passes on what it knows of the
+// source.
+func (sh *Shell) waitWhileCovered(ctx context.Context, k source.Kind) bool {
+	for {
+		sh.upstreamMu.Lock()
+		until := sh.upstream.CoveredUntil(k, sh.timings[k].Limit)
+		sh.upstreamMu.Unlock()
+		if !until.After(time.Now()) {
+			return ctx.Err() == nil
+		}
+		if !sleepUntil(ctx, until) {
+			return false
+		}
+	}
+}
+
+// following returns the followed instance, if there is one.
+func (sh *Shell) following() model.InstanceID {
+	if p := sh.followed.Load(); p != nil {
+		return *p
+	}
+	return ""
+}
+
+func (sh *Shell) setFollowing(name model.InstanceID) {
+	if before := sh.following(); before != name {
+		sh.followed.Store(&name)
+		sh.log.following(name)
 	}
 }
 
--- a/internal/gatewayshell/log.go
+++ b/internal/gatewayshell/log.go
@@ -8,21 +8,24 @@
 
 	"cuminshift/internal/flow"
 	"cuminshift/internal/gateway"
+	"cuminshift/internal/model"
 	"cuminshift/internal/source"
+	"cuminshift/internal/upstream"
 )
 
 // Names of log fields.
 const (
-	logFlow    = "flow"
-	logServer  = "server"
-	logReason  = "reason"
-	logVerdict = "verdict"
-	logCause   = "cause"
-	logAge     = "age_ms"
-	logSubject = "subject"
-	logSource  = "source"
-	logOmitted = "omitted"
-	logCopy    = "copy"
+	logFlow     = "flow"
+	logServer   = "server"
+	logReason   = "reason"
+	logVerdict  = "verdict"
+	logCause    = "cause"
+	logAge      = "age_ms"
+	logSubject  = "subject"
+	logSource   = "source"
+	logOmitted  = "omitted"
+	logCopy     = "copy"
+	logInstance = "instance"
 )
 
 const (
@@ -58,7 +61,7 @@
 }
 
 func (l *decisionLog) started(s *Settings) {
-	l.log.Info("gateway: started", zap.String("instance", string(s.Instance)), zap.String("data_centre", string(s.DataCentre)),
+	l.log.Info("gateway: started", zap.String(logInstance, string(s.Instance)), zap.String("data_centre", string(s.DataCentre)),
 		zap.String("packets", s.PacketAddress.String()), zap.String("store", s.StoreAddress.String()))
 }
 
@@ -80,6 +83,15 @@
 	l.log.Info("store: regained", zap.Stringer(logSource, k))
 }
 
+// following logs whom the instance follows; nobody when the name is empty.
+func (l *decisionLog) following(name model.InstanceID) {
+	l.log.Info("feed: following", zap.String(logInstance, string(name)))
+}
+
+func (l *decisionLog) upstreamLost(i upstream.Instance, err error) {
+	l.log.Warn("feed: lost", zap.String(logInstance, string(i.Name)), zap.Error(err))
+}
+
 // rejected logs each object that was not understood once.
 func (l *decisionLog) rejected(all []source.Rejection) {
 	l.mu.Lock()
--- a/internal/gatewayshell/settings.go
+++ b/internal/gatewayshell/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cuminshift/internal/model"
+	"cuminshift/internal/source"
 )
 
 // Settings are the checked settings of an instance.
@@ -24,8 +25,8 @@
 	StopGrace time.Duration
 	// FlowLifetime is the age from which the platform may discard a flow.
 	FlowLifetime time.Duration
-	// ApplyWithin is the time in which a configuration has to be in force.
-	ApplyWithin time.Duration
+	// Bounds are the times in which a change of each source has to be in force.
+	Bounds [source.Kinds]time.Duration
 	// ColdSlack is the number of openings a second that a cold server takes
 	// beyond its own figure.
 	ColdSlack float64
--- a/internal/gatewayshell/shell.go
+++ b/internal/gatewayshell/shell.go
@@ -7,6 +7,8 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,8 +17,10 @@
 
 	"cuminshift/internal/flow"
 	"cuminshift/internal/gateway"
+	"cuminshift/internal/model"
 	"cuminshift/internal/source"
 	"cuminshift/internal/token"
+	"cuminshift/internal/upstream"
 )
 
 const (
@@ -52,6 +56,8 @@
 type Parts struct {
 	Codec Codec
 	Store source.Store
+	// Directory is where the instances find each other.
+	Directory upstream.Directory
 	// ReadyPath is the path of the readiness check.
 	ReadyPath string
 	// Identity returns the name of the server that sent a health response.
@@ -69,6 +75,18 @@
 	probes   *prober
 	// lastPacket is the time of the last packet, for the planned stop.
 	lastPacket atomicTime
+	stopping   atomic.Bool
+
+	// fleet is the number of registered instances, rank the place of this one
+	// among them.
+	fleet, rank atomic.Int32
+	feed        *Feed
+	// upstreamMu guards upstream and followed. It is taken before the core's
+	// lock.
+	upstreamMu sync.Mutex
+	upstream   upstream.Upstream
+	followed   atomic.Pointer[model.InstanceID]
+	timings    [source.Kinds]source.Timing
 }
 
 // Run serves until ctx ends, then makes a planned stop.
@@ -76,11 +94,15 @@
 	sh := &Shell{settings: s, parts: parts, log: newDecisionLog(log), counters: newCounters()}
 	sh.core = gateway.New(gateway.Config{
 		DataCentre:   s.DataCentre,
-		FreshFor:     time.Duration(freshShare * float64(s.ApplyWithin)),
+		FreshFor:     time.Duration(freshShare * float64(s.Bounds[source.Configuration])),
 		FlowLifetime: s.FlowLifetime,
 		ColdSlack:    s.ColdSlack,
-		Instances:    len(s.SeedAddresses),
+		Instances:    max(1, len(s.SeedAddresses)),
 	})
+	sh.feed = newFeed(sh)
+	for k, bound := range s.Bounds {
+		sh.timings[k] = source.NewTiming(bound)
+	}
 	sh.probes = newProber(parts.Identity, func(e gateway.Event) { sh.handle(e) })
 	return sh.run(ctx)
 }
@@ -107,6 +129,8 @@
 		group.Go(func() error { return sh.readPackets(serving) })
 	}
 	group.Go(func() error { sh.tick(serving); return nil })
+	group.Go(func() error { return sh.serveFeed(serving) })
+	group.Go(func() error { sh.followInstances(serving); return nil })
 	group.Go(func() error { return sh.serveReady(serving, ready) })
 	sh.log.started(sh.settings)
 
@@ -135,6 +159,8 @@
 // traffic to other instances.
 func (sh *Shell) plannedStop(serving context.Context) {
 	begin := time.Now()
+	sh.stopping.Store(true)
+	sh.feed.notify()
 	sh.handle(gateway.StopRequested{})
 	sh.log.stopping()
 	for {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -81,11 +81,13 @@
 	Lapsed
 	// Forgotten: the record is dropped.
 	Forgotten
+	// Remembered: another instance knew a server that left.
+	Remembered
 )
 
 // String returns the name used in logs.
 func (k ChangeKind) String() string {
-	return [...]string{"none", "added", "updated", "restarted", "departed", "lapsed", "forgotten"}[k]
+	return [...]string{"none", "added", "updated", "restarted", "departed", "lapsed", "forgotten", "remembered"}[k]
 }
 
 // Change is one change of a record.
@@ -187,6 +189,41 @@
 	return append(changes, Change{Departed, r})
 }
 
+// Remember takes a server that left before this instance knew it.
+func (g *Registry) Remember(now time.Time, e Entry) []Change {
+	if g.records[e.Name] != nil {
+		return nil
+	}
+	r := &Record{Entry: e, Departed: now}
+	g.records[e.Name] = r
+	return []Change{{Remembered, r}}
+}
+
+// Listed returns the entries of the registry, with the rest of their cold
+// starts.
+func (g *Registry) Listed(now time.Time) []Entry {
+	var out []Entry
+	for _, name := range g.names() {
+		if r := g.records[name]; r.Listed {
+			e := r.Entry
+			e.ColdFor = max(0, r.ColdUntil.Sub(now))
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Departed returns the servers that left and are still remembered.
+func (g *Registry) Departed() []Entry {
+	var out []Entry
+	for _, name := range g.names() {
+		if r := g.records[name]; !r.Listed {
+			out = append(out, r.Entry)
+		}
+	}
+	return out
+}
+
 // Tick drops records of servers that departed long ago and reports lapsed
 // entries that did not come back.
 func (g *Registry) Tick(now time.Time) []Change {
--- /dev/null
+++ b/internal/rpcframe/rpcframe.go
@@ -0,0 +1,149 @@
+// Package rpcframe calls net/rpc methods whose argument and answer are encoded
+// messages. net/rpc has no deadlines; here each call has one, and a connection
+// that missed it is closed and dialled again.
+package rpcframe
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Frame carries one encoded message.
+type Frame struct {
+	Payload []byte
+}
+
+// ErrTimeout: the answer did not come in time.
+var ErrTimeout = errors.New("rpc: call timed out")
+
+// Client calls one address. It is used by one goroutine at a time.
+type Client struct {
+	// Dial opens a connection.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// DialTimeout bounds it.
+	DialTimeout time.Duration
+
+	client  *rpc.Client
+	address string
+}
+
+// Call calls a method at an address; a connection to another address is closed.
+// A failure of the method itself is an rpc.ServerError and keeps the
+// connection.
+func (c *Client) Call(ctx context.Context, address, method string, payload []byte, timeout time.Duration) ([]byte, error) {
+	if err := c.connect(ctx, address); err != nil {
+		return nil, err
+	}
+	var answer Frame
+	call := c.client.Go(method, Frame{payload}, &answer, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-call.Done:
+		if call.Error != nil {
+			var remote rpc.ServerError
+			if !errors.As(call.Error, &remote) {
+				c.Close()
+			}
+			return nil, errors.Wrapf(call.Error, "rpc: %s", method)
+		}
+		return answer.Payload, nil
+	case <-timer.C:
+		c.Close()
+		return nil, errors.Wrapf(ErrTimeout, "%s at %s", method, address)
+	case <-ctx.Done():
+		c.Close()
+		return nil, errors.Wrap(ctx.Err(), "rpc")
+	}
+}
+
+func (c *Client) connect(ctx context.Context, address string) error {
+	if c.client != nil && c.address == address {
+		return nil
+	}
+	c.Close()
+	ctx, cancel := context.WithTimeout(ctx, c.DialTimeout)
+	defer cancel()
+	conn, err := c.Dial(ctx, address)
+	if err != nil {
+		return errors.Wrapf(err, "rpc: dial %s", address)
+	}
+	c.client, c.address = rpc.NewClient(conn), address
+	return nil
+}
+
+// Close closes the connection, if there is one. The error of closing a
+// connection that is given up says nothing more.
+func (c *Client) Close() {
+	if c.client != nil {
+		_ = c.client.Close()
+		c.client = nil
+	}
+}
+
+// Serve answers calls of the receiver's methods on a listener until ctx ends.
+// wrap, if not nil, wraps each connection.
+func Serve(ctx context.Context, listener net.Listener, receiver any, wrap func(net.Conn) net.Conn) error {
+	server := rpc.NewServer()
+	if err := server.Register(receiver); err != nil {
+		return errors.Wrap(err, "rpc: register")
+	}
+	var open openConns
+	go func() {
+		<-ctx.Done()
+		listener.Close()
+		open.closeAll()
+	}()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return errors.Wrap(err, "rpc: accept")
+		}
+		open.add(conn)
+		go func() {
+			served := conn
+			if wrap != nil {
+				served = wrap(conn)
+			}
+			server.ServeConn(served)
+			open.remove(conn)
+		}()
+	}
+}
+
+// openConns are the connections to close at the end.
+type openConns struct {
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+func (o *openConns) add(c net.Conn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.conns == nil {
+		o.conns = map[net.Conn]struct{}{}
+	}
+	o.conns[c] = struct{}{}
+}
+
+func (o *openConns) remove(c net.Conn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.conns, c)
+}
+
+func (o *openConns) closeAll() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for c := range o.conns {
+		c.Close()
+	}
+}
--- a/internal/shell/peers.go
+++ b/internal/shell/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/rpc"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,11 +13,11 @@
 
 	pb "cuminshift/internal/gen/cuminshift/v1"
 	"cuminshift/internal/model"
+	"cuminshift/internal/rpcframe"
 )
 
 const (
-	// peerCallTimeout bounds one net/rpc call, which has no deadline of its
-	// own; a connection that missed it is closed and dialled again.
+	// peerCallTimeout bounds one call.
 	peerCallTimeout = 300 * time.Millisecond
 	peerDialTimeout = 200 * time.Millisecond
 	// peerQueueLimit bounds the messages that wait for one peer; the oldest
@@ -28,22 +27,14 @@
 	peerIdleLimit = 30 * time.Second
 )
 
-// Frame is the argument of the one net/rpc method between instances; the
-// payload is an encoded PeerBatch.
-type Frame struct {
-	Payload []byte
-}
-
-// Accepted is the empty answer to a Frame.
-type Accepted struct{}
-
 // Peer is the net/rpc receiver.
 type Peer struct {
 	deliver func(*pb.PeerBatch)
 }
 
-// Deliver takes one batch of control messages.
-func (p *Peer) Deliver(frame Frame, _ *Accepted) error {
+// Deliver takes one batch of control messages, an encoded PeerBatch. The
+// answer is empty.
+func (p *Peer) Deliver(frame rpcframe.Frame, _ *rpcframe.Frame) error {
 	batch := &pb.PeerBatch{}
 	if err := proto.Unmarshal(frame.Payload, batch); err != nil {
 		return errors.Wrap(err, "peer: malformed batch")
@@ -54,39 +45,8 @@
 
 // servePeers answers net/rpc connections until ctx ends.
 func servePeers(ctx context.Context, listener net.Listener, deliver func(*pb.PeerBatch), counters *ControlCounters) error {
-	server := rpc.NewServer()
-	if err := server.Register(&Peer{deliver}); err != nil {
-		return errors.Wrap(err, "peer: register")
-	}
-	var mu sync.Mutex
-	open := map[net.Conn]struct{}{}
-	go func() {
-		<-ctx.Done()
-		listener.Close()
-		mu.Lock()
-		defer mu.Unlock()
-		for c := range open {
-			c.Close()
-		}
-	}()
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
-			return errors.Wrap(err, "peer: accept")
-		}
-		mu.Lock()
-		open[conn] = struct{}{}
-		mu.Unlock()
-		go func() {
-			server.ServeConn(&countingConn{Conn: conn, counters: counters})
-			mu.Lock()
-			delete(open, conn)
-			mu.Unlock()
-		}()
-	}
+	count := func(c net.Conn) net.Conn { return &countingConn{Conn: c, counters: counters} }
+	return rpcframe.Serve(ctx, listener, &Peer{deliver}, count)
 }
 
 // ControlCounters counts the bytes of control traffic.
@@ -127,6 +87,14 @@
 	return &peerSet{ctx: ctx, log: log, counters: counters, dial: dial, senders: map[model.InstanceID]*peerSender{}}
 }
 
+func (p *peerSet) dialCounted(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: conn, counters: p.counters}, nil
+}
+
 // send queues a batch; it does not block.
 func (p *peerSet) send(to model.InstanceID, address string, batch *pb.PeerBatch) {
 	p.mu.Lock()
@@ -134,6 +102,7 @@
 	s := p.senders[to]
 	if s == nil {
 		s = &peerSender{set: p, id: to, wake: make(chan struct{}, 1)}
+		s.client = rpcframe.Client{Dial: p.dialCounted, DialTimeout: peerDialTimeout}
 		p.senders[to] = s
 		go s.run()
 	}
@@ -151,8 +120,7 @@
 	address string
 	pending *pb.PeerBatch
 
-	client    *rpc.Client
-	connected string
+	client rpcframe.Client
 }
 
 func (s *peerSender) add(address string, batch *pb.PeerBatch) {
@@ -190,7 +158,7 @@
 	for {
 		select {
 		case <-s.set.ctx.Done():
-			s.disconnect()
+			s.client.Close()
 			return
 		case <-idle.C:
 			if s.retire() {
@@ -215,49 +183,17 @@
 		return false
 	}
 	delete(s.set.senders, s.id)
-	s.disconnect()
+	s.client.Close()
 	return true
 }
 
 func (s *peerSender) deliver(address string, batch *pb.PeerBatch) {
-	if s.client != nil && s.connected != address {
-		s.disconnect()
-	}
-	if s.client == nil {
-		ctx, cancel := context.WithTimeout(s.set.ctx, peerDialTimeout)
-		conn, err := s.set.dial(ctx, address)
-		cancel()
-		if err != nil {
-			s.set.log.Debug("peer: dial failed", zap.String(logPeer, string(s.id)), zap.Error(err))
-			return
-		}
-		s.client = rpc.NewClient(&countingConn{Conn: conn, counters: s.set.counters})
-		s.connected = address
-	}
 	payload, err := proto.Marshal(batch)
 	if err != nil {
 		s.set.log.Error("peer: encode failed", zap.Error(err))
 		return
 	}
-	call := s.client.Go("Peer.Deliver", Frame{payload}, &Accepted{}, make(chan *rpc.Call, 1))
-	timeout := time.NewTimer(peerCallTimeout)
-	defer timeout.Stop()
-	select {
-	case <-call.Done:
-		if call.Error != nil {
-			s.set.log.Debug("peer: call failed", zap.String(logPeer, string(s.id)), zap.Error(call.Error))
-			s.disconnect()
-		}
-	case <-timeout.C:
-		s.set.log.Debug("peer: call timed out", zap.String(logPeer, string(s.id)))
-		s.disconnect()
-	case <-s.set.ctx.Done():
-	}
-}
-
-func (s *peerSender) disconnect() {
-	if s.client != nil {
-		s.client.Close()
-		s.client = nil
+	if _, err := s.client.Call(s.set.ctx, address, "Peer.Deliver", payload, peerCallTimeout); err != nil {
+		s.set.log.Debug("peer: call failed", zap.String(logPeer, string(s.id)), zap.Error(err))
 	}
 }
--- a/internal/source/schedule.go
+++ b/internal/source/schedule.go
@@ -7,23 +7,42 @@
 )
 
 const (
-	// watchWait is how long a watch waits for changes. An open connection may
-	// be silent for good, so the wait and the margin bound how old the
-	// knowledge becomes unnoticed: 2 s of the 3 s in which a configuration has
-	// to be in force.
-	watchWait = 1300 * time.Millisecond
+	// waitShare is the part of a source's bound for which a watch waits for
+	// changes. An open connection may be silent for good, so the wait and the
+	// margin bound how old the knowledge becomes unnoticed.
+	waitShare = 0.55
 	// callMargin is the time beyond its wait in which a call has to answer;
 	// the store's slow answers take 300 ms.
 	callMargin = 700 * time.Millisecond
+	// pauseShare is the part of the bound for which changes that follow each
+	// other are left to return in one call.
+	pauseShare = 0.1
 	// ReadTimeout bounds a read of a source, a page of 1 MB included.
 	ReadTimeout = time.Second
-	// changePause lets changes that follow each other return in one call.
-	changePause = 250 * time.Millisecond
 	// firstRetry and maxRetry bound the pause after a failed call.
 	firstRetry = 100 * time.Millisecond
 	maxRetry   = 400 * time.Millisecond
 )
 
+// Timing are the times for one source.
+type Timing struct {
+	// Wait is the wait of a watch.
+	Wait time.Duration
+	// Pause is the time from a change to the next watch.
+	Pause time.Duration
+	// Limit is the age of passed-on knowledge from which on an instance calls
+	// the store itself.
+	Limit time.Duration
+}
+
+// NewTiming returns the times for a source whose changes have to be in force
+// within bound.
+func NewTiming(bound time.Duration) Timing {
+	wait := time.Duration(waitShare * float64(bound))
+	pause := time.Duration(pauseShare * float64(bound))
+	return Timing{Wait: wait, Pause: pause, Limit: wait + callMargin + pause/2}
+}
+
 // Call is the next call to make.
 type Call struct {
 	// Read the whole source, or else Watch from Since for Wait.
@@ -37,6 +56,7 @@
 
 // Schedule decides the calls for one source.
 type Schedule struct {
+	timing    Timing
 	read      bool
 	revision  Revision
 	notBefore time.Time
@@ -45,12 +65,22 @@
 	lost bool
 }
 
+// NewSchedule returns the schedule of a source that was not read yet.
+func NewSchedule(t Timing) *Schedule { return &Schedule{timing: t} }
+
+// Resume notes that the source is known up to a revision from elsewhere.
+func (s *Schedule) Resume(r Revision) {
+	if r > s.revision {
+		s.revision, s.read = r, true
+	}
+}
+
 // Next returns the call to make.
 func (s *Schedule) Next() Call {
 	if !s.read {
 		return Call{Read: true, Timeout: ReadTimeout, NotBefore: s.notBefore}
 	}
-	return Call{Since: s.revision, Wait: watchWait, Timeout: watchWait + callMargin, NotBefore: s.notBefore}
+	return Call{Since: s.revision, Wait: s.timing.Wait, Timeout: s.timing.Wait + callMargin, NotBefore: s.notBefore}
 }
 
 // Returned notes the outcome of a call. It reports whether the source was lost
@@ -63,7 +93,7 @@
 	if u.Full || !u.Empty() {
 		s.revision = u.Revision
 		s.read = true
-		s.notBefore = now.Add(changePause)
+		s.notBefore = now.Add(s.timing.Pause)
 	}
 	if u.Full {
 		s.notBefore = now
--- a/internal/source/schedule_test.go
+++ b/internal/source/schedule_test.go
@@ -18,7 +18,7 @@
 }
 
 func TestReadsFirstThenWatches(t *testing.T) {
-	var s Schedule
+	s := NewSchedule(NewTiming(3 * time.Second))
 	if call := s.Next(); !call.Read {
 		t.Fatalf("first call: %+v", call)
 	}
@@ -35,7 +35,7 @@
 // Around a compaction a watch returns nothing though there were changes, with
 // the store's newest revision. Moving on to it would lose the changes.
 func TestEmptyWatchDoesNotMoveTheRevision(t *testing.T) {
-	var s Schedule
+	s := NewSchedule(NewTiming(3 * time.Second))
 	s.Returned(start, read(530))
 	s.Returned(start, &Update{Revision: 560})
 	if call := s.Next(); call.Read || call.Since != 530 {
@@ -44,7 +44,7 @@
 }
 
 func TestHistoryGoneReadsAtOnce(t *testing.T) {
-	var s Schedule
+	s := NewSchedule(NewTiming(3 * time.Second))
 	s.Returned(start, read(530))
 	s.Failed(start, errors.Wrap(ErrHistoryGone, "watch"))
 	if call := s.Next(); !call.Read || call.NotBefore.After(start) {
@@ -53,7 +53,7 @@
 }
 
 func TestRetriesBackOff(t *testing.T) {
-	var s Schedule
+	s := NewSchedule(NewTiming(3 * time.Second))
 	now, calls := start, 0
 	for now.Before(start.Add(4 * time.Second)) {
 		s.Failed(now, ErrTurnedAway)
@@ -75,9 +75,20 @@
 // A connection may go silent for good. What is believed then has to be checked
 // in time for a configuration to come into force within 3 s.
 func TestSilentConnectionIsNoticedInTime(t *testing.T) {
-	var s Schedule
+	s := NewSchedule(NewTiming(3 * time.Second))
 	s.Returned(start, read(530))
 	if call := s.Next(); call.Timeout > 2500*time.Millisecond || call.Timeout <= call.Wait {
 		t.Fatalf("%+v", call)
 	}
 }
+
+// Passed-on knowledge has to be replaced in time as well, but not before the
+// passing instance had the time of one call.
+func TestLimitOfPassedOnKnowledge(t *testing.T) {
+	for _, bound := range []time.Duration{3 * time.Second, 5 * time.Second} {
+		timing := NewTiming(bound)
+		if timing.Limit > bound-300*time.Millisecond || timing.Limit < timing.Wait+timing.Pause {
+			t.Errorf("bound %s: %+v", bound, timing)
+		}
+	}
+}
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,174 @@
+// Package upstream decides which other instance of the data centre an instance
+// follows, and from when on it has to call the store itself.
+//
+// Instances register in the platform's store. The order of their registrations
+// is the order in which they are followed: an instance follows the first one
+// registered before it that answers, so nobody follows in a circle, and the
+// first one of a data centre calls the store for the others. No agreement is
+// needed: two instances that call the store do no harm but the cost.
+package upstream
+
+import (
+	"context"
+	"net/netip"
+	"sort"
+	"time"
+
+	"cuminshift/internal/model"
+	"cuminshift/internal/source"
+)
+
+// Place is the order of an instance's registration.
+type Place int64
+
+// Instance is a registered instance.
+type Instance struct {
+	Name       model.InstanceID
+	DataCentre model.DataCentre
+	// Address is that of its feed.
+	Address netip.AddrPort
+	Place   Place
+}
+
+const (
+	// avoidFor keeps an instance that did not answer from being asked again.
+	avoidFor = 2 * time.Second
+	// refusedFor keeps one that serves others or is about to stop away
+	// longer; its own followers are no use to it.
+	refusedFor = 10 * time.Second
+	// deadAfter is the silence after which a registration is removed: much
+	// longer than a restart or a cut.
+	deadAfter = 10 * time.Minute
+)
+
+// Upstream holds one instance's candidates.
+type Upstream struct {
+	self       Place
+	candidates []candidate
+	// asOf is the time as of which the followed instance's knowledge of each
+	// source was current.
+	asOf [source.Kinds]time.Time
+}
+
+type candidate struct {
+	Instance
+	avoidUntil time.Time
+	// silentSince is the first failure since the last answer.
+	silentSince time.Time
+}
+
+// Register takes the instance's own place and all registered instances.
+func (u *Upstream) Register(self Instance, all []Instance) {
+	u.self = self.Place
+	u.candidates = u.candidates[:0]
+	for _, i := range all {
+		if i.DataCentre == self.DataCentre && i.Place < self.Place && i.Name != self.Name && i.Address != self.Address {
+			u.candidates = append(u.candidates, candidate{Instance: i})
+		}
+	}
+	sort.Slice(u.candidates, func(i, j int) bool { return u.candidates[i].Place < u.candidates[j].Place })
+}
+
+// Self returns the instance's own place; 0 before it is registered.
+func (u *Upstream) Self() Place { return u.self }
+
+// Next returns the instance to ask.
+func (u *Upstream) Next(now time.Time) (Instance, bool) {
+	for _, c := range u.candidates {
+		if !now.Before(c.avoidUntil) {
+			return c.Instance, true
+		}
+	}
+	return Instance{}, false
+}
+
+// Retry returns the earliest time at which Next may return an instance; zero
+// when there is none to wait for.
+func (u *Upstream) Retry() time.Time {
+	var first time.Time
+	for _, c := range u.candidates {
+		if first.IsZero() || c.avoidUntil.Before(first) {
+			first = c.avoidUntil
+		}
+	}
+	return first
+}
+
+// Answered notes an answer with the ages of the knowledge behind it. An
+// instance that has registered anew since is no longer followed.
+func (u *Upstream) Answered(now time.Time, i Instance, place Place, ages [source.Kinds]time.Duration) (follow bool) {
+	if place >= u.self {
+		u.remove(i)
+		return false
+	}
+	for k, age := range ages {
+		u.asOf[k] = now.Add(-age)
+	}
+	if c := u.find(i); c != nil {
+		c.silentSince = time.Time{}
+	}
+	return true
+}
+
+// Failed notes that an instance did not answer. It reports whether the
+// instance has been silent for so long that its registration is to be removed.
+func (u *Upstream) Failed(now time.Time, i Instance) (dead bool) {
+	c := u.find(i)
+	if c == nil {
+		return false
+	}
+	c.avoidUntil = now.Add(avoidFor)
+	if c.silentSince.IsZero() {
+		c.silentSince = now
+	}
+	if now.Sub(c.silentSince) < deadAfter {
+		return false
+	}
+	u.remove(i)
+	return true
+}
+
+// Refused notes that an instance serves no more others.
+func (u *Upstream) Refused(now time.Time, i Instance) {
+	if c := u.find(i); c != nil {
+		c.avoidUntil = now.Add(refusedFor)
+	}
+}
+
+func (u *Upstream) find(i Instance) *candidate {
+	for n := range u.candidates {
+		if u.candidates[n].Name == i.Name {
+			return &u.candidates[n]
+		}
+	}
+	return nil
+}
+
+func (u *Upstream) remove(i Instance) {
+	for n := range u.candidates {
+		if u.candidates[n].Name == i.Name {
+			u.candidates = append(u.candidates[:n], u.candidates[n+1:]...)
+			return
+		}
+	}
+}
+
+// CoveredUntil returns the time up to which the knowledge passed on by other
+// instances is no older than limit; afterwards the instance has to call the
+// store itself.
+func (u *Upstream) CoveredUntil(k source.Kind, limit time.Duration) time.Time {
+	if u.asOf[k].IsZero() {
+		return time.Time{}
+	}
+	return u.asOf[k].Add(limit)
+}
+
+// Directory is where instances register.
+type Directory interface {
+	// Register enters the instance and returns its place.
+	Register(ctx context.Context, i Instance) (Place, error)
+	// Instances returns all registered instances.
+	Instances(ctx context.Context) ([]Instance, error)
+	// Remove takes out an instance that has not registered anew.
+	Remove(ctx context.Context, i Instance) error
+}
