--- /dev/null
+++ b/internal/soak/callers.go
@@ -0,0 +1,140 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cuminshift/internal/standin/platform/client"
+)
+
+// route is one kind of request.
+type route struct {
+	name     string
+	address  netip.AddrPort
+	service  string
+	safe     bool
+	fresh    bool
+	workMS   int
+	size     int
+	deadline time.Duration
+}
+
+var routes = []route{
+	{name: "status", address: netip.MustParseAddrPort("198.18.0.1:8443"), service: "campo", safe: true, workMS: 20, size: 2000, deadline: 1200 * time.Millisecond},
+	{name: "report", address: netip.MustParseAddrPort("198.18.0.1:8080"), service: "campo", workMS: 25, size: 600, deadline: 1500 * time.Millisecond},
+	{name: "map", address: netip.MustParseAddrPort("198.18.0.2:8443"), service: "ordenes", safe: true, fresh: true, workMS: 5, size: 20000, deadline: 3 * time.Second},
+}
+
+const (
+	// think is the mean pause between two requests of a flow.
+	think = 60 * time.Millisecond
+	// attempts is the number of tries of a request.
+	attempts = 3
+)
+
+// caller sends requests of one kind, one after the other.
+type caller struct {
+	name  string
+	host  *client.Host
+	route *route
+	watch *observer
+	rng   *rand.Rand
+	flow  *client.Flow
+	// server is the one that answered last on the flow.
+	server string
+}
+
+func (c *caller) run(ctx context.Context) {
+	for n := 0; ctx.Err() == nil; n++ {
+		c.request(ctx, fmt.Sprintf("%s-%d", c.name, n))
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(c.rng.ExpFloat64() * float64(think))):
+		}
+	}
+	if c.flow != nil {
+		c.flow.Close()
+	}
+}
+
+func (c *caller) request(ctx context.Context, id string) {
+	begin := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, c.route.deadline)
+	defer cancel()
+	c.watch.sent(id, c.route)
+	var err error
+	for range attempts {
+		var opened bool
+		if opened, err = c.try(ctx, id); err == nil || ctx.Err() != nil {
+			break
+		}
+		if opened && !c.route.safe {
+			break
+		}
+	}
+	c.watch.finished(id, begin, err)
+}
+
+// try makes one attempt. opened reports whether the flow was open, so that the
+// request may have run.
+func (c *caller) try(ctx context.Context, id string) (opened bool, err error) {
+	if c.flow != nil && c.flow.Reset() {
+		c.lost()
+	}
+	if c.flow == nil {
+		if c.flow, err = c.host.Open(ctx, c.route.address); err != nil {
+			return false, err
+		}
+		c.server = ""
+	}
+	answer, err := c.flow.Request(ctx, id, c.route.workMS, c.route.size)
+	switch {
+	case errors.Is(err, client.ErrReset):
+		c.lost()
+	case err != nil:
+		c.flow.Drop()
+		c.flow = nil
+	default:
+		c.server = answer.Server
+		c.watch.answered(id, answer)
+		if c.route.fresh {
+			c.flow.Close()
+			c.flow = nil
+		}
+	}
+	return true, err
+}
+
+func (c *caller) lost() {
+	c.watch.reset(c.server, c.flow.OpenedAt)
+	c.flow.Drop()
+	c.flow = nil
+}
+
+// startCallers runs callers in all zones until ctx ends.
+func startCallers(ctx context.Context, f *fleet, o Options, watch *observer) (*sync.WaitGroup, []*client.Host, error) {
+	var wg sync.WaitGroup
+	var hosts []*client.Host
+	for z, zone := range zones {
+		for h := range o.HostsPerZone {
+			host, err := client.NewHost(f.address(150+z, h+1, packetPort), f.address(3, z+1, packetPort))
+			if err != nil {
+				return &wg, hosts, err
+			}
+			hosts = append(hosts, host)
+			for r := range routes {
+				c := &caller{name: fmt.Sprintf("%s-%d-%s", zone, h, routes[r].name), host: host, route: &routes[r], watch: watch,
+					rng: rand.New(rand.NewPCG(o.Seed, uint64(len(hosts)*10+r)))}
+				wg.Add(1)
+				go func() { defer wg.Done(); c.run(ctx) }()
+			}
+		}
+	}
+	return &wg, hosts, nil
+}
--- /dev/null
+++ b/internal/soak/cmd/soak/main.go
@@ -0,0 +1,54 @@
+// Command soak runs cuminshift-gateway processes among stand-ins and disturbs
+// them. It exits with 1 when a promise was broken.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"cuminshift/internal/soak"
+)
+
+func main() {
+	o := soak.Options{Binary: "target/cuminshift-gateway", Seed: 1, Length: 12 * time.Second, Events: 12, InstancesPerZone: 2, ServersPerZone: 3, HostsPerZone: 3}
+	seeds, verbose := 1, false
+	flaggy.SetName("soak")
+	flaggy.SetDescription("disturbs entry instances and checks what callers and servers see")
+	flaggy.String(&o.Binary, "b", "binary", "path of cuminshift-gateway")
+	flaggy.UInt64(&o.Seed, "s", "seed", "first seed")
+	flaggy.Int(&seeds, "n", "seeds", "number of seeds")
+	flaggy.Duration(&o.Length, "l", "length", "time in which disruptions come")
+	flaggy.Int(&o.Events, "e", "events", "number of disruptions")
+	flaggy.Bool(&verbose, "v", "verbose", "print each disruption")
+	flaggy.Parse()
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer cancel()
+	out := io.Discard
+	if verbose {
+		out = os.Stderr
+	}
+	failed := 0
+	for n := 0; n < seeds && ctx.Err() == nil; n++ {
+		r, err := soak.Run(ctx, o, out)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		fmt.Print(r)
+		if len(r.Faults) > 0 {
+			failed++
+		}
+		o.Seed++
+	}
+	fmt.Printf("%d passed, %d failed\n", seeds-failed, failed)
+	if failed > 0 {
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/soak/fleet.go
@@ -0,0 +1,254 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cuminshift/internal/standin/platform/router"
+	"cuminshift/internal/standin/platform/server"
+	"cuminshift/internal/standin/platform/store"
+)
+
+const (
+	packetPort  = 8172
+	readyPort   = 8167
+	controlPort = 8166
+	peerPort    = 7720
+	storePort   = 8169
+	serverPort  = 8080
+
+	heartbeat = 500 * time.Millisecond
+	// restartDelay is the time after which a process that ended starts again.
+	restartDelay = 300 * time.Millisecond
+)
+
+var zones = []string{"norte", "centro", "sur"}
+
+// fleet is the platform's stand-ins and the entry instances as processes.
+type fleet struct {
+	net     int // second number of all loopback addresses
+	dir     string
+	binary  string
+	store   *store.Store
+	http    *http.Server
+	paths   []*proxy
+	gates   []*process
+	routers map[string]*router.Router
+	watch   *observer
+
+	mu      sync.Mutex
+	servers map[string]*server.Server
+	nextID  int
+	spare   int
+}
+
+func (f *fleet) address(a, b, port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(f.net), byte(a), byte(b)}), uint16(port))
+}
+
+// start brings up everything; perZone is the number of instances of each zone.
+func start(o Options, watch *observer) (*fleet, error) {
+	dir, err := os.MkdirTemp("", "cuminshift-soak")
+	if err != nil {
+		return nil, errors.Wrap(err, "soak")
+	}
+	f := &fleet{net: 30 + int(o.Seed%60), dir: dir, binary: o.Binary, store: store.New(), routers: map[string]*router.Router{},
+		servers: map[string]*server.Server{}, watch: watch}
+	listener, err := net.Listen("tcp4", f.address(1, 1, storePort).String())
+	if err != nil {
+		return nil, errors.Wrap(err, "soak: store")
+	}
+	f.http = &http.Server{Handler: f.store, ReadHeaderTimeout: time.Second}
+	go func() {
+		// The only error is that of the end.
+		_ = f.http.Serve(listener)
+	}()
+	f.configure(1, 3)
+	for z := range zones {
+		for range o.ServersPerZone {
+			if _, err := f.addServer(z, "campo", 0); err != nil {
+				return f, err
+			}
+		}
+		if _, err := f.addServer(z, "ordenes", 0); err != nil {
+			return f, err
+		}
+	}
+	return f, f.startInstances(o.InstancesPerZone)
+}
+
+// configure writes a version with the first n routes in force.
+func (f *fleet) configure(version, n int) {
+	var list []map[string]any
+	for i := range n {
+		r := routes[i%len(routes)]
+		list = append(list, map[string]any{"name": fmt.Sprint("r", i), "host": fmt.Sprintf("198.18.%d.%d", i/len(routes), r.address.Addr().As4()[3]),
+			"path_prefix": fmt.Sprintf("/%d/", r.address.Port()), "service": r.service, "type": "safe"})
+	}
+	f.store.Put("config", "main", map[string]any{"version": version, "routes": list, "limits": map[string]any{"idle_timeout_ms": 15000},
+		"services": []map[string]any{{"name": "campo", "health_path": "/health"}, {"name": "ordenes", "health_path": "/health"}}})
+}
+
+// addServer starts a server; address 0 takes a new one.
+func (f *fleet) addServer(zone int, service string, address int) (*server.Server, error) {
+	f.mu.Lock()
+	f.nextID++
+	id := fmt.Sprintf("i-%x", 0x1000+f.nextID)
+	if address == 0 {
+		f.spare++
+		address = f.spare
+	}
+	f.mu.Unlock()
+	s, err := server.Start(server.Config{ID: id, Service: service, Zone: zones[zone], Address: f.address(100+zone, address, serverPort),
+		CallerPort: packetPort, Slots: 3, Store: "http://" + f.address(1, 1, storePort).String(), Heartbeat: heartbeat, Observer: f.watch})
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	f.servers[id] = s
+	f.mu.Unlock()
+	return s, nil
+}
+
+func (f *fleet) startInstances(perZone int) error {
+	var instances []router.Instance
+	for z, zone := range zones {
+		for n := range perZone {
+			i := len(f.gates)
+			p, err := newProxy(f.address(2, i+1, storePort), f.address(1, 1, storePort).String())
+			if err != nil {
+				return err
+			}
+			f.paths = append(f.paths, p)
+			g := &process{name: fmt.Sprintf("%s-%d", zone, n+1), settings: filepath.Join(f.dir, fmt.Sprint(i, ".yaml")), fleet: f}
+			if err := f.writeSettings(g, zone, z, n, i); err != nil {
+				return err
+			}
+			f.gates = append(f.gates, g)
+			instances = append(instances, router.Instance{Zone: zone, Packets: f.address(20+z, n+1, packetPort), Ready: f.address(20+z, n+1, readyPort)})
+		}
+	}
+	for z, zone := range zones {
+		r, err := router.Start(zone, f.address(3, z+1, packetPort), instances)
+		if err != nil {
+			return err
+		}
+		f.routers[zone] = r
+	}
+	for _, g := range f.gates {
+		if err := g.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *fleet) writeSettings(g *process, zone string, z, n, i int) error {
+	text := fmt.Sprintf(`node_name: "%s"
+zone: "%s"
+listen: {packet_addr: "%s", ready_addr: "%s", control: "%s"}
+port_range: [%d, %d]
+seeds: ["%s"]
+limits: {bandwidth_mbps: 100.0}
+bounds: {grace_s: 6, flow_ttl_s: 60, warmup_slack: 5, apply_ms: 3000, drain_ms: 3000, evacuate_ms: 5000}
+platform: {address: "%s"}
+`, g.name, zone, f.address(20+z, n+1, packetPort), f.address(20+z, n+1, readyPort), f.address(20+z, n+1, controlPort),
+		peerPort, peerPort+15, f.address(20, 1, controlPort), f.address(2, i+1, storePort))
+	return errors.Wrap(os.WriteFile(g.settings, []byte(text), 0o600), "soak: settings")
+}
+
+func (f *fleet) stop() {
+	for _, g := range f.gates {
+		g.end()
+	}
+	f.mu.Lock()
+	servers := f.servers
+	f.servers = map[string]*server.Server{}
+	f.mu.Unlock()
+	for _, s := range servers {
+		s.Kill()
+	}
+	for _, r := range f.routers {
+		r.Stop()
+	}
+	for _, p := range f.paths {
+		p.close()
+	}
+	f.http.Close()
+}
+
+// process is one entry instance, restarted when it ends.
+type process struct {
+	name, settings string
+	fleet          *fleet
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	ending bool
+	// unasked counts ends that no signal of the soak explains.
+	unasked  int
+	expected bool
+}
+
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ending {
+		return nil
+	}
+	out, err := os.OpenFile(p.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "soak: log")
+	}
+	cmd := exec.Command(p.fleet.binary, "--settings", p.settings)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		out.Close()
+		return errors.Wrap(err, "soak: start")
+	}
+	p.cmd, p.expected = cmd, false
+	go p.wait(cmd, out)
+	return nil
+}
+
+func (p *process) wait(cmd *exec.Cmd, out *os.File) {
+	// How it ended matters only when the soak did not end it.
+	_ = cmd.Wait()
+	out.Close()
+	p.mu.Lock()
+	if !p.expected && !p.ending {
+		p.unasked++
+	}
+	p.mu.Unlock()
+	time.Sleep(restartDelay)
+	if err := p.start(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+}
+
+// signal sends a signal to the process.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.expected = p.expected || s == syscall.SIGKILL || s == syscall.SIGTERM
+	// A process that has just ended gets none.
+	_ = p.cmd.Process.Signal(s)
+}
+
+func (p *process) end() {
+	p.mu.Lock()
+	p.ending = true
+	p.mu.Unlock()
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGKILL)
+}
--- /dev/null
+++ b/internal/standin/platform/server/server.go
@@ -0,0 +1,376 @@
+// Package server is a stand-in for a backend server of the users' platform: it
+// holds flows, runs requests in slots, answers callers directly and registers
+// itself in the store.
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cuminshift/internal/standin/platform/wire"
+)
+
+const (
+	// repeatFirst and repeatMax bound the interval of repeats, repeats their
+	// number.
+	repeatFirst = 200 * time.Millisecond
+	repeatMax   = 1600 * time.Millisecond
+	repeats     = 8
+	// window is the number of packets in flight.
+	window = 16
+	tick   = 20 * time.Millisecond
+)
+
+// Config describes a server.
+type Config struct {
+	// ID is "i-" and hexadecimal digits.
+	ID, Service, Zone string
+	Address           netip.AddrPort
+	// CallerPort is the port on which callers receive.
+	CallerPort uint16
+	Slots      int
+	// Store is the base URL of the store, Heartbeat the interval of writes.
+	Store     string
+	Heartbeat time.Duration
+	Observer  Observer
+}
+
+// Observer sees what a server does.
+type Observer interface {
+	// Opened: a flow's opening arrived.
+	Opened(server, service string, caller netip.AddrPort, to netip.AddrPort, at time.Time)
+	// Ran: a request was run.
+	Ran(server, service, request string, at time.Time)
+	// Forged: a packet arrived that no caller wrote so.
+	Forged(server string, at time.Time)
+}
+
+// Server is a running stand-in.
+type Server struct {
+	cfg    Config
+	fence  uint64
+	packet *net.UDPConn
+	health net.Listener
+	slots  chan struct{}
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+
+	mu       sync.Mutex
+	flows    map[netip.AddrPort]*conn
+	draining bool
+	beat     int
+	born     int64
+}
+
+type conn struct {
+	caller, service netip.AddrPort
+	echo            uint32
+	seq, next       uint32
+	synAck          []byte
+	// out are unacknowledged packets, queue those beyond the window.
+	out, queue []*sent
+	closing    bool
+}
+
+type sent struct {
+	packet   wire.Packet
+	at       time.Time
+	interval time.Duration
+	tries    int
+}
+
+// Start runs a server until Kill or Leave.
+func Start(cfg Config) (*Server, error) {
+	fence, err := strconv.ParseUint(strings.TrimPrefix(cfg.ID, "i-"), 16, 64)
+	if err != nil {
+		return nil, errors.Wrap(err, "server: id")
+	}
+	s := &Server{cfg: cfg, fence: fence, slots: make(chan struct{}, cfg.Slots), flows: map[netip.AddrPort]*conn{}, born: time.Now().UnixMilli()}
+	if s.packet, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(cfg.Address)); err != nil {
+		return nil, errors.Wrap(err, "server")
+	}
+	if s.health, err = net.Listen("tcp4", cfg.Address.String()); err != nil {
+		s.packet.Close()
+		return nil, errors.Wrap(err, "server")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	for _, job := range []func(context.Context){s.read, s.repeat, s.register, s.serveHealth} {
+		s.done.Add(1)
+		go func() { defer s.done.Done(); job(ctx) }()
+	}
+	return s, nil
+}
+
+// Kill ends the server at once; its entry stays in the store.
+func (s *Server) Kill() {
+	s.cancel()
+	s.packet.Close()
+	s.health.Close()
+	s.done.Wait()
+}
+
+// Drain reports the server as draining.
+func (s *Server) Drain() {
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+	s.write(context.Background())
+}
+
+// ID returns the server's name.
+func (s *Server) ID() string { return s.cfg.ID }
+
+// Service returns the server's service.
+func (s *Server) Service() string { return s.cfg.Service }
+
+// Zone returns the server's zone.
+func (s *Server) Zone() string { return s.cfg.Zone }
+
+// Address returns the server's address.
+func (s *Server) Address() netip.AddrPort { return s.cfg.Address }
+
+func (s *Server) serveHealth(ctx context.Context) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/health", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Instance-Id", s.cfg.ID)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.draining {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() { <-ctx.Done(); server.Close() }()
+	// The only error is that of the end.
+	_ = server.Serve(s.health)
+}
+
+func (s *Server) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.write(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(s.cfg.Heartbeat):
+		}
+	}
+}
+
+// write writes the entry. A failed write is repeated with the next heartbeat.
+func (s *Server) write(ctx context.Context) {
+	s.mu.Lock()
+	s.beat++
+	state := "ready"
+	if s.draining {
+		state = "draining"
+	}
+	spec := map[string]any{"service": s.cfg.Service, "address": s.cfg.Address.String(), "zone": s.cfg.Zone, "version": "v1",
+		"max_concurrency": s.cfg.Slots, "state": state, "warmup_left_ms": 0, "seq_no": s.beat, "born": s.born}
+	s.mu.Unlock()
+	body, err := json.Marshal(map[string]any{"meta": map[string]any{"name": s.cfg.ID}, "spec": spec})
+	if err != nil {
+		panic(err) // the entry is made of texts and numbers
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.cfg.Heartbeat)
+	defer cancel()
+	url := s.cfg.Store + "/cuminshift/objects/servers"
+	if status := s.call(ctx, http.MethodPut, url+"/"+s.cfg.ID, body); status == http.StatusNotFound {
+		s.call(ctx, http.MethodPost, url, body)
+	}
+}
+
+func (s *Server) call(ctx context.Context, method, url string, body []byte) int {
+	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0
+	}
+	response.Body.Close()
+	return response.StatusCode
+}
+
+func (s *Server) read(ctx context.Context) {
+	b := make([]byte, 2048)
+	for ctx.Err() == nil {
+		n, _, err := s.packet.ReadFromUDPAddrPort(b)
+		if err != nil || n < wire.FenceSize {
+			continue
+		}
+		if binary.BigEndian.Uint64(b) != s.fence {
+			continue
+		}
+		p, sealed, err := wire.Parse(bytes.Clone(b[wire.FenceSize:n]))
+		if err != nil || !sealed {
+			s.cfg.Observer.Forged(s.cfg.ID, time.Now())
+			continue
+		}
+		s.mu.Lock()
+		s.take(ctx, &p)
+		s.mu.Unlock()
+	}
+}
+
+func (s *Server) take(ctx context.Context, p *wire.Packet) {
+	c := s.flows[p.Src]
+	if p.Flags&wire.SYN != 0 {
+		s.open(c, p)
+		return
+	}
+	if c == nil {
+		if p.Flags&(wire.RST|wire.FIN) == 0 && len(p.Payload) > 0 {
+			s.send(&wire.Packet{Echo: p.Echo, Flags: wire.RST, Seq: p.Ack, Src: p.Dst, Dst: p.Src})
+		}
+		return
+	}
+	c.echo = p.Echo
+	if p.Flags&wire.RST != 0 {
+		delete(s.flows, p.Src)
+		return
+	}
+	s.acknowledged(c, p.Ack)
+	if len(p.Payload) > 0 && p.Seq == c.next {
+		c.next += uint32(len(p.Payload))
+		request := string(p.Payload)
+		go s.run(ctx, c, request)
+	}
+	if p.Flags&wire.FIN != 0 && p.Seq == c.next {
+		c.next++
+		delete(s.flows, p.Src)
+	}
+	if len(p.Payload) > 0 || p.Flags&wire.FIN != 0 {
+		s.sendOn(c, wire.ACK, nil)
+	}
+}
+
+func (s *Server) open(c *conn, p *wire.Packet) {
+	s.cfg.Observer.Opened(s.cfg.ID, s.cfg.Service, p.Src, p.Dst, time.Now())
+	if c == nil {
+		c = &conn{caller: p.Src, service: p.Dst, seq: rand.Uint32(), next: p.Seq + 1}
+		s.flows[p.Src] = c
+		c.synAck = (&wire.Packet{Echo: p.Echo, Flags: wire.SYN | wire.ACK, Seq: c.seq, Ack: c.next, Src: c.service, Dst: c.caller}).Append(nil)
+		c.seq++
+	}
+	c.echo = p.Echo
+	binary.LittleEndian.PutUint32(c.synAck, p.Echo)
+	s.transmit(c.synAck, c.caller)
+}
+
+// run works on a request "ID WORK_MS BYTES".
+func (s *Server) run(ctx context.Context, c *conn, request string) {
+	var id string
+	var work, size int
+	if _, err := fmt.Sscanf(request, "%s %d %d", &id, &work, &size); err != nil {
+		s.cfg.Observer.Forged(s.cfg.ID, time.Now())
+		return
+	}
+	select {
+	case s.slots <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	defer func() { <-s.slots }()
+	s.cfg.Observer.Ran(s.cfg.ID, s.cfg.Service, id, time.Now())
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(time.Duration(work) * time.Millisecond):
+	}
+	head := fmt.Sprintf("%s %s %s %d\n", id, s.cfg.ID, s.cfg.Service, size)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answer(c, append([]byte(head), bytes.Repeat([]byte("x"), size)...))
+}
+
+func (s *Server) answer(c *conn, body []byte) {
+	for len(body) > 0 {
+		n := min(len(body), wire.MaxPayload)
+		p := wire.Packet{Flags: wire.ACK, Seq: c.seq, Src: c.service, Dst: c.caller, Payload: body[:n]}
+		c.seq += uint32(n)
+		body = body[n:]
+		c.queue = append(c.queue, &sent{packet: p, interval: repeatFirst})
+	}
+	s.fill(c)
+}
+
+// fill sends queued packets up to the window.
+func (s *Server) fill(c *conn) {
+	for len(c.out) < window && len(c.queue) > 0 {
+		x := c.queue[0]
+		c.queue = c.queue[1:]
+		c.out = append(c.out, x)
+		s.resend(c, x)
+	}
+}
+
+func (s *Server) resend(c *conn, x *sent) {
+	x.at = time.Now()
+	x.packet.Echo, x.packet.Ack = c.echo, c.next
+	s.send(&x.packet)
+}
+
+func (s *Server) acknowledged(c *conn, ack uint32) {
+	for len(c.out) > 0 {
+		x := c.out[0]
+		if int32(ack-(x.packet.Seq+uint32(len(x.packet.Payload)))) < 0 {
+			break
+		}
+		c.out = c.out[1:]
+	}
+	s.fill(c)
+}
+
+func (s *Server) repeat(ctx context.Context) {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for ctx.Err() == nil {
+		<-t.C
+		s.mu.Lock()
+		for key, c := range s.flows {
+			if !s.repeatFlow(c) {
+				delete(s.flows, key)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (s *Server) repeatFlow(c *conn) bool {
+	for _, x := range c.out {
+		if time.Since(x.at) < x.interval {
+			continue
+		}
+		if x.tries++; x.tries > repeats {
+			return false
+		}
+		x.interval = min(2*x.interval, repeatMax)
+		s.resend(c, x)
+	}
+	return true
+}
+
+func (s *Server) sendOn(c *conn, flags byte, payload []byte) {
+	s.send(&wire.Packet{Echo: c.echo, Flags: flags, Seq: c.seq, Ack: c.next, Src: c.service, Dst: c.caller, Payload: payload})
+}
+
+func (s *Server) send(p *wire.Packet) { s.transmit(p.Append(nil), p.Dst) }
+
+// transmit sends to the caller. What is lost is repeated.
+func (s *Server) transmit(b []byte, caller netip.AddrPort) {
+	_, _ = s.packet.WriteToUDPAddrPort(b, netip.AddrPortFrom(caller.Addr(), s.cfg.CallerPort))
+}
