Let the attempts of a caller meet different servers

Change: an opening avoids the servers that have shown no life since the same caller's other flows wait for them, and probes them. Entries of which only the cold start's rest changed are no change. Log lines about beliefs are bounded. Test: TestAttemptsOfACallerMeetDifferentServers.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,8 +112,10 @@
 	// revisions are the store's revisions up to which each source was taken.
 	revisions [source.Kinds]source.Revision
 	log       feed.Log
-	stopping  bool
-	able      readiness.Judge
+	// cleaned is the time of the last search for what has expired.
+	cleaned  time.Time
+	stopping bool
+	able     readiness.Judge
 	// demand counts the recent requests for each service.
 	demand map[string]float64
 
@@ -122,10 +124,14 @@
 	tokens   *token.Index[*backend]
 	flows    map[flow.Key]*tracked
 	unknown  unknownFlows
+	recent   recentFlows
 
 	// candidates and choices are scratch space of choose.
 	candidates []selection.Candidate
 	choices    []*backend
+	// doubted are the servers that speak against themselves by the caller's
+	// other flows; it is set for one opening.
+	doubted []*backend
 }
 
 // New returns the core of an instance that knows nothing yet.
@@ -140,6 +146,7 @@
 		services:   map[string][]*backend{},
 		tokens:     token.NewIndex[*backend](),
 		flows:      map[flow.Key]*tracked{},
+		recent:     recentFlows{},
 		unknown:    unknownFlows{flows: map[flow.Key]unknownFlow{}},
 	}
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -361,6 +361,31 @@
 	}
 }
 
+// A server has crashed and rejects its callers, which the instance does not
+// see. The few attempts of a caller, which follow each other at once, must not
+// all meet it.
+func TestAttemptsOfACallerMeetDifferentServers(t *testing.T) {
+	w := newWorld(t, server("i-1", norte), server("i-2", norte), server("i-3", norte))
+	first := w.opened(1)
+	w.pass(time.Second)
+	w.request(1, first, 1)
+	met := map[string]bool{first.Server.Name: true}
+	for port := uint16(2); port <= 3; port++ {
+		w.pass(3 * time.Millisecond)
+		v := w.open(port)
+		if met[v.Server.Name] {
+			t.Fatalf("attempt %d meets %s again", port, v.Server.Name)
+		}
+		met[v.Server.Name] = true
+	}
+	if w.probes() != 2 {
+		t.Fatalf("%d probes of the two servers that did not answer", w.probes())
+	}
+	if n := len(w.resets()); n > 0 {
+		t.Fatalf("%d resets", n)
+	}
+}
+
 func TestColdServerGetsItsShare(t *testing.T) {
 	cold := server("i-1", norte)
 	cold.ColdFor = 2 * time.Second
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -18,6 +18,9 @@
 // first repeat after 200 ms.
 const TickInterval = 100 * time.Millisecond
 
+// cleanInterval is the time between two searches for what has expired.
+const cleanInterval = time.Second
+
 const (
 	// maxDoubtProbes bounds the probes that one silent server sets off.
 	maxDoubtProbes = 64
@@ -332,9 +335,13 @@
 		probe := b.reach.Tick(now)
 		actions = append(actions, c.afterEvidence(now, b, before, probe, "time")...)
 	}
-	c.expireFlows(now)
+	if now.Sub(c.cleaned) >= cleanInterval {
+		c.cleaned = now
+		c.expireFlows(now)
+		c.expireUnknown(now)
+		c.recent.expire()
+	}
 	c.decayDemand()
-	c.expireUnknown(now)
 	actions = append(actions, c.refresh(now)...)
 	return append(actions, c.judge(now)...)
 }
--- a/internal/gateway/packets.go
+++ b/internal/gateway/packets.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"cuminshift/internal/coldstart"
@@ -46,6 +47,9 @@
 		c.detach(t)
 		actions = c.evidence(now, old, o)
 	}
+	if old == nil {
+		actions = append(actions, c.doubtRecent(now, s.Key)...)
+	}
 	b := c.choose(now, s, route, old)
 	if b == nil {
 		c.drop(t)
@@ -53,6 +57,7 @@
 	}
 	c.flows[s.Key] = t
 	c.attach(t, b)
+	c.recent.add(t)
 	if c.cold(now, b.record) {
 		b.cold.Use(now)
 	}
@@ -111,7 +116,7 @@
 			continue
 		}
 		state := b.reach.State()
-		if b == avoid && state == reach.Reachable {
+		if (b == avoid || slices.Contains(c.doubted, b)) && state == reach.Reachable {
 			state = reach.Suspect
 		}
 		cold := c.cold(now, r)
--- a/internal/gatewayshell/log.go
+++ b/internal/gatewayshell/log.go
@@ -33,17 +33,30 @@
 	// 300 bytes each they take 15 KB/s.
 	flowLinesPerSecond = 50
 	flowLinesBurst     = 200
+	// beliefLinesPerSecond and beliefLinesBurst bound the lines about changes of
+	// what the instance believes; the burst holds a registry of 1,000 servers.
+	beliefLinesPerSecond = 50
+	beliefLinesBurst     = 1000
 	// openingLinesPerSecond samples the usual openings.
 	openingLinesPerSecond = 5
 	// maxRejections bounds the remembered rejected objects.
 	maxRejections = 1024
 )
 
+// logError is an error as one text; the errors' stacks are left out.
+func logError(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
+
 // decisionLog writes one line for each decision, within bounds.
 type decisionLog struct {
 	log      *zap.Logger
 	flows    *rate.Limiter
 	openings *rate.Limiter
+	beliefs  *rate.Limiter
 
 	mu      sync.Mutex
 	omitted int64
@@ -56,6 +69,7 @@
 		log:      log,
 		flows:    rate.NewLimiter(flowLinesPerSecond, flowLinesBurst),
 		openings: rate.NewLimiter(openingLinesPerSecond, openingLinesPerSecond),
+		beliefs:  rate.NewLimiter(beliefLinesPerSecond, beliefLinesBurst),
 		seen:     map[source.Rejection]bool{},
 	}
 }
@@ -68,15 +82,15 @@
 func (l *decisionLog) stopping() { l.log.Info("gateway: planned stop, not ready") }
 
 func (l *decisionLog) stopped(err error) {
-	l.log.Info("gateway: stopped", zap.Error(err), zap.Int64(logOmitted, l.takeOmitted()))
+	l.log.Info("gateway: stopped", logError(err), zap.Int64(logOmitted, l.takeOmitted()))
 }
 
 func (l *decisionLog) failed(what string, err error) {
-	l.log.Warn("gateway: "+what, zap.Error(err))
+	l.log.Warn("gateway: "+what, logError(err))
 }
 
 func (l *decisionLog) lost(k source.Kind, err error) {
-	l.log.Warn("store: lost", zap.Stringer(logSource, k), zap.Error(err))
+	l.log.Warn("store: lost", zap.Stringer(logSource, k), logError(err))
 }
 
 func (l *decisionLog) regained(k source.Kind) {
@@ -89,7 +103,7 @@
 }
 
 func (l *decisionLog) upstreamLost(i upstream.Instance, err error) {
-	l.log.Warn("feed: lost", zap.String(logInstance, string(i.Name)), zap.Error(err))
+	l.log.Warn("feed: lost", zap.String(logInstance, string(i.Name)), logError(err))
 }
 
 // rejected logs each object that was not understood once.
@@ -106,12 +120,16 @@
 }
 
 func (l *decisionLog) note(n gateway.Note) {
+	if !l.beliefs.Allow() {
+		l.omit()
+		return
+	}
 	l.log.Info("belief: "+n.What, zap.String(logSubject, n.Subject), zap.String(logCause, n.Cause), zap.Int64(logAge, n.Age.Milliseconds()))
 }
 
 func (l *decisionLog) malformed(err error) {
 	if l.flows.Allow() {
-		l.log.Warn("packet: malformed", zap.Error(err))
+		l.log.Warn("packet: malformed", logError(err))
 	} else {
 		l.omit()
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -166,14 +166,19 @@
 	if r.Listed && r.Entry == e {
 		return changes
 	}
-	kind := Updated
-	if e.Incarnation != r.Incarnation {
-		kind = Restarted
-	}
+	before, listed := r.Entry, r.Listed
 	r.Entry, r.Listed = e, true
 	r.ColdUntil = now.Add(e.ColdFor)
 	r.Departed, r.lapseUntil = time.Time{}, time.Time{}
-	return append(changes, Change{kind, r})
+	before.ColdFor = e.ColdFor
+	switch {
+	case e.Incarnation != before.Incarnation:
+		return append(changes, Change{Restarted, r})
+	case listed && before == e:
+		// Only the rest of the cold start changed.
+		return changes
+	}
+	return append(changes, Change{Updated, r})
 }
 
 func (g *Registry) remove(now time.Time, name string, changes []Change) []Change {
