--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 MATRIX_WORKERS ?= 8
 STATICCHECK := honnef.co/go/tools/cmd/staticcheck@v0.8.2
 
-.PHONY: build test fmt lint demo matrix measure generate
+.PHONY: build test fmt lint demo matrix soak measure generate
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -27,6 +27,11 @@
 matrix:
 	$(GO) run ./internal/faultmatrix/cmd/matrix -seed $(SEED) -workers $(MATRIX_WORKERS)
 
+# SEEDS soaks, one after the other, from SEED on; a soak takes 30 s.
+SEEDS ?= 1
+soak: build
+	$(GO) run ./internal/soak/cmd/soak --binary bin/cuminshift-gateway --seed $(SEED) --seeds $(SEEDS)
+
 measure:
 	$(GO) run ./internal/measure/cmd/measure --seed $(SEED) --file docs/measurements.md
 
--- a/cmd/cuminshift-gateway/main.go
+++ b/cmd/cuminshift-gateway/main.go
@@ -49,9 +49,9 @@
 	defer log.Sync()
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	// Without a handler SIGHUP would end the process.
-	signal.Ignore(syscall.SIGHUP)
-	if err := gatewayshell.Run(ctx, s, platform.Parts(s), log); err != nil {
+	parts := platform.Parts()
+	parts.LogDropped = out.Dropped
+	if err := gatewayshell.Run(ctx, s, parts, log); err != nil {
 		log.Error("gateway: stopped on failure", zap.Error(err))
 		return exitFailure
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,10 @@
 	Reason Reason
 	// Opening is set for the first copy of an opening.
 	Opening bool
+	// Opened is the time from the opening to its acceptance, Answered that
+	// from a request to the first sign of its answer, where the packet shows
+	// them.
+	Opened, Answered time.Duration
 }
 
 // VerdictKind says what is done with a packet.
@@ -88,6 +92,8 @@
 	ServerLost
 	// Repeated: a copy of an opening went to another server.
 	Repeated
+	// Reasons is the number of reasons.
+	Reasons = iota
 )
 
 // String returns the name used in logs.
--- a/internal/gateway/packets.go
+++ b/internal/gateway/packets.go
@@ -158,11 +158,19 @@
 	}
 	b := t.backend
 	busy := t.Waiting
+	var v Verdict
+	if !t.Opened && !t.OpeningAt.IsZero() {
+		v.Opened = now.Sub(t.OpeningAt)
+	}
+	since := t.WaitingSince
 	o := t.Observe(now, s)
+	if o.Answered {
+		v.Answered = now.Sub(since)
+	}
 	c.count(t, busy)
 	actions := c.evidence(now, b, o)
 	if s.Reset {
-		v := c.forward(t, Verdict{})
+		v = c.forward(t, v)
 		c.drop(t)
 		return v, actions
 	}
@@ -177,7 +185,7 @@
 	if s.Final {
 		c.close(t)
 	}
-	return c.forward(t, Verdict{}), actions
+	return c.forward(t, v), actions
 }
 
 // resolve finds the server that a packet's token names. Among servers that
--- a/internal/gatewayshell/counters.go
+++ b/internal/gatewayshell/counters.go
@@ -2,25 +2,44 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/rcrowley/go-metrics"
 
+	"cuminshift/internal/gateway"
 	"cuminshift/internal/metricstext"
 )
 
+const (
+	// histogramSamples and histogramAlpha are the usual size and decay of
+	// samples that weigh the last five minutes.
+	histogramSamples = 1028
+	histogramAlpha   = 0.015
+)
+
 // counters are the metrics of one instance; they count from its start.
 type counters struct {
 	registry metrics.Registry
 
-	packets, forwarded, resets, dropped, malformed           metrics.Counter
-	socketErrors, probes, storeCalls, storeErrors, feedCalls metrics.Counter
-	flows                                                    metrics.Gauge
+	packets, forwarded, resets, dropped, malformed                    metrics.Counter
+	socketErrors, probes, storeCalls, storeErrors, feedCalls, reloads metrics.Counter
+	flows                                                             metrics.Gauge
+	logDropped                                                        metrics.Gauge
+
+	// answerTime is the time from a caller's request to the first sign of its
+	// answer, openTime that from an opening to its acceptance, in microseconds.
+	answerTime, openTime metrics.Histogram
+	// reasons counts verdicts by their reasons.
+	reasons [gateway.Reasons]metrics.Counter
 }
 
 func newCounters() *counters {
 	r := metrics.NewRegistry()
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter(name, r) }
-	return &counters{
+	histogram := func(name string) metrics.Histogram {
+		return metrics.GetOrRegisterHistogram(name, r, metrics.NewExpDecaySample(histogramSamples, histogramAlpha))
+	}
+	c := &counters{
 		registry:     r,
 		packets:      counter("packets"),
 		forwarded:    counter("packets_forwarded"),
@@ -32,12 +51,34 @@
 		storeCalls:   counter("store_calls"),
 		storeErrors:  counter("store_errors"),
 		feedCalls:    counter("feed_calls"),
+		reloads:      counter("settings_reloads"),
 		flows:        metrics.GetOrRegisterGauge("flows", r),
+		logDropped:   metrics.GetOrRegisterGauge("log_lines_dropped", r),
+		answerTime:   histogram("answer_time_us"),
+		openTime:     histogram("open_time_us"),
+	}
+	for reason := range c.reasons {
+		c.reasons[reason] = counter("verdict_" + strings.ReplaceAll(gateway.Reason(reason).String(), " ", "_"))
+	}
+	return c
+}
+
+// verdict counts a decision and what it tells about times.
+func (c *counters) verdict(v *gateway.Verdict) {
+	c.reasons[v.Reason].Inc(1)
+	if v.Opened > 0 {
+		c.openTime.Update(v.Opened.Microseconds())
+	}
+	if v.Answered > 0 {
+		c.answerTime.Update(v.Answered.Microseconds())
 	}
 }
 
 func (sh *Shell) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	sh.counters.flows.Update(int64(sh.core.Flows()))
+	if sh.parts.LogDropped != nil {
+		sh.counters.logDropped.Update(sh.parts.LogDropped())
+	}
 	if err := metricstext.Write(w, sh.counters.registry); err != nil {
 		sh.log.failed("metrics", err)
 	}
--- a/internal/gatewayshell/feedclient.go
+++ b/internal/gatewayshell/feedclient.go
@@ -92,11 +92,11 @@
 func (sh *Shell) registerOnce(ctx context.Context, self upstream.Instance) error {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	place, err := sh.parts.Directory.Register(ctx, self)
+	place, err := sh.live.Load().directory.Register(ctx, self)
 	if err != nil {
 		return err
 	}
-	all, err := sh.parts.Directory.Instances(ctx)
+	all, err := sh.live.Load().directory.Instances(ctx)
 	if err != nil {
 		return err
 	}
@@ -122,7 +122,7 @@
 func (sh *Shell) countFleet(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	all, err := sh.parts.Directory.Instances(ctx)
+	all, err := sh.live.Load().directory.Instances(ctx)
 	if err != nil {
 		sh.log.failed("count the instances", err)
 		return
@@ -163,7 +163,7 @@
 func (sh *Shell) removeDead(ctx context.Context, instance upstream.Instance) {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	if err := sh.parts.Directory.Remove(ctx, instance); err != nil {
+	if err := sh.live.Load().directory.Remove(ctx, instance); err != nil {
 		sh.log.failed("remove the registration of "+string(instance.Name), err)
 	}
 }
--- a/internal/gatewayshell/follow.go
+++ b/internal/gatewayshell/follow.go
@@ -13,11 +13,12 @@
 
 // follow keeps one source current until ctx ends.
 func (sh *Shell) follow(ctx context.Context, k source.Kind) {
-	schedule := source.NewSchedule(sh.timings[k])
+	schedule := source.NewSchedule(sh.live.Load().timings[k])
 	for {
 		if !sh.waitWhileCovered(ctx, k) {
 			return
 		}
+		schedule.SetTiming(sh.live.Load().timings[k])
 		schedule.Resume(sh.core.Revisions()[k])
 		call := schedule.Next()
 		if !sleepUntil(ctx, call.NotBefore) {
@@ -30,7 +31,7 @@
 			if ctx.Err() != nil {
 				return
 			}
-			sh.parts.Store.Reconnect(k)
+			sh.live.Load().store.Reconnect(k)
 			sh.counters.storeErrors.Inc(1)
 			if schedule.Failed(now, err) {
 				sh.log.lost(k, err)
@@ -44,7 +45,7 @@
 			sh.log.regained(k)
 		}
 		sh.log.rejected(u.Rejected)
-		sh.handle(gateway.Updated{Kind: k, Update: u, AsOf: sent})
+		sh.handle(gateway.Updated{Kind: k, Update: u, AsOf: call.AsOf(sent, now)})
 		if !u.Empty() {
 			sh.feed.notify()
 		}
@@ -56,7 +57,7 @@
 func (sh *Shell) waitWhileCovered(ctx context.Context, k source.Kind) bool {
 	for {
 		sh.upstreamMu.Lock()
-		until := sh.upstream.CoveredUntil(k, sh.timings[k].Limit)
+		until := sh.upstream.CoveredUntil(k, sh.live.Load().timings[k].Limit)
 		sh.upstreamMu.Unlock()
 		if !until.After(time.Now()) {
 			return ctx.Err() == nil
@@ -99,9 +100,9 @@
 	defer cancel()
 	sh.counters.storeCalls.Inc(1)
 	if call.Read {
-		return sh.parts.Store.Read(ctx, k)
+		return sh.live.Load().store.Read(ctx, k)
 	}
-	return sh.parts.Store.Watch(ctx, k, call.Since, call.Wait)
+	return sh.live.Load().store.Watch(ctx, k, call.Since, call.Wait)
 }
 
 func sleepUntil(ctx context.Context, t time.Time) bool {
--- a/internal/gatewayshell/log.go
+++ b/internal/gatewayshell/log.go
@@ -79,6 +79,11 @@
 		zap.String("packets", s.PacketAddress.String()), zap.String("store", s.StoreAddress.String()))
 }
 
+// reloaded logs a reload; later names what changes only with a restart.
+func (l *decisionLog) reloaded(s *Settings, later []string) {
+	l.log.Info("gateway: settings reloaded", zap.String("store", s.StoreAddress.String()), zap.Strings("after_restart", later))
+}
+
 func (l *decisionLog) stopping() { l.log.Info("gateway: planned stop, not ready") }
 
 func (l *decisionLog) stopped(err error) {
--- a/internal/gatewayshell/packets.go
+++ b/internal/gatewayshell/packets.go
@@ -53,6 +53,7 @@
 	case gateway.Drop:
 		sh.counters.dropped.Inc(1)
 	}
+	sh.counters.verdict(&v)
 	sh.log.verdict(s, &v)
 	sh.do(actions)
 }
--- a/internal/gatewayshell/shell.go
+++ b/internal/gatewayshell/shell.go
@@ -55,18 +55,23 @@
 // Parts are what the platform's adapter provides.
 type Parts struct {
 	Codec Codec
-	Store source.Store
-	// Directory is where the instances find each other.
-	Directory upstream.Directory
+	// Connect returns clients of the store: of what an instance follows, and of
+	// the directory where the instances find each other.
+	Connect func(*Settings) (source.Store, upstream.Directory)
 	// ReadyPath is the path of the readiness check.
 	ReadyPath string
+	// LogDropped returns the number of log lines that were dropped; nil when it
+	// is not known.
+	LogDropped func() int64
 	// Identity returns the name of the server that sent a health response.
 	Identity func(http.Header) string
 }
 
 // Shell runs one instance.
 type Shell struct {
+	// settings are those of the start; what a reload changes is in live.
 	settings *Settings
+	live     atomic.Pointer[live]
 	parts    Parts
 	log      *decisionLog
 	core     *gateway.Core
@@ -88,7 +93,6 @@
 	followed   atomic.Pointer[model.InstanceID]
 	// askWhole asks the followed instance for a whole configuration.
 	askWhole atomic.Bool
-	timings  [source.Kinds]source.Timing
 }
 
 // Run serves until ctx ends, then makes a planned stop.
@@ -102,9 +106,7 @@
 		Instances:    max(1, len(s.SeedAddresses)),
 	})
 	sh.feed = newFeed(sh)
-	for k, bound := range s.Bounds {
-		sh.timings[k] = source.NewTiming(bound)
-	}
+	sh.apply(s)
 	sh.probes = newProber(parts.Identity, func(e gateway.Event) { sh.handle(e) })
 	return sh.run(ctx)
 }
@@ -131,6 +133,7 @@
 		group.Go(func() error { return sh.readPackets(serving) })
 	}
 	group.Go(func() error { sh.tick(serving); return nil })
+	group.Go(func() error { sh.reload(serving); return nil })
 	group.Go(func() error { return sh.serveFeed(serving) })
 	group.Go(func() error { sh.followInstances(serving); return nil })
 	group.Go(func() error { return sh.serveReady(serving, ready) })
--- a/internal/source/schedule.go
+++ b/internal/source/schedule.go
@@ -14,6 +14,8 @@
 	// callMargin is the time beyond its wait in which a call has to answer;
 	// the store's slow answers take 300 ms.
 	callMargin = 700 * time.Millisecond
+	// maxTransit is the longest way of an answer: that of the store's slow ones.
+	maxTransit = 300 * time.Millisecond
 	// pauseShare is the part of the bound for which changes that follow each
 	// other are left to return in one call.
 	pauseShare = 0.1
@@ -54,6 +56,19 @@
 	NotBefore time.Time
 }
 
+// AsOf returns the time as of which the answer of a call is current. A read is
+// answered at once; a watch when something changes or its wait ends, so what it
+// returns is as old as its answer's way back.
+func (c Call) AsOf(sent, answered time.Time) time.Time {
+	if c.Read {
+		return sent
+	}
+	if latest := answered.Add(-maxTransit); latest.After(sent) {
+		return latest
+	}
+	return sent
+}
+
 // Schedule decides the calls for one source.
 type Schedule struct {
 	timing    Timing
@@ -68,6 +83,9 @@
 // NewSchedule returns the schedule of a source that was not read yet.
 func NewSchedule(t Timing) *Schedule { return &Schedule{timing: t} }
 
+// SetTiming changes the times, after a change of the source's bound.
+func (s *Schedule) SetTiming(t Timing) { s.timing = t }
+
 // Resume notes that the source is known up to a revision from elsewhere.
 func (s *Schedule) Resume(r Revision) {
 	if r > s.revision {
--- a/internal/source/schedule_test.go
+++ b/internal/source/schedule_test.go
@@ -92,3 +92,25 @@
 		}
 	}
 }
+
+// An instance that watches in peace is never as old as the limit: its followers
+// need not call the store.
+func TestWatchesKeepFollowersCovered(t *testing.T) {
+	timing := NewTiming(3 * time.Second)
+	s := NewSchedule(timing)
+	now, asOf := start, start
+	s.Returned(now, read(530))
+	for range 10 {
+		call := s.Next()
+		sent := now
+		if call.NotBefore.After(sent) {
+			sent = call.NotBefore
+		}
+		now = sent.Add(call.Wait + 8*time.Millisecond)
+		if age := now.Sub(asOf); age >= timing.Limit {
+			t.Fatalf("%s old before the next answer, limit %s", age, timing.Limit)
+		}
+		asOf = call.AsOf(sent, now)
+		s.Returned(now, &Update{Revision: 530})
+	}
+}
--- a/internal/standin/platform/server/server.go
+++ b/internal/standin/platform/server/server.go
@@ -82,7 +82,6 @@
 	synAck          []byte
 	// out are unacknowledged packets, queue those beyond the window.
 	out, queue []*sent
-	closing    bool
 }
 
 type sent struct {
--- a/internal/token/token_test.go
+++ b/internal/token/token_test.go
@@ -6,8 +6,9 @@
 )
 
 func TestTokensDependOnTheNameOnly(t *testing.T) {
-	if Of("i-7f3a91c2", 0) != Of("i-7f3a91c2", 0) {
-		t.Fatal("two derivations of one token differ")
+	// Instances of different versions must agree.
+	if got := Of("i-7f3a91c2", 0); got != 0xc654b0d8 {
+		t.Fatalf("the token of a name has become %#x", got)
 	}
 	if Of("i-7f3a91c2", 0) == Of("i-7f3a91c2", 1) {
 		t.Fatal("the variants of a token are equal")
