One instance calls the store for all data centres; probe flows taken over

The first packet of a flow that another instance forwarded before counted as progress of its server. Change: the first instance of a data centre follows one of another data centre; a new confirmation is passed on at once, so that ages do not add up. The server of a flow taken over is probed if it is in another data centre and has answered nobody for a second. Controls are asked only until a server is given up.

--- a/internal/flow/track.go
+++ b/internal/flow/track.go
@@ -49,7 +49,9 @@
 	if !t.Opened {
 		t.Opened = true
 		t.Ack = s.Ack
-		o.Progress = true
+		// The first packet seen of a flow that another instance forwarded
+		// before says nothing of the server.
+		o.Progress = !t.OpeningAt.IsZero()
 	} else if after(s.Ack, t.Ack) {
 		t.Ack = s.Ack
 		o.Progress = true
--- a/internal/flow/track_test.go
+++ b/internal/flow/track_test.go
@@ -42,7 +42,7 @@
 // A flow whose first packets another instance took begins in the middle.
 func TestTrackOfAFlowTakenOver(t *testing.T) {
 	var tr Track
-	if o := tr.Observe(at(0), &Segment{Seq: 500, Ack: 9000, Length: 20}); !o.Asked || o.Repeat {
+	if o := tr.Observe(at(0), &Segment{Seq: 500, Ack: 9000, Length: 20}); !o.Asked || o.Repeat || o.Progress {
 		t.Fatalf("first packet seen: %+v", o)
 	}
 	if o := tr.Observe(at(200), &Segment{Seq: 500, Ack: 9000, Length: 20}); !o.Repeat {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -386,6 +386,29 @@
 	}
 }
 
+// A data centre loses power; its callers come to this instance with flows at
+// its servers. The servers are probed at the first packet, not at its repeat.
+func TestFlowsTakenOverFromAnotherDataCentre(t *testing.T) {
+	w := newWorld(t, server("i-1", norte), server("i-2", sur), server("i-3", sur))
+	for port := uint16(1); port <= 3; port++ {
+		w.packet(&flow.Segment{Key: key(port), Seq: 1, Ack: 9, Length: 50, Token: token.Of("i-2", 0)})
+	}
+	if w.probes() != 1 {
+		t.Fatalf("%d probes", w.probes())
+	}
+	w.pass(120 * time.Millisecond)
+	for range 3 {
+		w.handle(Probed{Server: "i-2", Result: reach.NoAnswer, PathGood: true})
+	}
+	if n := len(w.resets()); n != 3 {
+		t.Fatalf("%d of 3 flows are given up", n)
+	}
+	w.packet(&flow.Segment{Key: key(9), Seq: 1, Ack: 9, Length: 50, Token: token.Of("i-1", 0)})
+	if n := w.probes(); n > 5 {
+		t.Fatalf("%d probes", n)
+	}
+}
+
 func TestColdServerGetsItsShare(t *testing.T) {
 	cold := server("i-1", norte)
 	cold.ColdFor = 2 * time.Second
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -201,7 +201,7 @@
 // control.
 func (c *Core) probe(b *backend) Action {
 	p := Probe{Server: b.record.Name, Address: b.record.Address, Path: c.healthPath(b)}
-	if b.reach.State() == reach.Unreachable {
+	if b.reach.State() == reach.Unreachable && !b.reach.Failed() {
 		if control := c.control(b); control != nil {
 			p.Control, p.ControlPath = control.record.Address, c.healthPath(control)
 		}
@@ -332,7 +332,7 @@
 	actions := c.changes(now, c.servers.Tick(now))
 	for _, b := range c.backends {
 		before := b.reach.State()
-		probe := b.reach.Tick(now)
+		probe := b.reach.Tick(now, !c.able.Able())
 		actions = append(actions, c.afterEvidence(now, b, before, probe, "time")...)
 	}
 	if now.Sub(c.cleaned) >= cleanInterval {
--- a/internal/gateway/packets.go
+++ b/internal/gateway/packets.go
@@ -142,6 +142,7 @@
 // following decides about a packet of a flow that was opened before.
 func (c *Core) following(now time.Time, s *flow.Segment) (Verdict, []Action) {
 	t := c.flows[s.Key]
+	takenOver := false
 	if t == nil || t.backend == nil || (s.Token != token.None && !c.names(s.Token, t.backend)) {
 		found, reason := c.resolve(s)
 		if found == nil {
@@ -153,6 +154,7 @@
 		if t == nil {
 			t = &tracked{key: s.Key}
 			c.flows[s.Key] = t
+			takenOver = true
 		}
 		c.attach(t, found)
 	}
@@ -169,6 +171,9 @@
 	}
 	c.count(t, busy)
 	actions := c.evidence(now, b, o)
+	if takenOver && s.Length > 0 {
+		actions = append(actions, c.doubtTakenOver(now, b)...)
+	}
 	if s.Reset {
 		v = c.forward(t, v)
 		c.drop(t)
--- a/internal/gateway/recent.go
+++ b/internal/gateway/recent.go
@@ -13,6 +13,9 @@
 	// recentFor is the time for which an unanswered flow speaks against its
 	// server: the time after which a caller gives up opening a flow.
 	recentFor = 1400 * time.Millisecond
+	// takenOverAlive is how recently a server of another data centre must have
+	// answered a caller not to be probed when its flows are taken over.
+	takenOverAlive = time.Second
 )
 
 // recentFlows holds the latest flows of each caller's address to a service. A
@@ -83,3 +86,18 @@
 	}
 	return actions
 }
+
+// doubtTakenOver probes the server of a flow that other instances forwarded
+// before, if it is in another data centre and has shown no life here lately: the
+// callers of a data centre that has lost its instances come to this one, and its
+// servers may be lost as well.
+func (c *Core) doubtTakenOver(now time.Time, b *backend) []Action {
+	if b.record.DataCentre == c.cfg.DataCentre || now.Sub(b.reach.Alive()) < takenOverAlive {
+		return nil
+	}
+	before := b.reach.State()
+	if before != reach.Reachable || !b.reach.Doubt(now) {
+		return nil
+	}
+	return c.afterEvidence(now, b, before, true, "its flows come from another data centre")
+}
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -29,6 +29,14 @@
 	return ages, true
 }
 
+// Confirmed returns the times as of which the knowledge of each source is
+// current.
+func (c *Core) Confirmed() [source.Kinds]time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.confirmed
+}
+
 // Changes returns what changed of a source after a revision: an empty update
 // when nothing did, the whole source when the changes are not remembered.
 func (c *Core) Changes(now time.Time, k source.Kind, since source.Revision) source.Update {
--- a/internal/gatewayshell/feedclient.go
+++ b/internal/gatewayshell/feedclient.go
@@ -224,9 +224,7 @@
 	if response.Instances > 0 {
 		sh.setFleet(int(response.Instances), int(sh.rank.Load()))
 	}
-	if len(response.Updates) > 0 {
-		sh.feed.notify()
-	}
+	sh.feed.notify()
 }
 
 func (sh *Shell) takeDeparted(instance upstream.Instance, servers []*pb.FeedServer) {
--- a/internal/gatewayshell/feedserver.go
+++ b/internal/gatewayshell/feedserver.go
@@ -83,9 +83,11 @@
 	}
 	timer := time.NewTimer(time.Duration(request.WaitMs) * time.Millisecond)
 	defer timer.Stop()
+	first := f.shell.core.Confirmed()
 	for {
 		changed := f.wait()
-		if response := f.collect(request); len(response.Updates) > 0 || request.Departed {
+		renewed := f.shell.core.Confirmed() != first
+		if response := f.collect(request); len(response.Updates) > 0 || request.Departed || renewed {
 			return response
 		}
 		select {
--- a/internal/gatewayshell/follow.go
+++ b/internal/gatewayshell/follow.go
@@ -46,9 +46,7 @@
 		}
 		sh.log.rejected(u.Rejected)
 		sh.handle(gateway.Updated{Kind: k, Update: u, AsOf: call.AsOf(sent, now)})
-		if !u.Empty() {
-			sh.feed.notify()
-		}
+		sh.feed.notify()
 	}
 }
 
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -35,7 +35,9 @@
 	// firstHold is the time for which an unreachable server is not tried
 	// again; it doubles up to maxHold with each failed trial.
 	firstHold = 400 * time.Millisecond
-	maxHold   = 800 * time.Millisecond
+	maxHold   = 1600 * time.Millisecond
+	// urgentHold bounds the pause while no server is reached at all.
+	urgentHold = 800 * time.Millisecond
 	// signsToFail is the number of signs, repeats and probes without an
 	// answer, at which flows are given up. One packet in 100 is lost, so three
 	// signs meet by chance once in 10^6 repeats.
@@ -170,15 +172,20 @@
 	return !e.failed && e.silent < maxQuickProbes && e.startProbe()
 }
 
-// Tick ends suspicions and reports whether the server is to be probed.
-func (e *Evidence) Tick(now time.Time) (probe bool) {
+// Tick ends suspicions and reports whether the server is to be probed. urgent
+// says that the instance reaches no server for most of its callers.
+func (e *Evidence) Tick(now time.Time, urgent bool) (probe bool) {
 	switch e.state {
 	case Suspect:
 		if !e.probing && now.Sub(e.since) > suspectFor {
 			e.set(Reachable, now)
 		}
 	case Unreachable:
-		if !now.Before(e.retryAt) {
+		retry := e.retryAt
+		if urgent {
+			retry = retry.Add(min(0, urgentHold-e.hold))
+		}
+		if !now.Before(retry) {
 			return e.startProbe()
 		}
 	}
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -76,7 +76,7 @@
 	for ms := 330; ms < 2000; ms += 120 {
 		e.Probed(at(ms), NoAnswer, false)
 		e.Stall(at(ms+10), at(ms-200))
-		e.Tick(at(ms + 20))
+		e.Tick(at(ms+20), true)
 		if e.Failed() {
 			t.Fatalf("given up after %d ms", ms)
 		}
@@ -128,7 +128,7 @@
 	e.Probed(at(2), Refused, true)
 	tries := 0
 	for ms := 0; ms < 3000; ms += 100 {
-		if e.Tick(at(ms)) {
+		if e.Tick(at(ms), true) {
 			tries++
 			e.Probed(at(ms+1), Refused, true)
 		}
@@ -137,7 +137,7 @@
 		t.Fatalf("%d probes in 3 s", tries)
 	}
 	for ms := 3000; ms < 4000; ms += 100 {
-		if e.Tick(at(ms)) {
+		if e.Tick(at(ms), true) {
 			e.Probed(at(ms+1), Answered, true)
 			break
 		}
@@ -155,7 +155,7 @@
 	var e Evidence
 	e.Stall(at(200), at(0))
 	e.probing = false
-	e.Tick(at(900))
+	e.Tick(at(900), true)
 	if e.State() != Reachable {
 		t.Fatalf("%s", e.State())
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -1,17 +1,18 @@
-// Package upstream decides which other instance of the data centre an instance
-// follows, and from when on it has to call the store itself.
+// Package upstream decides which other instance an instance follows, and from
+// when on it has to call the store itself.
 //
 // Instances register in the platform's store. The width of their links and the
 // order of their registrations are the order in which they are followed: an
-// instance follows the first one before it that answers, so nobody follows in a
-// circle, and the first one of a data centre calls the store for the others. No agreement is
+// instance follows the first one before it that answers, of its own data centre
+// if there is one, so nobody follows in a circle. The first one of all calls the
+// store for the others, the first one of a data centre passes it on there. No agreement is
 // needed: two instances that call the store do no harm but the cost.
 package upstream
 
 import (
 	"context"
 	"net/netip"
-	"sort"
+	"slices"
 	"time"
 
 	"cuminshift/internal/model"
@@ -47,6 +48,9 @@
 	// refusedFor keeps one that serves others or is about to stop away
 	// longer; its own followers are no use to it.
 	refusedFor = 10 * time.Second
+	// maxOthers is the number of instances of other data centres that one may
+	// follow: a data centre is seldom cut off from more than one other.
+	maxOthers = 4
 	// deadAfter is the silence after which a registration is removed: much
 	// longer than a restart or a cut.
 	deadAfter = 10 * time.Minute
@@ -71,13 +75,22 @@
 // Register takes the instance's own place and all registered instances.
 func (u *Upstream) Register(self Instance, all []Instance) {
 	u.self = self
-	u.candidates = u.candidates[:0]
+	var own, others []Instance
 	for _, i := range all {
-		if i.DataCentre == self.DataCentre && i.before(self) && i.Name != self.Name && i.Address != self.Address {
-			u.candidates = append(u.candidates, candidate{Instance: i})
+		switch {
+		case !i.before(self) || i.Name == self.Name || i.Address == self.Address:
+		case i.DataCentre == self.DataCentre:
+			own = append(own, i)
+		default:
+			others = append(others, i)
 		}
 	}
-	sort.Slice(u.candidates, func(i, j int) bool { return u.candidates[i].before(u.candidates[j].Instance) })
+	slices.SortFunc(own, compare)
+	slices.SortFunc(others, compare)
+	u.candidates = u.candidates[:0]
+	for _, i := range append(own, others[:min(len(others), maxOthers)]...) {
+		u.candidates = append(u.candidates, candidate{Instance: i})
+	}
 }
 
 // Self returns the instance's own place; 0 before it is registered.
@@ -174,6 +187,13 @@
 	return u.asOf[k].Add(limit)
 }
 
+func compare(a, b Instance) int {
+	if a.before(b) {
+		return -1
+	}
+	return 1
+}
+
 // Directory is where instances register.
 type Directory interface {
 	// Register enters the instance and returns its place.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -21,7 +21,7 @@
 
 func TestFollowsTheFirstThatAnswers(t *testing.T) {
 	var u Upstream
-	other := instance("x", 1)
+	other := instance("x", 10)
 	other.DataCentre = "sur"
 	u.Register(instance("c", 9), []Instance{instance("d", 12), instance("b", 5), other, instance("a", 3), instance("c", 9)})
 	if i, ok := u.Next(start); !ok || i.Name != "a" {
@@ -40,6 +40,26 @@
 	}
 }
 
+// The first instance of a data centre follows one of another data centre; the
+// rest stay within.
+func TestOwnDataCentreFirst(t *testing.T) {
+	other := instance("x", 1)
+	other.DataCentre = "sur"
+	var first, second Upstream
+	first.Register(instance("a", 3), []Instance{other})
+	if i, _ := first.Next(start); i.Name != "x" {
+		t.Errorf("the first follows %+v", i)
+	}
+	second.Register(instance("b", 5), []Instance{other, instance("a", 3)})
+	if i, _ := second.Next(start); i.Name != "a" {
+		t.Errorf("the second follows %+v", i)
+	}
+	second.Failed(start, instance("a", 3))
+	if i, _ := second.Next(start); i.Name != "x" {
+		t.Errorf("without the first, the second follows %+v", i)
+	}
+}
+
 func TestWideLinksFirst(t *testing.T) {
 	var u Upstream
 	wide := instance("w", 8)
@@ -100,6 +120,7 @@
 			all[i] = instance(fmt.Sprint(i), next)
 			all[i].Address = netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(i+1))
 			all[i].Bandwidth = i % 2 * 100
+			all[i].DataCentre = model.DataCentre(fmt.Sprint(i % 3))
 			var known []Instance
 			for _, other := range all {
 				if other.Name != "" {
