--- a/cmd/cuminshift-gateway/main.go
+++ b/cmd/cuminshift-gateway/main.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/integrii/flaggy"
@@ -23,6 +24,10 @@
 const (
 	exitFailure     = 1
 	exitBadSettings = 2
+
+	// gcPercent keeps the heap small: an instance uses under a hundredth of a
+	// core, so collecting more often costs less than the memory.
+	gcPercent = 25
 )
 
 func main() {
@@ -39,6 +44,7 @@
 }
 
 func run(file string) int {
+	debug.SetGCPercent(gcPercent)
 	s, err := platform.LoadSettings(file)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/lists/check.go
+++ b/internal/lists/check.go
@@ -11,6 +11,7 @@
 	"cuminshift/internal/findings"
 	pb "cuminshift/internal/gen/cuminshift/v1"
 	"cuminshift/internal/model"
+	"cuminshift/internal/yamlsource"
 )
 
 const (
@@ -55,10 +56,10 @@
 	c := Content{callers.List, plans.List, marks}.withDefaults()
 	callers.List, plans.List = c.Callers, c.Plans
 	if callers.Source == nil {
-		callers.Source = &findings.Source{File: "callers"}
+		callers.Source = &yamlsource.Source{File: "callers"}
 	}
 	if plans.Source == nil {
-		plans.Source = &findings.Source{File: "plans"}
+		plans.Source = &yamlsource.Source{File: "plans"}
 	}
 	return &checker{
 		callers: callers, plans: plans, marks: c.Marks,
@@ -78,7 +79,7 @@
 }
 
 func (c *checker) inMarks(message string, path ...any) {
-	c.found = append(c.found, (&findings.Source{File: "marks"}).At(message, path...))
+	c.found = append(c.found, (&yamlsource.Source{File: "marks"}).At(message, path...))
 }
 
 // checkAll runs the checks that each version must pass.
--- a/internal/lists/lists.go
+++ b/internal/lists/lists.go
@@ -5,18 +5,19 @@
 import (
 	"cuminshift/internal/findings"
 	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/yamlsource"
 )
 
 // Callers is a caller list with the text it came from, if any.
 type Callers struct {
 	List   *pb.CallerList
-	Source *findings.Source
+	Source *yamlsource.Source
 }
 
 // Plans is a plan list with the text it came from, if any.
 type Plans struct {
 	List   *pb.PlanList
-	Source *findings.Source
+	Source *yamlsource.Source
 }
 
 // Content is the whole configuration of one version.
@@ -44,7 +45,7 @@
 // Validate checks the content.
 func ParseCallers(file string, data []byte) (Callers, findings.Findings) {
 	list := &pb.CallerList{}
-	src, found := findings.ParseYAML(file, data, list)
+	src, found := yamlsource.ParseYAML(file, data, list)
 	return Callers{List: list, Source: src}, found
 }
 
@@ -52,7 +53,7 @@
 // Validate checks the content.
 func ParsePlans(file string, data []byte) (Plans, findings.Findings) {
 	list := &pb.PlanList{}
-	src, found := findings.ParseYAML(file, data, list)
+	src, found := yamlsource.ParseYAML(file, data, list)
 	return Plans{List: list, Source: src}, found
 }
 
--- a/internal/lists/lists_test.go
+++ b/internal/lists/lists_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/cockroachdb/datadriven"
 
-	"cuminshift/internal/findings"
 	pb "cuminshift/internal/gen/cuminshift/v1"
 	"cuminshift/internal/model"
+	"cuminshift/internal/yamlsource"
 )
 
 // Guards against faults that pass, that hide others, or that are reported at
@@ -21,7 +21,7 @@
 		callers, found := ParseCallers("callers.yaml", []byte(parts[0]))
 		plans, more := ParsePlans("plans.yaml", []byte(parts[1]))
 		marks := &pb.Marks{}
-		_, marksFound := findings.ParseYAML("marks.yaml", []byte(parts[2]), marks)
+		_, marksFound := yamlsource.ParseYAML("marks.yaml", []byte(parts[2]), marks)
 		found = slices.Concat(found, more, marksFound)
 
 		c := newChecker(callers, plans, marks)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -15,6 +15,7 @@
 	pb "cuminshift/internal/gen/cuminshift/v1"
 	"cuminshift/internal/lists"
 	"cuminshift/internal/model"
+	"cuminshift/internal/yamlsource"
 )
 
 // Defaults of the timing settings; docs/design.md, section 5 and 9.
@@ -78,7 +79,7 @@
 // Parse decodes and checks settings; they are nil when there are findings.
 func Parse(file string, data []byte) (*Settings, findings.Findings) {
 	raw := &pb.EntrySettings{}
-	src, found := findings.ParseYAML(file, data, raw)
+	src, found := yamlsource.ParseYAML(file, data, raw)
 	if src.Broken() {
 		return nil, found
 	}
@@ -92,7 +93,7 @@
 }
 
 type checker struct {
-	src   *findings.Source
+	src   *yamlsource.Source
 	found findings.Findings
 }
 
--- a/internal/findings/yaml.go
+++ b/internal/yamlsource/yamlsource.go
@@ -1,4 +1,6 @@
-package findings
+// Package yamlsource reads YAML files into messages and reports what is wrong
+// with its place.
+package yamlsource
 
 import (
 	"bytes"
@@ -11,6 +13,8 @@
 	"buf.build/go/protoyaml"
 	"go.yaml.in/yaml/v3"
 	"google.golang.org/protobuf/proto"
+
+	"cuminshift/internal/findings"
 )
 
 // Source is the text form of a message; it locates fields. A nil Source
@@ -27,7 +31,7 @@
 
 // ParseYAML decodes one YAML document into the message. Unknown and repeated
 // fields are findings. The Source is never nil.
-func ParseYAML(file string, data []byte, into proto.Message) (*Source, Findings) {
+func ParseYAML(file string, data []byte, into proto.Message) (*Source, findings.Findings) {
 	src := &Source{File: file, isText: true}
 	if found := checkLineBreaks(file, data); len(found) > 0 {
 		src.broken = true
@@ -48,7 +52,7 @@
 
 // checkLineBreaks rejects the line breaks that YAML counts but protoyaml does
 // not: protoyaml indexes its lines with YAML's line number and would panic.
-func checkLineBreaks(file string, data []byte) Findings {
+func checkLineBreaks(file string, data []byte) findings.Findings {
 	line, start := 1, 0
 	for i := 0; i < len(data); i++ {
 		rest := data[i:]
@@ -59,7 +63,7 @@
 			bytes.HasPrefix(rest, []byte("\u0085")),
 			bytes.HasPrefix(rest, []byte("\u2028")),
 			bytes.HasPrefix(rest, []byte("\u2029")):
-			return Findings{{File: file, Line: line, Column: i - start + 1, Message: "line break other than LF or CR LF"}}
+			return findings.Findings{{File: file, Line: line, Column: i - start + 1, Message: "line break other than LF or CR LF"}}
 		}
 	}
 	return nil
@@ -68,21 +72,21 @@
 var yamlErrorLine = regexp.MustCompile(`^yaml: line (\d+): (.*)$`)
 
 // parseNodes returns the only document, or nil for an empty file.
-func parseNodes(file string, data []byte) (*yaml.Node, Findings) {
+func parseNodes(file string, data []byte) (*yaml.Node, findings.Findings) {
 	dec := yaml.NewDecoder(bytes.NewReader(data))
 	var doc, second yaml.Node
 	switch err := dec.Decode(&doc); {
 	case errors.Is(err, io.EOF):
 		return nil, nil
 	case err != nil:
-		return nil, Findings{yamlFinding(file, err)}
+		return nil, findings.Findings{yamlFinding(file, err)}
 	}
 	switch err := dec.Decode(&second); {
 	case errors.Is(err, io.EOF):
 	case err != nil:
-		return nil, Findings{yamlFinding(file, err)}
+		return nil, findings.Findings{yamlFinding(file, err)}
 	default:
-		return nil, Findings{{File: file, Line: max(second.Line, 1), Column: max(second.Column, 1), Message: "second document in the file"}}
+		return nil, findings.Findings{{File: file, Line: max(second.Line, 1), Column: max(second.Column, 1), Message: "second document in the file"}}
 	}
 	if len(doc.Content) != 1 {
 		return nil, nil
@@ -90,8 +94,8 @@
 	return doc.Content[0], nil
 }
 
-func yamlFinding(file string, err error) Finding {
-	f := Finding{File: file, Line: 1, Column: 1, Message: strings.TrimPrefix(err.Error(), "yaml: ")}
+func yamlFinding(file string, err error) findings.Finding {
+	f := findings.Finding{File: file, Line: 1, Column: 1, Message: strings.TrimPrefix(err.Error(), "yaml: ")}
 	if m := yamlErrorLine.FindStringSubmatch(err.Error()); m != nil {
 		f.Line, _ = strconv.Atoi(m[1])
 		f.Message = m[2]
@@ -100,15 +104,15 @@
 }
 
 // duplicateKeys finds fields given twice, which protoyaml accepts.
-func duplicateKeys(file string, n *yaml.Node) Findings {
-	var found Findings
+func duplicateKeys(file string, n *yaml.Node) findings.Findings {
+	var found findings.Findings
 	if n.Kind == yaml.MappingNode {
 		first := map[string]*yaml.Node{}
 		for i := 0; i+1 < len(n.Content); i += 2 {
 			key := n.Content[i]
 			name := strings.ToLower(strings.ReplaceAll(key.Value, "_", ""))
 			if prior, ok := first[name]; ok {
-				found = append(found, Finding{File: file, Line: key.Line, Column: key.Column,
+				found = append(found, findings.Finding{File: file, Line: key.Line, Column: key.Column,
 					Message: "duplicate field " + strconv.Quote(key.Value) + ", first given at line " + strconv.Itoa(prior.Line)})
 				continue
 			}
@@ -125,32 +129,32 @@
 
 // splitErrors turns the joined errors of protoyaml into findings. Its error
 // type is not exported, so the place is read from the text.
-func splitErrors(file string, err error) Findings {
+func splitErrors(file string, err error) findings.Findings {
 	if err == nil {
 		return nil
 	}
 	if joined, ok := err.(interface{ Unwrap() []error }); ok {
-		var found Findings
+		var found findings.Findings
 		for _, e := range joined.Unwrap() {
 			found = append(found, splitErrors(file, e)...)
 		}
 		return found
 	}
 	first, _, _ := strings.Cut(err.Error(), "\n")
-	f := Finding{File: file, Line: 1, Column: 1, Message: first}
+	f := findings.Finding{File: file, Line: 1, Column: 1, Message: first}
 	if m := nodeError.FindStringSubmatch(first); m != nil {
 		f.Line, _ = strconv.Atoi(m[2])
 		f.Column, _ = strconv.Atoi(m[3])
 		f.Message = m[4]
 	}
-	return Findings{f}
+	return findings.Findings{f}
 }
 
 // At returns a finding for the field that the path leads to. Path elements are
 // field names (string) and list positions (int). Where the text lacks the
 // field, the place is that of the nearest enclosing one.
-func (s *Source) At(message string, path ...any) Finding {
-	f := Finding{Path: formatPath(path), Message: message}
+func (s *Source) At(message string, path ...any) findings.Finding {
+	f := findings.Finding{Path: formatPath(path), Message: message}
 	if s == nil {
 		return f
 	}
