Look at a sample of the servers of a large data centre; cold servers last

Cause: an opening looked at all servers of its service: 0.37 ms among 5,000. Change: above 64 local servers a sample of 16 is looked at first. Cold servers are chosen only when no warm one is left in any data centre.

--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -89,16 +91,38 @@
 	delete(c.backends, r)
 }
 
+// serviceBackends are the servers of a service that may take new flows, by name.
+type serviceBackends struct {
+	local, remote []*backend
+}
+
 // indexServices lists the servers of each service that may take new flows.
 func (c *Core) indexServices() {
 	clear(c.services)
 	for _, b := range c.backends {
-		if !b.record.Draining && (b.record.Listed || b.record.Departed.IsZero() || b.record.Lapsing()) {
-			c.services[b.record.Service] = append(c.services[b.record.Service], b)
+		r := b.record
+		if r.Draining || (!r.Listed && !r.Lapsing()) {
+			continue
+		}
+		all := c.services[r.Service]
+		if all == nil {
+			all = &serviceBackends{}
+			c.services[r.Service] = all
 		}
+		if r.DataCentre == c.cfg.DataCentre {
+			all.local = append(all.local, b)
+		} else {
+			all.remote = append(all.remote, b)
+		}
+	}
+	for _, all := range c.services {
+		slices.SortFunc(all.local, byName)
+		slices.SortFunc(all.remote, byName)
 	}
 }
 
+func byName(a, b *backend) int { return strings.Compare(a.record.Name, b.record.Name) }
+
 // cold reports whether the server bears only little: it has just started, or
 // its data centre has just come back and the registry may not say so yet.
 func (c *Core) cold(now time.Time, r *registry.Record) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,7 +126,7 @@
 	demand map[string]float64
 
 	backends map[*registry.Record]*backend
-	services map[string][]*backend
+	services map[string]*serviceBackends
 	tokens   *token.Index[*backend]
 	flows    map[flow.Key]*tracked
 	unknown  unknownFlows
@@ -149,7 +149,7 @@
 		withdrawn:  map[model.DataCentre]bool{},
 		returnedAt: map[model.DataCentre]time.Time{},
 		backends:   map[*registry.Record]*backend{},
-		services:   map[string][]*backend{},
+		services:   map[string]*serviceBackends{},
 		tokens:     token.NewIndex[*backend](),
 		flows:      map[flow.Key]*tracked{},
 		recent:     recentFlows{},
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -409,6 +409,33 @@
 	}
 }
 
+// In a large data centre a sample is looked at; the flows still spread evenly,
+// and servers that take none get none.
+func TestLargeDataCentre(t *testing.T) {
+	var servers []registry.Entry
+	for i := range 500 {
+		e := server(fmt.Sprintf("i-%x", i+1), norte)
+		e.Draining = i%5 == 0
+		servers = append(servers, e)
+	}
+	w := newWorld(t, servers...)
+	count := map[string]int{}
+	for port := range uint16(8000) {
+		v := w.open(port)
+		if v.Kind != Forward || v.Server.Draining {
+			t.Fatalf("%+v", v)
+		}
+		count[v.Server.Name]++
+	}
+	most := 0
+	for _, n := range count {
+		most = max(most, n)
+	}
+	if len(count) != 400 || most > 25 {
+		t.Fatalf("%d servers of 400 used, up to %d flows where 20 are the mean", len(count), most)
+	}
+}
+
 func TestColdServerGetsItsShare(t *testing.T) {
 	cold := server("i-1", norte)
 	cold.ColdFor = 2 * time.Second
@@ -484,7 +511,7 @@
 		}
 		w.pass(10 * time.Millisecond)
 	}
-	w.core.backends[w.core.services["ordenes"][0].record].reach.Doubt(w.now)
+	w.core.services["ordenes"].remote[0].reach.Doubt(w.now)
 	for range 3 {
 		w.handle(Probed{Server: "i-9", Result: reach.NoAnswer, PathGood: true})
 		w.handle(Tick{})
@@ -609,7 +636,9 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			b.ReportAllocs()
 			for i := range b.N {
-				w.core.Packet(w.now, &flow.Segment{Key: key(uint16(i)), Opening: true})
+				k := key(1)
+				k.CallerIP += uint32(i)
+				w.core.Packet(w.now, &flow.Segment{Key: k, Opening: true})
 			}
 		})
 	}
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -379,12 +379,14 @@
 // reaches reports whether a server of the service may take new flows and is
 // not known to be out of reach.
 func (c *Core) reaches(now time.Time, service string) bool {
-	for _, b := range c.services[service] {
-		if b.record.Openable(now) && !c.withdrawn[b.record.DataCentre] && b.reach.State() != reach.Unreachable && b.reach.State() != reach.Ended {
-			return true
-		}
-	}
-	return false
+	all := c.services[service]
+	return all != nil && (slices.ContainsFunc(all.local, func(b *backend) bool { return c.usable(now, b) }) ||
+		slices.ContainsFunc(all.remote, func(b *backend) bool { return c.usable(now, b) }))
+}
+
+func (c *Core) usable(now time.Time, b *backend) bool {
+	state := b.reach.State()
+	return b.record.Openable(now) && !c.withdrawn[b.record.DataCentre] && state != reach.Unreachable && state != reach.Ended
 }
 
 // expireFlows drops flows that ended or may be discarded.
--- a/internal/gateway/packets.go
+++ b/internal/gateway/packets.go
@@ -6,6 +6,7 @@
 
 	"cuminshift/internal/coldstart"
 	"cuminshift/internal/flow"
+	"cuminshift/internal/model"
 	"cuminshift/internal/reach"
 	"cuminshift/internal/routing"
 	"cuminshift/internal/selection"
@@ -106,37 +107,81 @@
 	return nil
 }
 
+// chooseOf returns the server of one service for a new flow, or nil. In a large
+// data centre a sample of its servers is looked at first: choosing among 5,000
+// takes 0.4 ms, and the least loaded of 16 is nearly as good.
 func (c *Core) chooseOf(now time.Time, s *flow.Segment, service string, avoid *backend) *backend {
-	c.candidates, c.choices = c.candidates[:0], c.choices[:0]
-	hash := s.Key.Hash()
-	limit := coldstart.Limit(c.routes.Current().Services[service].ColdOpenings, c.cfg.ColdSlack, c.cfg.Instances, c.cfg.Rank)
-	for _, b := range c.services[service] {
-		r := b.record
-		if !r.Openable(now) || c.withdrawn[r.DataCentre] {
-			continue
+	all := c.services[service]
+	if all == nil {
+		return nil
+	}
+	o := opening{now: now, hash: s.Key.Hash(), avoid: avoid,
+		coldLimit: coldstart.Limit(c.routes.Current().Services[service].ColdOpenings, c.cfg.ColdSlack, c.cfg.Instances, c.cfg.Rank)}
+	if n := len(all.local); n > sampleAbove {
+		c.resetCandidates()
+		at, step := int(uint64(o.hash)%uint64(n)), n/sampleSize
+		for range sampleSize {
+			c.candidate(&o, all.local[at])
+			at = (at + step) % n
 		}
-		state := b.reach.State()
-		if (b == avoid || slices.Contains(c.doubted, b)) && state == reach.Reachable {
-			state = reach.Suspect
+		if i := selection.Choose(c.candidates); i != selection.None && c.candidates[i].Good() {
+			return c.choices[i]
 		}
-		cold := c.cold(now, r)
-		c.candidates = append(c.candidates, selection.Candidate{
-			Local:    r.DataCentre == c.cfg.DataCentre,
-			Reach:    state,
-			Cold:     cold,
-			ColdRoom: !cold || b.cold.Room(now, limit),
-			Flows:    len(b.open),
-			Busy:     b.busy,
-			Slots:    r.Slots,
-			Tie:      tie(hash, b),
-		})
-		c.choices = append(c.choices, b)
-	}
-	i := selection.Choose(c.candidates)
-	if i == selection.None {
-		return nil
 	}
-	return c.choices[i]
+	c.resetCandidates()
+	for _, b := range all.local {
+		c.candidate(&o, b)
+	}
+	for _, b := range all.remote {
+		c.candidate(&o, b)
+	}
+	if i := selection.Choose(c.candidates); i != selection.None {
+		return c.choices[i]
+	}
+	return nil
+}
+
+const (
+	// sampleAbove is the number of servers of a service in the own data centre
+	// above which a sample of sampleSize is looked at first.
+	sampleAbove = 64
+	sampleSize  = 16
+)
+
+// opening is what the choice for one new flow depends on.
+type opening struct {
+	now       time.Time
+	hash      model.FlowHash
+	avoid     *backend
+	coldLimit int
+}
+
+func (c *Core) resetCandidates() {
+	c.candidates, c.choices = c.candidates[:0], c.choices[:0]
+}
+
+// candidate adds a server to the candidates if it takes new flows.
+func (c *Core) candidate(o *opening, b *backend) {
+	r := b.record
+	if !r.Openable(o.now) || c.withdrawn[r.DataCentre] {
+		return
+	}
+	state := b.reach.State()
+	if (b == o.avoid || slices.Contains(c.doubted, b)) && state == reach.Reachable {
+		state = reach.Suspect
+	}
+	cold := c.cold(o.now, r)
+	c.candidates = append(c.candidates, selection.Candidate{
+		Local:    r.DataCentre == c.cfg.DataCentre,
+		Reach:    state,
+		Cold:     cold,
+		ColdRoom: !cold || b.cold.Room(o.now, o.coldLimit),
+		Flows:    len(b.open),
+		Busy:     b.busy,
+		Slots:    r.Slots,
+		Tie:      tie(o.hash, b),
+	})
+	c.choices = append(c.choices, b)
 }
 
 // following decides about a packet of a flow that was opened before.
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -34,9 +34,9 @@
 	// before a server of another data centre is chosen: the number of flows
 	// at which a local server is in use all the time.
 	remoteFlows = 12
-	// coldFlows keeps flows from a cold server, whose work takes 1.6 times
-	// as long, while warm ones have room.
-	coldFlows = 6
+	// coldFlows keeps flows from a cold server while there is any warm one,
+	// also in another data centre.
+	coldFlows = 30
 	// suspectFlows keeps flows from a server that may not answer.
 	suspectFlows = 1000
 	// unreachableFlows is the last resort: a wrong belief that none is
@@ -63,6 +63,9 @@
 	return best
 }
 
+// Good reports whether nothing but load speaks against the candidate.
+func (c *Candidate) Good() bool { return c.Local && !c.Cold && c.Reach == reach.Reachable }
+
 func (c *Candidate) score() float64 {
 	score := float64(c.Flows+busyWeight*c.Busy) / float64(max(c.Slots, 1))
 	if !c.Local {
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -23,6 +23,7 @@
 		{"cold without room", []Candidate{with(local, func(c *Candidate) { c.Cold = true })}, None},
 		{"cold with room", []Candidate{with(local, func(c *Candidate) { c.Cold, c.ColdRoom = true, true })}, 0},
 		{"warm before cold", []Candidate{with(local, func(c *Candidate) { c.Cold, c.ColdRoom = true, true }), with(local, func(c *Candidate) { c.Flows = 10 })}, 1},
+		{"warm in another data centre before cold", []Candidate{with(local, func(c *Candidate) { c.Cold, c.ColdRoom = true, true }), {Slots: 3}}, 1},
 		{"suspect last", []Candidate{with(local, func(c *Candidate) { c.Reach = reach.Suspect }), {Slots: 3, Flows: 90}}, 1},
 		{"unreachable when nothing else is left", []Candidate{with(local, func(c *Candidate) { c.Reach = reach.Unreachable })}, 0},
 		{"never one that ended", []Candidate{with(local, func(c *Candidate) { c.Reach = reach.Ended })}, None},
