Tell reordered packets from repeats; pass outages of the registry on

Change: a repeat comes 150 ms or more after the first copy; the feed says when the registry returned; registration begins when the instance is ready. Tests: TestReorderedPacketsAreNoRepeats, TestFollowerKeepsLapsedServers.

--- a/internal/flow/track.go
+++ b/internal/flow/track.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// minRepeat is the shortest time after which a caller repeats a packet: the
+// platform's callers wait 200 ms, measured here with the jitter of two ways.
+const minRepeat = 150 * time.Millisecond
+
 // Track is what an instance remembers of one flow. It sees only the packets
 // of the caller: progress of the server shows in the acknowledgements.
 type Track struct {
@@ -79,7 +83,10 @@
 func (t *Track) payload(now time.Time, s *Segment, o *Observation) {
 	end := s.Seq + uint32(s.Length)
 	if t.endSet && !after(end, t.end) {
-		o.Repeat, o.RepeatOf = true, t.lastAt
+		// Packets that overtook each other are no repeats.
+		if now.Sub(t.lastAt) >= minRepeat {
+			o.Repeat, o.RepeatOf = true, t.lastAt
+		}
 		return
 	}
 	t.end, t.endSet, t.lastAt = end, true, now
--- a/internal/flow/track_test.go
+++ b/internal/flow/track_test.go
@@ -67,3 +67,13 @@
 		t.Fatal(k.String())
 	}
 }
+
+// The parts of a request may overtake each other on their way.
+func TestReorderedPacketsAreNoRepeats(t *testing.T) {
+	var tr Track
+	tr.Observe(at(0), &Segment{Opening: true})
+	tr.Observe(at(5), &Segment{Seq: 101, Ack: 7, Length: 50})
+	if o := tr.Observe(at(6), &Segment{Seq: 1, Ack: 7, Length: 100}); o.Repeat {
+		t.Fatalf("%+v", o)
+	}
+}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -26,6 +26,9 @@
 		Kind source.Kind
 		Sent time.Time
 	}
+	// RegistryOutage says since when the registry has not answered the followed
+	// instance, and when it last returned; zero times for never.
+	RegistryOutage struct{ Since, Returned time.Time }
 	// Departed are servers that left before this instance started, as another
 	// instance remembers them.
 	Departed struct{ Entries []registry.Entry }
@@ -45,13 +48,14 @@
 	StopRequested struct{}
 )
 
-func (Updated) event()       {}
-func (Unanswered) event()    {}
-func (Departed) event()      {}
-func (FleetSize) event()     {}
-func (Probed) event()        {}
-func (Tick) event()          {}
-func (StopRequested) event() {}
+func (Updated) event()        {}
+func (Unanswered) event()     {}
+func (RegistryOutage) event() {}
+func (Departed) event()       {}
+func (FleetSize) event()      {}
+func (Probed) event()         {}
+func (Tick) event()           {}
+func (StopRequested) event()  {}
 
 // Action is something to be done.
 type Action interface{ action() }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,6 +50,9 @@
 	// from a request to the first sign of its answer, where the packet shows
 	// them.
 	Opened, Answered time.Duration
+	// RepeatAfter is the time since the first copy of a packet that the caller
+	// repeats.
+	RepeatAfter time.Duration
 }
 
 // VerdictKind says what is done with a packet.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -570,6 +570,24 @@
 	}
 }
 
+// A follower hears of an outage of the registry only from the instance that it
+// follows. Entries that lapsed in it must not empty the service there.
+func TestFollowerKeepsLapsedServers(t *testing.T) {
+	w := newWorld(t, server("i-1", norte))
+	w.pass(5 * time.Second)
+	w.handle(RegistryOutage{Returned: w.now.Add(-100 * time.Millisecond)})
+	w.list()
+	if v := w.open(1); v.Kind != Forward {
+		t.Fatalf("%s, %s", v.Kind, v.Reason)
+	}
+	w.pass(3 * time.Second)
+	w.handle(Tick{})
+	w.confirm()
+	if v := w.open(2); v.Kind != Reset {
+		t.Fatalf("3 s later: %s, %s", v.Kind, v.Reason)
+	}
+}
+
 func TestPlannedStopForwardsOn(t *testing.T) {
 	w := newWorld(t, server("i-1", norte))
 	v := w.opened(1)
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -44,6 +44,8 @@
 		if e.Kind == source.Registry {
 			c.servers.Unanswered(e.Sent)
 		}
+	case RegistryOutage:
+		c.servers.AdoptOutage(e.Since, e.Returned)
 	case Departed:
 		return c.remember(now, e.Entries)
 	case FleetSize:
@@ -316,7 +318,7 @@
 func (c *Core) afterEvidence(now time.Time, b *backend, before reach.State, probe bool, cause string) []Action {
 	var actions []Action
 	if state := b.reach.State(); state != before {
-		actions = append(actions, Note{Subject: b.record.Name, What: "server " + state.String(), Cause: cause, Age: now.Sub(b.reach.Alive())})
+		actions = append(actions, Note{Subject: b.record.Name, What: "server " + state.String(), Cause: cause, Age: aliveAge(now, b)})
 	}
 	if probe {
 		actions = append(actions, c.probe(b))
@@ -324,6 +326,15 @@
 	return actions
 }
 
+// aliveAge returns the time since the server answered a caller; 0 when it never
+// did.
+func aliveAge(now time.Time, b *backend) time.Duration {
+	if b.reach.Alive().IsZero() {
+		return 0
+	}
+	return now.Sub(b.reach.Alive())
+}
+
 func (c *Core) reached(now time.Time, b *backend, cause string) Action {
 	return Note{Subject: b.record.Name, What: "server " + b.reach.State().String(), Cause: cause}
 }
--- a/internal/gateway/packets.go
+++ b/internal/gateway/packets.go
@@ -38,11 +38,15 @@
 		t = &tracked{key: s.Key}
 	}
 	o := t.Observe(now, s)
+	v := Verdict{Opening: true}
+	if o.Repeat {
+		v = Verdict{RepeatAfter: now.Sub(o.RepeatOf)}
+	}
 	old := t.backend
 	var actions []Action
 	if old != nil {
 		if !o.Repeat || c.keeps(now, t, route) {
-			return c.forward(t, Verdict{}), c.evidence(now, old, o)
+			return c.forward(t, v), c.evidence(now, old, o)
 		}
 		// Detached, so that it is not given up with the server's other flows.
 		c.detach(t)
@@ -62,7 +66,6 @@
 	if c.cold(now, b.record) {
 		b.cold.Use(now)
 	}
-	v := Verdict{Opening: true}
 	if old != nil && old != b {
 		v.Reason = Repeated
 	}
@@ -214,6 +217,9 @@
 	if o.Answered {
 		v.Answered = now.Sub(since)
 	}
+	if o.Repeat {
+		v.RepeatAfter = now.Sub(o.RepeatOf)
+	}
 	c.count(t, busy)
 	actions := c.evidence(now, b, o)
 	if takenOver && s.Length > 0 {
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -37,6 +37,14 @@
 	return c.confirmed
 }
 
+// RegistryOutage returns the registry's present and last outage.
+func (c *Core) RegistryOutage() RegistryOutage {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	since, returned := c.servers.Outage()
+	return RegistryOutage{Since: since, Returned: returned}
+}
+
 // Changes returns what changed of a source after a revision: an empty update
 // when nothing did, the whole source when the changes are not remembered.
 func (c *Core) Changes(now time.Time, k source.Kind, since source.Revision) source.Update {
--- a/internal/gatewayshell/feedclient.go
+++ b/internal/gatewayshell/feedclient.go
@@ -22,6 +22,9 @@
 	// registerTimeout bounds a call to the directory; the store's slow answers
 	// take 300 ms.
 	registerTimeout = time.Second
+	// readyInterval is the time between two looks whether the instance serves
+	// and may register.
+	readyInterval = 20 * time.Millisecond
 	// registerRetry is the pause after a failed registration.
 	registerRetry = time.Second
 	// fleetInterval is the time between two counts of the instances by one that
@@ -77,13 +80,15 @@
 func (sh *Shell) register(ctx context.Context) bool {
 	self := upstream.Instance{Name: sh.settings.Instance, DataCentre: sh.settings.DataCentre, Address: sh.peerAddress(), Bandwidth: sh.settings.Bandwidth}
 	for ctx.Err() == nil {
-		if sh.core.Ready() {
-			err := sh.registerOnce(ctx, self)
-			if err == nil {
-				return true
-			}
-			sh.log.failed("register the instance", err)
+		if !sh.core.Ready() {
+			sleepUntil(ctx, time.Now().Add(readyInterval))
+			continue
+		}
+		err := sh.registerOnce(ctx, self)
+		if err == nil {
+			return true
 		}
+		sh.log.failed("register the instance", err)
 		sleepUntil(ctx, time.Now().Add(registerRetry))
 	}
 	return false
@@ -217,6 +222,8 @@
 		}
 		updates[k] = u
 	}
+	// Before the updates, since it decides what a missing entry means.
+	sh.handle(gateway.RegistryOutage{Since: sinceMS(now, response.RegistryOutMs), Returned: sinceMS(now, response.RegistryReturnedMs)})
 	for k := range source.Kind(source.Kinds) {
 		sh.handle(gateway.Updated{Kind: k, Update: updates[k], AsOf: now.Add(-ages[k])})
 	}
--- a/internal/gatewayshell/feedserver.go
+++ b/internal/gatewayshell/feedserver.go
@@ -106,6 +106,8 @@
 		response.FullUp = true
 		return response
 	}
+	outage := f.shell.core.RegistryOutage()
+	response.RegistryReturnedMs, response.RegistryOutMs = ageMS(now, outage.Returned), ageMS(now, outage.Since)
 	for k := range source.Kind(source.Kinds) {
 		response.AgesMs = append(response.AgesMs, uint32(ages[k].Milliseconds()))
 		since := source.Revision(request.Revisions[k])
@@ -125,6 +127,23 @@
 	return response
 }
 
+// ageMS returns the age of a time in milliseconds, at least 1; 0 for the zero
+// time.
+func ageMS(now, t time.Time) uint32 {
+	if t.IsZero() {
+		return 0
+	}
+	return uint32(max(1, now.Sub(t).Milliseconds()))
+}
+
+// sinceMS is the opposite of ageMS.
+func sinceMS(now time.Time, ms uint32) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(ms) * time.Millisecond)
+}
+
 // place returns the instance's place in the directory; 0 before it has one.
 func (sh *Shell) place() upstream.Place {
 	sh.upstreamMu.Lock()
--- a/internal/gatewayshell/log.go
+++ b/internal/gatewayshell/log.go
@@ -25,6 +25,7 @@
 	logSource   = "source"
 	logOmitted  = "omitted"
 	logCopy     = "copy"
+	logRepeat   = "repeat_after_ms"
 	logInstance = "instance"
 )
 
@@ -142,7 +143,7 @@
 
 // verdict logs refusals, resets, dropped packets and a sample of the openings.
 func (l *decisionLog) verdict(s *flow.Segment, v *gateway.Verdict) {
-	if v.Reason == gateway.ReasonNone {
+	if v.Reason == gateway.ReasonNone && v.RepeatAfter == 0 {
 		if !v.Opening || !l.openings.Allow() {
 			return
 		}
@@ -157,6 +158,9 @@
 	if s.Opening {
 		fields = append(fields, zap.Uint32(logCopy, s.Copy))
 	}
+	if v.RepeatAfter > 0 {
+		fields = append(fields, zap.Int64(logRepeat, v.RepeatAfter.Milliseconds()))
+	}
 	l.log.Info("flow: packet", fields...)
 }
 
@@ -174,6 +178,13 @@
 	l.mu.Unlock()
 }
 
+// reportOmitted logs how many lines were left out since the last report.
+func (l *decisionLog) reportOmitted() {
+	if n := l.takeOmitted(); n > 0 {
+		l.log.Warn("log: lines left out", zap.Int64(logOmitted, n))
+	}
+}
+
 func (l *decisionLog) takeOmitted() int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/gatewayshell/shell.go
+++ b/internal/gatewayshell/shell.go
@@ -35,6 +35,8 @@
 	packetBuffer = 1 << 20
 	// maxPacket is more than the largest packet of a caller.
 	maxPacket = 2048
+	// omittedInterval is the time between two reports of omitted log lines.
+	omittedInterval = 10 * time.Second
 	// stopQuiet ends a planned stop when no packet came for this long: two
 	// intervals of the fabric's readiness checks.
 	stopQuiet = time.Second
@@ -185,12 +187,16 @@
 func (sh *Shell) tick(ctx context.Context) {
 	ticker := time.NewTicker(gateway.TickInterval)
 	defer ticker.Stop()
+	omitted := time.NewTicker(omittedInterval)
+	defer omitted.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 			sh.handle(gateway.Tick{})
+		case <-omitted.C:
+			sh.log.reportOmitted()
 		}
 	}
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -136,6 +136,21 @@
 	g.outage = time.Time{}
 }
 
+// Outage returns the begin of the present outage and the end of the last one;
+// zero for none.
+func (g *Registry) Outage() (since, returned time.Time) { return g.outage, g.returned }
+
+// AdoptOutage takes the outage that another instance has seen, on whose word the
+// next changes come.
+func (g *Registry) AdoptOutage(since, returned time.Time) {
+	if g.outage.IsZero() {
+		g.outage = since
+	}
+	if returned.After(g.returned) {
+		g.returned = returned
+	}
+}
+
 // Keep takes the names in a full list: servers that are not among them went.
 func (g *Registry) Keep(now time.Time, listed map[string]bool) []Change {
 	if g.loaded.IsZero() {
