Start from a seed while the store is out

Change: an instance that the store does not answer within 150 ms follows a seed of its settings until it is registered. Refusals are logged with the configuration's version and age. Tests: TestStartsFromASeed, TestSeeds.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,6 +44,10 @@
 	// Ack is the acknowledgement that a reset has to match, for Reset.
 	Ack    uint32
 	Reason Reason
+	// Version and Age are the configuration's version and the age of the
+	// knowledge that decided, for refusals.
+	Version int64
+	Age     time.Duration
 	// Opening is set for the first copy of an opening.
 	Opening bool
 	// Opened is the time from the opening to its acceptance, Answered that
--- a/internal/gateway/packets.go
+++ b/internal/gateway/packets.go
@@ -82,10 +82,11 @@
 // refuse answers with a reset when the knowledge behind it is current, and
 // with silence when it may be old.
 func (c *Core) refuse(now time.Time, s *flow.Segment, reason Reason, kind source.Kind) Verdict {
+	v := Verdict{Kind: Reset, Ack: s.Ack, Reason: reason, Version: c.routes.Current().Version, Age: c.age(now, kind)}
 	if !c.fresh(now, kind) {
-		return Verdict{Reason: NotFresh}
+		v.Kind, v.Reason = Drop, NotFresh
 	}
-	return Verdict{Kind: Reset, Ack: s.Ack, Reason: reason}
+	return v
 }
 
 // choose returns the server for a new flow, or nil. The service that the
@@ -232,7 +233,7 @@
 	}
 	if c.routes.Current().Route(s.Key.Service()) == nil && c.fresh(now, source.Configuration) {
 		c.drop(t)
-		return Verdict{Kind: Reset, Ack: s.Ack, Reason: RouteDropped}, actions
+		return c.refuse(now, s, RouteDropped, source.Configuration), actions
 	}
 	if b.reach.Failed() && !t.closing {
 		c.drop(t)
--- a/internal/gatewayshell/feedclient.go
+++ b/internal/gatewayshell/feedclient.go
@@ -22,6 +22,10 @@
 	// registerTimeout bounds a call to the directory; the store's slow answers
 	// take 300 ms.
 	registerTimeout = time.Second
+	// seedDelay is how long an instance that starts waits for the store before
+	// it asks the seeds, which send it all they know: reading the store takes
+	// 20 ms, and 300 ms when its answers are slow.
+	seedDelay = 150 * time.Millisecond
 	// readyInterval is the time between two looks whether the instance serves
 	// and may register.
 	readyInterval = 20 * time.Millisecond
@@ -47,11 +51,13 @@
 }
 
 // followInstances registers the instance and follows another one, if there is
-// one registered before it.
+// one registered before it. While the store does not answer, a seed is followed.
 func (sh *Shell) followInstances(ctx context.Context) {
-	if !sh.register(ctx) {
-		return
+	go sh.register(ctx)
+	for begin := time.Now(); time.Since(begin) < seedDelay && !sh.serving(); {
+		sleepUntil(ctx, time.Now().Add(readyInterval))
 	}
+	sh.seed()
 	client := rpcframe.Client{DialTimeout: feedDialTimeout, Dial: func(ctx context.Context, address string) (net.Conn, error) {
 		var d net.Dialer
 		return d.DialContext(ctx, "tcp4", address)
@@ -68,7 +74,7 @@
 			continue
 		}
 		sh.setFollowing("")
-		if now.After(nextCount) {
+		if now.After(nextCount) && sh.serving() {
 			nextCount = now.Add(fleetInterval)
 			sh.countFleet(ctx)
 		}
@@ -76,8 +82,20 @@
 	}
 }
 
+// seed takes the settings' seeds as instances to follow, unless the instance is
+// registered.
+func (sh *Shell) seed() {
+	var seeds []netip.AddrPort
+	for _, ip := range sh.live.Load().settings.SeedAddresses {
+		seeds = append(seeds, netip.AddrPortFrom(ip, sh.settings.PeerPorts[0]))
+	}
+	sh.upstreamMu.Lock()
+	defer sh.upstreamMu.Unlock()
+	sh.upstream.Seed(sh.peerAddress(), seeds)
+}
+
 // register enters the instance in the directory once it serves.
-func (sh *Shell) register(ctx context.Context) bool {
+func (sh *Shell) register(ctx context.Context) {
 	self := upstream.Instance{Name: sh.settings.Instance, DataCentre: sh.settings.DataCentre, Address: sh.peerAddress(), Bandwidth: sh.settings.Bandwidth}
 	for ctx.Err() == nil {
 		if !sh.core.Ready() {
@@ -86,12 +104,11 @@
 		}
 		err := sh.registerOnce(ctx, self)
 		if err == nil {
-			return true
+			return
 		}
 		sh.log.failed("register the instance", err)
 		sleepUntil(ctx, time.Now().Add(registerRetry))
 	}
-	return false
 }
 
 func (sh *Shell) registerOnce(ctx context.Context, self upstream.Instance) error {
--- a/internal/gatewayshell/feedserver.go
+++ b/internal/gatewayshell/feedserver.go
@@ -144,7 +144,7 @@
 	return now.Add(-time.Duration(ms) * time.Millisecond)
 }
 
-// place returns the instance's place in the directory; 0 before it has one.
+// place returns the instance's place in the directory.
 func (sh *Shell) place() upstream.Place {
 	sh.upstreamMu.Lock()
 	defer sh.upstreamMu.Unlock()
@@ -152,7 +152,11 @@
 }
 
 // serving reports whether the instance passes on what it knows.
-func (sh *Shell) serving() bool { return !sh.stopping.Load() && sh.place() != 0 }
+func (sh *Shell) serving() bool {
+	sh.upstreamMu.Lock()
+	defer sh.upstreamMu.Unlock()
+	return !sh.stopping.Load() && sh.upstream.Registered()
+}
 
 // serveFeed answers other instances until ctx ends.
 func (sh *Shell) serveFeed(ctx context.Context) error {
--- a/internal/gatewayshell/log.go
+++ b/internal/gatewayshell/log.go
@@ -25,6 +25,7 @@
 	logSource   = "source"
 	logOmitted  = "omitted"
 	logCopy     = "copy"
+	logVersion  = "configuration"
 	logRepeat   = "repeat_after_ms"
 	logInstance = "instance"
 )
@@ -158,6 +159,9 @@
 	if s.Opening {
 		fields = append(fields, zap.Uint32(logCopy, s.Copy))
 	}
+	if v.Version != 0 {
+		fields = append(fields, zap.Int64(logVersion, v.Version), zap.Int64(logAge, v.Age.Milliseconds()))
+	}
 	if v.RepeatAfter > 0 {
 		fields = append(fields, zap.Int64(logRepeat, v.RepeatAfter.Milliseconds()))
 	}
--- a/internal/gatewayshell/shell_test.go
+++ b/internal/gatewayshell/shell_test.go
@@ -116,9 +116,10 @@
 zone: "norte"
 listen: {packet_addr: "%s", ready_addr: "%s"}
 port_range: [7720, 7735]
+seeds: ["%s"]
 bounds: {grace_s: 6, flow_ttl_s: 60, warmup_slack: 5, apply_ms: 3000, drain_ms: 3000, evacuate_ms: 5000}
 platform: {address: "%s"}
-`, i, s.address(20+i, packetPort), s.address(20+i, readyPort), storeAddress)
+`, i, s.address(20+i, packetPort), s.address(20+i, readyPort), s.address(20, 8166), storeAddress)
 }
 
 func (s *site) startInstance(i int) {
@@ -283,6 +284,29 @@
 	}
 }
 
+// An instance that starts while the store is out learns all from a seed.
+func TestStartsFromASeed(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 16, 1)
+	f := s.open()
+	at := s.request(f, "a").Server
+	for _, mode := range []store.Mode{store.Busy, store.Silent} {
+		s.store.SetMode(mode, 0)
+		i := len(s.stops)
+		s.startInstance(i)
+		s.until(2*time.Second, "the new instance is ready", func() bool {
+			r, err := http.Get("http://" + s.address(20+i, readyPort).String() + "/cuminshift/ready")
+			if err == nil {
+				r.Body.Close()
+			}
+			return err == nil && r.StatusCode == http.StatusOK
+		})
+	}
+	if got := s.request(f, "b").Server; got != at {
+		t.Errorf("the flow moved from %s to %s", at, got)
+	}
+}
+
 // The settings file names another address of the store; the instance goes there
 // without a restart.
 func TestStoreMoves(t *testing.T) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -22,6 +23,10 @@
 // Place is the order of an instance's registration.
 type Place int64
 
+// Unregistered is the place of an instance that is not registered: after all
+// others.
+const Unregistered Place = math.MaxInt64
+
 // Instance is a registered instance.
 type Instance struct {
 	Name       model.InstanceID
@@ -93,7 +98,23 @@
 	}
 }
 
-// Self returns the instance's own place; 0 before it is registered.
+// Seed takes addresses of instances that may live, for an instance that cannot
+// register. It does nothing once the instance is registered.
+func (u *Upstream) Seed(self netip.AddrPort, seeds []netip.AddrPort) {
+	if u.Registered() {
+		return
+	}
+	all := make([]Instance, 0, len(seeds))
+	for _, address := range seeds {
+		all = append(all, Instance{Name: model.InstanceID(address.String()), Address: address})
+	}
+	u.Register(Instance{Address: self, Bandwidth: -1, Place: Unregistered}, all)
+}
+
+// Registered reports whether the instance has a place.
+func (u *Upstream) Registered() bool { return u.self.Place != 0 && u.self.Place != Unregistered }
+
+// Self returns the instance's own place.
 func (u *Upstream) Self() Place { return u.self.Place }
 
 // Next returns the instance to ask.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -82,6 +82,27 @@
 	}
 }
 
+// An instance that cannot register follows a seed, whatever its place; once it
+// is registered the seeds no longer count.
+func TestSeeds(t *testing.T) {
+	var u Upstream
+	self := netip.MustParseAddrPort("10.0.0.9:7720")
+	seed := netip.MustParseAddrPort("10.0.0.1:7720")
+	u.Seed(self, []netip.AddrPort{self, seed})
+	i, ok := u.Next(start)
+	if !ok || i.Address != seed || u.Registered() {
+		t.Fatalf("%+v, %t", i, ok)
+	}
+	if !u.Answered(start, i, 77, [source.Kinds]time.Duration{}) {
+		t.Fatal("a seed that answers is not followed")
+	}
+	u.Register(instance("b", 80), nil)
+	u.Seed(self, []netip.AddrPort{seed})
+	if _, ok := u.Next(start); ok {
+		t.Fatal("a registered instance follows a seed")
+	}
+}
+
 func TestCoverEndsWithTheAge(t *testing.T) {
 	var u Upstream
 	u.Register(instance("b", 5), []Instance{instance("a", 3)})
