Ask the seeds at the first failed call

Cause: the instance of the commit before waited 150 ms for the store and met the cut that began meanwhile.

--- a/internal/gatewayshell/feedclient.go
+++ b/internal/gatewayshell/feedclient.go
@@ -22,9 +22,9 @@
 	// registerTimeout bounds a call to the directory; the store's slow answers
 	// take 300 ms.
 	registerTimeout = time.Second
-	// seedDelay is how long an instance that starts waits for the store before
-	// it asks the seeds, which send it all they know: reading the store takes
-	// 20 ms, and 300 ms when its answers are slow.
+	// seedDelay is how long an instance that starts waits for the store, unless
+	// a call fails, before it asks the seeds, which send it all they know.
+	// Reading the store takes 20 ms, and 300 ms when its answers are slow.
 	seedDelay = 150 * time.Millisecond
 	// readyInterval is the time between two looks whether the instance serves
 	// and may register.
@@ -54,7 +54,7 @@
 // one registered before it. While the store does not answer, a seed is followed.
 func (sh *Shell) followInstances(ctx context.Context) {
 	go sh.register(ctx)
-	for begin := time.Now(); time.Since(begin) < seedDelay && !sh.serving(); {
+	for begin := time.Now(); time.Since(begin) < seedDelay && !sh.serving() && !sh.storeFailed.Load(); {
 		sleepUntil(ctx, time.Now().Add(readyInterval))
 	}
 	sh.seed()
--- a/internal/gatewayshell/follow.go
+++ b/internal/gatewayshell/follow.go
@@ -33,6 +33,7 @@
 			}
 			sh.live.Load().store.Reconnect(k)
 			sh.counters.storeErrors.Inc(1)
+			sh.storeFailed.Store(true)
 			if schedule.Failed(now, err) {
 				sh.log.lost(k, err)
 			}
--- a/internal/gatewayshell/shell.go
+++ b/internal/gatewayshell/shell.go
@@ -83,6 +83,8 @@
 	// lastPacket is the time of the last packet, for the planned stop.
 	lastPacket atomicTime
 	stopping   atomic.Bool
+	// storeFailed is set by the first call that failed.
+	storeFailed atomic.Bool
 
 	// fleet is the number of registered instances, rank the place of this one
 	// among them.
