--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -661,3 +661,19 @@
 		})
 	}
 }
+
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{18, 500, 5000} {
+		var servers []registry.Entry
+		for i := range n {
+			servers = append(servers, server(fmt.Sprintf("i-%08x", i), norte))
+		}
+		w := newWorld(nil, servers...)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for range b.N {
+				w.pass(TickInterval)
+				w.core.Handle(w.now, Tick{})
+			}
+		})
+	}
+}
--- a/internal/gatewayshell/counters.go
+++ b/internal/gatewayshell/counters.go
@@ -25,6 +25,7 @@
 	socketErrors, probes, storeCalls, storeErrors, feedCalls, reloads metrics.Counter
 	flows                                                             metrics.Gauge
 	logDropped                                                        metrics.Gauge
+	feedSent, feedReceived                                            metrics.Gauge
 
 	// answerTime is the time from a caller's request to the first sign of its
 	// answer, openTime that from an opening to its acceptance, in microseconds.
@@ -53,6 +54,8 @@
 		feedCalls:    counter("feed_calls"),
 		reloads:      counter("settings_reloads"),
 		flows:        metrics.GetOrRegisterGauge("flows", r),
+		feedSent:     metrics.GetOrRegisterGauge("feed_bytes_sent", r),
+		feedReceived: metrics.GetOrRegisterGauge("feed_bytes_received", r),
 		logDropped:   metrics.GetOrRegisterGauge("log_lines_dropped", r),
 		answerTime:   histogram("answer_time_us"),
 		openTime:     histogram("open_time_us"),
@@ -76,6 +79,8 @@
 
 func (sh *Shell) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	sh.counters.flows.Update(int64(sh.core.Flows()))
+	sh.counters.feedSent.Update(int64(sh.feedBytes.Sent.Load()))
+	sh.counters.feedReceived.Update(int64(sh.feedBytes.Received.Load()))
 	if sh.parts.LogDropped != nil {
 		sh.counters.logDropped.Update(sh.parts.LogDropped())
 	}
--- a/internal/gatewayshell/feedclient.go
+++ b/internal/gatewayshell/feedclient.go
@@ -60,7 +60,11 @@
 	sh.seed()
 	client := rpcframe.Client{DialTimeout: feedDialTimeout, Dial: func(ctx context.Context, address string) (net.Conn, error) {
 		var d net.Dialer
-		return d.DialContext(ctx, "tcp4", address)
+		conn, err := d.DialContext(ctx, "tcp4", address)
+		if err != nil {
+			return nil, err
+		}
+		return sh.feedBytes.Count(conn), nil
 	}}
 	defer client.Close()
 	nextCount := time.Now().Add(fleetFirst)
--- a/internal/gatewayshell/feedserver.go
+++ b/internal/gatewayshell/feedserver.go
@@ -28,8 +28,8 @@
 	// feedDialTimeout bounds the opening of a connection to an instance.
 	feedDialTimeout = 200 * time.Millisecond
 	// maxFollowers is the number of instances that one instance serves; above
-	// it a tree forms. 64 followers cost 128 small calls a second.
-	maxFollowers = 64
+	// it a tree forms. A follower takes 0.85 KB/s, and control may take 7 KB/s.
+	maxFollowers = 7
 )
 
 // Feed is the net/rpc receiver that passes on what this instance knows.
@@ -164,5 +164,5 @@
 	if err != nil {
 		return err
 	}
-	return rpcframe.Serve(ctx, listener, sh.feed, nil)
+	return rpcframe.Serve(ctx, listener, sh.feed, sh.feedBytes.Count)
 }
--- a/internal/gatewayshell/shell.go
+++ b/internal/gatewayshell/shell.go
@@ -18,6 +18,7 @@
 	"cuminshift/internal/flow"
 	"cuminshift/internal/gateway"
 	"cuminshift/internal/model"
+	"cuminshift/internal/rpcframe"
 	"cuminshift/internal/source"
 	"cuminshift/internal/token"
 	"cuminshift/internal/upstream"
@@ -90,6 +91,7 @@
 	// among them.
 	fleet, rank atomic.Int32
 	feed        *Feed
+	feedBytes   rpcframe.Counters
 	// upstreamMu guards upstream and followed. It is taken before the core's
 	// lock.
 	upstreamMu sync.Mutex
--- a/internal/gatewayshell/shell_test.go
+++ b/internal/gatewayshell/shell_test.go
@@ -1,6 +1,7 @@
 package gatewayshell_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -8,7 +9,6 @@
 	"net/netip"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -151,6 +151,22 @@
 	}
 }
 
+// metric returns a metric of an instance, -1 when it cannot be read.
+func (s *site) metric(i int, name string) float64 {
+	r, err := http.Get("http://" + s.address(20+i, readyPort).String() + "/metrics")
+	if err != nil {
+		return -1
+	}
+	defer r.Body.Close()
+	for lines := bufio.NewScanner(r.Body); lines.Scan(); {
+		var v float64
+		if n, _ := fmt.Sscanf(lines.Text(), "cuminshift_"+name+" %f", &v); n == 1 {
+			return v
+		}
+	}
+	return -1
+}
+
 func (s *site) open() *client.Flow {
 	s.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
@@ -207,6 +223,13 @@
 	if calls := s.store.Calls()["GET config"] - before; calls > 4 {
 		t.Errorf("%d calls in 4 s for the configuration, a watch of one instance takes 1.65 s", calls)
 	}
+	bytes := s.metric(1, "feed_bytes_sent") + s.metric(1, "feed_bytes_received")
+	time.Sleep(2 * time.Second)
+	rate := (s.metric(1, "feed_bytes_sent") + s.metric(1, "feed_bytes_received") - bytes) / 2
+	t.Logf("%.0f bytes of feed a second at one instance", rate)
+	if rate > 7000 {
+		t.Errorf("%.0f bytes of feed a second, at most 7,000 are allowed for control", rate)
+	}
 	s.configure(2)
 	s.until(time.Second, "the dropped route is refused by both instances", func() bool {
 		for range 4 {
@@ -316,14 +339,7 @@
 	s.serve(s.store, moved)
 	s.write(s.files[0], s.settings(0, moved))
 	s.until(6*time.Second, "settings reloaded", func() bool {
-		r, err := http.Get("http://" + s.address(20, readyPort).String() + "/metrics")
-		if err != nil {
-			return false
-		}
-		defer r.Body.Close()
-		b := make([]byte, 1<<16)
-		n, _ := r.Body.Read(b)
-		return strings.Contains(string(b[:n]), "cuminshift_settings_reloads 1")
+		return s.metric(0, "settings_reloads") == 1
 	})
 	s.request(s.open(), "a")
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -3,8 +3,9 @@
 package registry
 
 import (
+	"maps"
 	"net/netip"
-	"sort"
+	"slices"
 	"time"
 
 	"cuminshift/internal/model"
@@ -99,6 +100,8 @@
 // Registry is one instance's copy of the registry.
 type Registry struct {
 	records map[string]*Record
+	// unlisted are the records without an entry.
+	unlisted map[string]*Record
 	// outage is the begin of the present outage, returned the end of the
 	// last one.
 	outage, returned time.Time
@@ -108,7 +111,7 @@
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{records: map[string]*Record{}}
+	return &Registry{records: map[string]*Record{}, unlisted: map[string]*Record{}}
 }
 
 // Loaded reports whether a full list was taken.
@@ -183,6 +186,7 @@
 	}
 	before, listed := r.Entry, r.Listed
 	r.Entry, r.Listed = e, true
+	delete(g.unlisted, e.Name)
 	r.ColdUntil = now.Add(e.ColdFor)
 	r.Departed, r.lapseUntil = time.Time{}, time.Time{}
 	before.ColdFor = e.ColdFor
@@ -202,6 +206,7 @@
 		return changes
 	}
 	r.Listed, r.Departed = false, now
+	g.unlisted[name] = r
 	if !g.returned.IsZero() && now.Sub(g.returned) < LapseGrace {
 		r.lapseUntil = g.returned.Add(LapseGrace)
 		return append(changes, Change{Lapsed, r})
@@ -215,7 +220,7 @@
 		return nil
 	}
 	r := &Record{Entry: e, Departed: now}
-	g.records[e.Name] = r
+	g.records[e.Name], g.unlisted[e.Name] = r, r
 	return []Change{{Remembered, r}}
 }
 
@@ -236,10 +241,8 @@
 // Departed returns the servers that left and are still remembered.
 func (g *Registry) Departed() []Entry {
 	var out []Entry
-	for _, name := range g.names() {
-		if r := g.records[name]; !r.Listed {
-			out = append(out, r.Entry)
-		}
+	for _, name := range sortedNames(g.unlisted) {
+		out = append(out, g.unlisted[name].Entry)
 	}
 	return out
 }
@@ -248,29 +251,26 @@
 // entries that did not come back.
 func (g *Registry) Tick(now time.Time) []Change {
 	var changes []Change
-	for _, name := range g.names() {
-		r := g.records[name]
+	for _, name := range sortedNames(g.unlisted) {
+		r := g.unlisted[name]
 		switch {
-		case r.Listed:
 		case !r.lapseUntil.IsZero() && !now.Before(r.lapseUntil):
 			r.lapseUntil = time.Time{}
 			changes = append(changes, Change{Departed, r})
 		case now.Sub(r.Departed) > ForgetAfter:
 			delete(g.records, name)
+			delete(g.unlisted, name)
 			changes = append(changes, Change{Forgotten, r})
 		}
 	}
 	return changes
 }
 
-// names returns the names in order, so that a run repeats.
-func (g *Registry) names() []string {
-	names := make([]string, 0, len(g.records))
-	for name := range g.records {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
+func (g *Registry) names() []string { return sortedNames(g.records) }
+
+// sortedNames returns the names in order, so that a run repeats.
+func sortedNames(records map[string]*Record) []string {
+	return slices.Sorted(maps.Keys(records))
 }
 
 // Lapsing reports whether the entry went during an outage and the server still
--- a/internal/rpcframe/rpcframe.go
+++ b/internal/rpcframe/rpcframe.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -86,6 +87,32 @@
 	}
 }
 
+// Counters count the bytes of connections.
+type Counters struct {
+	Sent     atomic.Uint64
+	Received atomic.Uint64
+}
+
+// Count returns the connection with its bytes counted.
+func (c *Counters) Count(conn net.Conn) net.Conn { return &countingConn{Conn: conn, counters: c} }
+
+type countingConn struct {
+	net.Conn
+	counters *Counters
+}
+
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.counters.Received.Add(uint64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.counters.Sent.Add(uint64(n))
+	return n, err
+}
+
 // Serve answers calls of the receiver's methods on a listener until ctx ends.
 // wrap, if not nil, wraps each connection.
 func Serve(ctx context.Context, listener net.Listener, receiver any, wrap func(net.Conn) net.Conn) error {
--- a/internal/shell/peers.go
+++ b/internal/shell/peers.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,46 +43,22 @@
 }
 
 // servePeers answers net/rpc connections until ctx ends.
-func servePeers(ctx context.Context, listener net.Listener, deliver func(*pb.PeerBatch), counters *ControlCounters) error {
-	count := func(c net.Conn) net.Conn { return &countingConn{Conn: c, counters: counters} }
-	return rpcframe.Serve(ctx, listener, &Peer{deliver}, count)
-}
-
-// ControlCounters counts the bytes of control traffic.
-type ControlCounters struct {
-	Sent     atomic.Uint64
-	Received atomic.Uint64
-}
-
-type countingConn struct {
-	net.Conn
-	counters *ControlCounters
-}
-
-func (c *countingConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.counters.Received.Add(uint64(n))
-	return n, err
-}
-
-func (c *countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.counters.Sent.Add(uint64(n))
-	return n, err
+func servePeers(ctx context.Context, listener net.Listener, deliver func(*pb.PeerBatch), counters *rpcframe.Counters) error {
+	return rpcframe.Serve(ctx, listener, &Peer{deliver}, counters.Count)
 }
 
 // peerSet holds one sender per peer.
 type peerSet struct {
 	ctx      context.Context
 	log      *zap.Logger
-	counters *ControlCounters
+	counters *rpcframe.Counters
 	dial     func(ctx context.Context, address string) (net.Conn, error)
 
 	mu      sync.Mutex
 	senders map[model.InstanceID]*peerSender
 }
 
-func newPeerSet(ctx context.Context, log *zap.Logger, counters *ControlCounters, dial func(context.Context, string) (net.Conn, error)) *peerSet {
+func newPeerSet(ctx context.Context, log *zap.Logger, counters *rpcframe.Counters, dial func(context.Context, string) (net.Conn, error)) *peerSet {
 	return &peerSet{ctx: ctx, log: log, counters: counters, dial: dial, senders: map[model.InstanceID]*peerSender{}}
 }
 
@@ -92,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &countingConn{Conn: conn, counters: p.counters}, nil
+	return p.counters.Count(conn), nil
 }
 
 // send queues a batch; it does not block.
--- a/internal/shell/peers_test.go
+++ b/internal/shell/peers_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/rpcframe"
 )
 
 // maxCallOverhead is what net/rpc and gob may add to a batch, in bytes, call
@@ -25,7 +26,7 @@
 		t.Fatal(err)
 	}
 	got := make(chan *pb.PeerBatch, 1)
-	var received, sent ControlCounters
+	var received, sent rpcframe.Counters
 	go servePeers(ctx, listener, func(b *pb.PeerBatch) { got <- b }, &received)
 	peers := newPeerSet(ctx, zap.NewNop(), &sent, func(ctx context.Context, address string) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
--- a/internal/shell/shell.go
+++ b/internal/shell/shell.go
@@ -19,6 +19,7 @@
 	"cuminshift/internal/entry"
 	pb "cuminshift/internal/gen/cuminshift/v1"
 	"cuminshift/internal/packet"
+	"cuminshift/internal/rpcframe"
 	"cuminshift/internal/settings"
 )
 
@@ -28,7 +29,7 @@
 	log      *zap.Logger
 	core     *entry.Core
 	platform *platform
-	control  ControlCounters
+	control  rpcframe.Counters
 	packets  *net.UDPConn
 	paths    *pathSet
 	peers    *peerSet
