--- /dev/null
+++ b/internal/burn/rows.go
@@ -0,0 +1,20 @@
+package burn
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+)
+
+// Rows returns a report as a table with a head.
+func Rows(lines []*pb.BurnLine) [][]string {
+	rows := [][]string{{"SERVICE", "DATA CENTRE", "OBJECTIVE", "WINDOW", "GOOD", "BAD", "BURN", "BUDGET LEFT", "EVENTS"}}
+	for _, l := range lines {
+		rows = append(rows, []string{l.GetService(), l.GetDataCentre(), l.GetObjective(),
+			(time.Duration(l.GetWindowS()) * time.Second).String(), fmt.Sprint(l.GetGood()), fmt.Sprint(l.GetBad()),
+			fmt.Sprintf("%.2f", l.GetBurnRate()), fmt.Sprintf("%.1f%%", 100*l.GetBudgetLeft()), strings.Join(l.GetEvents(), "; ")})
+	}
+	return rows
+}
--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -7,13 +7,14 @@
 	"io"
 	"slices"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"cuminshift/internal/burn"
 	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/texttable"
 )
 
 // maxNamesShown keeps a line readable when hundreds of instances lag.
@@ -56,15 +57,6 @@
 	}
 }
 
-// table prints rows in columns; the first row is the heading.
-func table(w io.Writer, rows [][]string) {
-	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	for _, row := range rows {
-		fmt.Fprintln(t, strings.Join(row, "\t"))
-	}
-	_ = t.Flush()
-}
-
 // noteMemory says that an answer comes from the instance's memory.
 func (e *env) noteMemory(r *pb.GetConfigResponse) {
 	if !r.GetFromStore() {
@@ -85,11 +77,11 @@
 	}
 	fmt.Fprintf(e.stdout, "instance %s in %s: configuration %d, generation %d, publisher %s\n\n",
 		s.GetInstance(), s.GetDataCentre(), s.GetConfigVersion(), s.GetGeneration(), s.GetPublisher())
-	table(e.stdout, instanceRows(s))
+	texttable.Write(e.stdout, instanceRows(s))
 	fmt.Fprintln(e.stdout)
-	table(e.stdout, centreRows(s))
+	texttable.Write(e.stdout, centreRows(s))
 	fmt.Fprintln(e.stdout)
-	table(e.stdout, serverRows(s))
+	texttable.Write(e.stdout, serverRows(s))
 	return nil
 }
 
@@ -144,7 +136,7 @@
 			rows = append(rows, []string{timeOf(j.GetUnixMs()), j.GetPart(), j.GetEvent(), fmt.Sprint(j.GetCount()), j.GetCause()})
 		}
 		fmt.Fprintln(e.stdout)
-		table(e.stdout, rows)
+		texttable.Write(e.stdout, rows)
 	}
 	return nil
 }
@@ -164,7 +156,7 @@
 	for _, x := range edits {
 		rows = append(rows, []string{fmt.Sprint(x.GetVersion()), timeOf(x.GetAcceptedUnixMs()), x.GetOperator(), x.GetSummary(), x.GetId()})
 	}
-	table(e.stdout, rows)
+	texttable.Write(e.stdout, rows)
 	return nil
 }
 
@@ -176,12 +168,6 @@
 	if e.output == "json" {
 		return printMessage(e.stdout, r)
 	}
-	rows := [][]string{{"SERVICE", "DATA CENTRE", "OBJECTIVE", "WINDOW", "GOOD", "BAD", "BURN", "BUDGET LEFT", "EVENTS"}}
-	for _, l := range r.GetLines() {
-		rows = append(rows, []string{l.GetService(), l.GetDataCentre(), l.GetObjective(),
-			(time.Duration(l.GetWindowS()) * time.Second).String(), fmt.Sprint(l.GetGood()), fmt.Sprint(l.GetBad()),
-			fmt.Sprintf("%.2f", l.GetBurnRate()), fmt.Sprintf("%.1f%%", 100*l.GetBudgetLeft()), strings.Join(l.GetEvents(), "; ")})
-	}
-	table(e.stdout, rows)
+	texttable.Write(e.stdout, burn.Rows(r.GetLines()))
 	return nil
 }
--- a/internal/feed/codec.go
+++ b/internal/feed/codec.go
@@ -53,7 +53,7 @@
 }
 
 func encodeRoute(address netip.AddrPort, route *routing.Route) *pb.FeedRoute {
-	r := &pb.FeedRoute{Name: route.Name, Address: address.String()}
+	r := &pb.FeedRoute{Name: route.Name, Address: address.String(), AnswerWithinMs: uint32(route.AnswerWithin.Milliseconds())}
 	for _, s := range route.Shares {
 		r.Shares = append(r.Shares, &pb.FeedShare{Service: s.Service, Weight: uint32(s.Weight)})
 	}
@@ -127,7 +127,7 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "feed: route %s", r.Name)
 		}
-		route := &routing.Route{Name: r.Name}
+		route := &routing.Route{Name: r.Name, AnswerWithin: time.Duration(r.AnswerWithinMs) * time.Millisecond}
 		for _, s := range r.Shares {
 			route.Shares = append(route.Shares, routing.Share{Service: s.Service, Weight: int(s.Weight)})
 		}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -26,7 +26,7 @@
 	c := &routing.Configuration{Version: version, IdleTimeout: 15 * time.Second, Routes: map[netip.AddrPort]*routing.Route{},
 		Services: map[string]routing.Service{"campo": {Name: "campo", HealthPath: "/health", ColdOpenings: 2}}}
 	for i := range n {
-		c.Routes[address(i)] = &routing.Route{Name: fmt.Sprintf("r-%d", i), Shares: []routing.Share{{Service: "campo", Weight: 1}}}
+		c.Routes[address(i)] = &routing.Route{Name: fmt.Sprintf("r-%d", i), Shares: []routing.Share{{Service: "campo", Weight: 1}}, AnswerWithin: 200 * time.Millisecond}
 	}
 	for _, i := range changed {
 		c.Routes[address(i)] = &routing.Route{Name: fmt.Sprintf("r-%d", i), Shares: []routing.Share{{Service: "campo", Weight: 3}}}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -77,10 +77,11 @@
 	Refresh struct{ Kind source.Kind }
 	// ResetFlow asks for a reset to a flow's caller.
 	ResetFlow struct {
-		Flow   flow.Key
-		Ack    uint32
-		Server string
-		Reason Reason
+		Flow flow.Key
+		Ack  uint32
+		// Server and Service are empty when the server is not known.
+		Server, Service string
+		Reason          Reason
 	}
 	// Note is a change of what the instance believes, for the log.
 	Note struct {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,12 @@
 	// from a request to the first sign of its answer, where the packet shows
 	// them.
 	Opened, Answered time.Duration
+	// Late: the answer took longer than its route's objective.
+	Late bool
+	// Closed: the caller ended the flow.
+	Closed bool
+	// Service of the flow, where it is known.
+	Service string
 	// RepeatAfter is the time since the first copy of a packet that the caller
 	// repeats.
 	RepeatAfter time.Duration
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -8,7 +8,6 @@
 
 	"cuminshift/internal/model"
 	"cuminshift/internal/reach"
-	"cuminshift/internal/readiness"
 	"cuminshift/internal/registry"
 	"cuminshift/internal/routing"
 	"cuminshift/internal/source"
@@ -21,14 +20,6 @@
 // cleanInterval is the time between two searches for what has expired.
 const cleanInterval = time.Second
 
-const (
-	// maxDoubtProbes bounds the probes that one silent server sets off.
-	maxDoubtProbes = 64
-	// aliveWithin is how recently a server must have answered a caller not to
-	// be doubted when another one of its data centre falls silent.
-	aliveWithin = 100 * time.Millisecond
-)
-
 // closingFor is the time for which a flow that the caller has closed is still
 // led to its server: longer than the callers' longest interval of repeats.
 const closingFor = 2 * time.Second
@@ -130,12 +121,6 @@
 	return actions
 }
 
-func (c *Core) giveUp(t *tracked, reason Reason) Action {
-	a := ResetFlow{Flow: t.key, Ack: t.Ack, Server: t.backend.record.Name, Reason: reason}
-	c.drop(t)
-	return a
-}
-
 func (c *Core) registryChanges(now time.Time, u *source.Update) []Action {
 	var changes []registry.Change
 	listed := make(map[string]bool, len(u.Servers))
@@ -189,49 +174,6 @@
 	return actions
 }
 
-// departed asks whether a server whose entry went still lives: the entry of a
-// live server goes as well when it cannot write.
-func (c *Core) departed(now time.Time, r *registry.Record) []Action {
-	b := c.backends[r]
-	if len(b.open) == 0 || !b.reach.Doubt(now) {
-		return nil
-	}
-	return []Action{c.probe(b)}
-}
-
-// probe asks for a probe; from the second one without an answer on with a
-// control.
-func (c *Core) probe(b *backend) Action {
-	p := Probe{Server: b.record.Name, Address: b.record.Address, Path: c.healthPath(b)}
-	if b.reach.State() == reach.Unreachable && !b.reach.Failed() {
-		if control := c.control(b); control != nil {
-			p.Control, p.ControlPath = control.record.Address, c.healthPath(control)
-		}
-	}
-	return p
-}
-
-func (c *Core) healthPath(b *backend) string {
-	if s, ok := c.routes.Current().Services[b.record.Service]; ok {
-		return s.HealthPath
-	}
-	return "/"
-}
-
-// control returns the reachable server that answered last.
-func (c *Core) control(not *backend) *backend {
-	var last *backend
-	for r, b := range c.backends {
-		if b == not || !r.Listed || b.reach.State() != reach.Reachable {
-			continue
-		}
-		if last == nil || b.reach.Alive().After(last.reach.Alive()) {
-			last = b
-		}
-	}
-	return last
-}
-
 func (c *Core) withdraw(now time.Time, u *source.Update) []Action {
 	var actions []Action
 	listed := make(map[model.DataCentre]bool, len(u.DataCentres))
@@ -268,77 +210,6 @@
 	return Note{Subject: string(dc), What: what, Cause: "operator", Age: c.age(now, source.Withdrawals)}
 }
 
-func (c *Core) probed(now time.Time, e Probed) []Action {
-	for r, b := range c.backends {
-		if r.Name == e.Server {
-			before := b.reach.State()
-			failed := b.reach.Failed()
-			again := b.reach.Probed(now, e.Result, e.PathGood)
-			actions := c.afterEvidence(now, b, before, again, "probe: "+e.Result.String())
-			if before != reach.Unreachable && e.Result == reach.NoAnswer {
-				actions = append(actions, c.doubtDataCentre(now, b)...)
-			}
-			if !failed && b.reach.Failed() {
-				actions = append(actions, c.giveUpAll(b)...)
-			}
-			return append(actions, c.judge(now)...)
-		}
-	}
-	return nil
-}
-
-// doubtDataCentre probes the other servers of a silent server's data centre that
-// have shown no life since: the data centre may be cut off or without power.
-func (c *Core) doubtDataCentre(now time.Time, silent *backend) []Action {
-	var actions []Action
-	for r, b := range c.backends {
-		if len(actions) >= maxDoubtProbes {
-			break
-		}
-		if b == silent || r.DataCentre != silent.record.DataCentre || !r.Listed || b.reach.State() != reach.Reachable {
-			continue
-		}
-		if now.Sub(b.reach.Alive()) > aliveWithin && b.reach.Doubt(now) {
-			actions = append(actions, c.probe(b))
-		}
-	}
-	return actions
-}
-
-// giveUpAll resets the flows of a server that is not reached, idle ones
-// included, so that the callers' next requests open new flows at once.
-func (c *Core) giveUpAll(b *backend) []Action {
-	actions := make([]Action, 0, len(b.open))
-	for _, t := range b.open {
-		actions = append(actions, c.giveUp(t, ServerLost))
-	}
-	return actions
-}
-
-func (c *Core) afterEvidence(now time.Time, b *backend, before reach.State, probe bool, cause string) []Action {
-	var actions []Action
-	if state := b.reach.State(); state != before {
-		actions = append(actions, Note{Subject: b.record.Name, What: "server " + state.String(), Cause: cause, Age: aliveAge(now, b)})
-	}
-	if probe {
-		actions = append(actions, c.probe(b))
-	}
-	return actions
-}
-
-// aliveAge returns the time since the server answered a caller; 0 when it never
-// did.
-func aliveAge(now time.Time, b *backend) time.Duration {
-	if b.reach.Alive().IsZero() {
-		return 0
-	}
-	return now.Sub(b.reach.Alive())
-}
-
-func (c *Core) reached(now time.Time, b *backend, cause string) Action {
-	return Note{Subject: b.record.Name, What: "server " + b.reach.State().String(), Cause: cause}
-}
-
 func (c *Core) tick(now time.Time) []Action {
 	actions := c.changes(now, c.servers.Tick(now))
 	for _, b := range c.backends {
@@ -357,49 +228,6 @@
 	return append(actions, c.judge(now)...)
 }
 
-// demandDecay is the factor by which the memory of requests shrinks each tick:
-// half of it is lost in 3.4 s.
-const demandDecay = 0.98
-
-func (c *Core) decayDemand() {
-	if !c.able.Able() {
-		// While the instance is withdrawn no callers come.
-		return
-	}
-	for service := range c.demand {
-		c.demand[service] *= demandDecay
-	}
-}
-
-// judge decides whether the instance can serve most of its callers.
-func (c *Core) judge(now time.Time) []Action {
-	demands := make([]readiness.Demand, 0, len(c.demand))
-	for service, requests := range c.demand {
-		demands = append(demands, readiness.Demand{Requests: requests, Served: c.reaches(now, service)})
-	}
-	if !c.able.Update(now, demands) {
-		return nil
-	}
-	what := "instance reaches servers again"
-	if !c.able.Able() {
-		what = "instance reaches no servers for most callers"
-	}
-	return []Action{Note{Subject: string(c.cfg.DataCentre), What: what, Cause: "flows and probes"}}
-}
-
-// reaches reports whether a server of the service may take new flows and is
-// not known to be out of reach.
-func (c *Core) reaches(now time.Time, service string) bool {
-	all := c.services[service]
-	return all != nil && (slices.ContainsFunc(all.local, func(b *backend) bool { return c.usable(now, b) }) ||
-		slices.ContainsFunc(all.remote, func(b *backend) bool { return c.usable(now, b) }))
-}
-
-func (c *Core) usable(now time.Time, b *backend) bool {
-	state := b.reach.State()
-	return b.record.Openable(now) && !c.withdrawn[b.record.DataCentre] && state != reach.Unreachable && state != reach.Ended
-}
-
 // expireFlows drops flows that ended or may be discarded.
 func (c *Core) expireFlows(now time.Time) {
 	idle := c.cfg.FlowLifetime
--- /dev/null
+++ b/internal/gateway/trouble_test.go
@@ -0,0 +1,281 @@
+package gateway
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"cuminshift/internal/flow"
+	"cuminshift/internal/reach"
+	"cuminshift/internal/routing"
+	"cuminshift/internal/source"
+	"cuminshift/internal/token"
+)
+
+// A server that falls silent: its flows, also idle ones, are given up once two
+// repeats and a probe agree, and the next flow goes elsewhere.
+func TestSilentServer(t *testing.T) {
+	w := newWorld(t, server("i-1", norte))
+	flows := map[uint16]Verdict{}
+	for port := uint16(1); port <= 3; port++ {
+		flows[port] = w.opened(port)
+	}
+	w.list(server("i-1", norte), server("i-2", norte))
+	w.pass(time.Second)
+	w.request(1, flows[1], 1)
+	w.request(2, flows[2], 1)
+	w.pass(200 * time.Millisecond)
+	w.request(1, flows[1], 1)
+	if w.probes() != 1 {
+		t.Fatalf("%d probes after the first repeat", w.probes())
+	}
+	w.pass(20 * time.Millisecond)
+	w.request(2, flows[2], 1)
+	w.pass(100 * time.Millisecond)
+	w.handle(Probed{Server: "i-1", Result: reach.NoAnswer, PathGood: true})
+	resets := w.resets()
+	for port := uint16(1); port <= 3; port++ {
+		if resets[key(port)] != ServerLost {
+			t.Errorf("flow %d is not given up", port)
+		}
+	}
+	if v := w.open(9); v.Server.Name != "i-2" {
+		t.Errorf("new flow at %s", v.Server.Name)
+	}
+}
+
+// Packet loss must never break a flow.
+func TestLostPacketsBreakNoFlow(t *testing.T) {
+	w := newWorld(t, server("i-1", norte))
+	v := w.opened(1)
+	w.pass(time.Second)
+	w.request(1, v, 1)
+	w.pass(200 * time.Millisecond)
+	w.request(1, v, 1)
+	w.handle(Probed{Server: "i-1", Result: reach.NoAnswer, PathGood: true})
+	w.handle(Probed{Server: "i-1", Result: reach.Answered})
+	if n := len(w.resets()); n > 0 {
+		t.Fatalf("%d resets", n)
+	}
+	if got := w.request(1, v, 1); got.Kind != Forward {
+		t.Fatalf("%+v", got)
+	}
+}
+
+// The entry of a server goes with flows still open: whether it lives is asked,
+// and the flows end at once when it does not.
+func TestDepartedServer(t *testing.T) {
+	for _, result := range []reach.ProbeResult{reach.Refused, reach.OtherServer, reach.Answered} {
+		w := newWorld(t, server("i-1", norte), server("i-2", norte))
+		v := w.opened(1)
+		rest := "i-1"
+		if v.Server.Name == "i-1" {
+			rest = "i-2"
+		}
+		w.pass(time.Second)
+		w.list(server(rest, norte))
+		if w.probes() != 1 {
+			t.Fatalf("%d probes", w.probes())
+		}
+		w.handle(Probed{Server: v.Server.Name, Result: result})
+		_, reset := w.resets()[key(1)]
+		if reset != (result != reach.Answered) {
+			t.Errorf("probe %s: flow given up %t", result, reset)
+		}
+	}
+}
+
+func TestRestartedServerHoldsNoFlow(t *testing.T) {
+	w := newWorld(t, server("i-1", norte))
+	w.opened(1)
+	again := server("i-1", norte)
+	again.Incarnation = 99
+	w.list(again)
+	if w.resets()[key(1)] != ServerLost {
+		t.Fatalf("%+v", w.actions)
+	}
+}
+
+// A server has crashed and rejects its callers, which the instance does not
+// see. The few attempts of a caller, which follow each other at once, must not
+// all meet it.
+func TestAttemptsOfACallerMeetDifferentServers(t *testing.T) {
+	w := newWorld(t, server("i-1", norte), server("i-2", norte), server("i-3", norte))
+	first := w.opened(1)
+	w.pass(time.Second)
+	w.request(1, first, 1)
+	met := map[string]bool{first.Server.Name: true}
+	for port := uint16(2); port <= 3; port++ {
+		w.pass(3 * time.Millisecond)
+		v := w.open(port)
+		if met[v.Server.Name] {
+			t.Fatalf("attempt %d meets %s again", port, v.Server.Name)
+		}
+		met[v.Server.Name] = true
+	}
+	if w.probes() != 2 {
+		t.Fatalf("%d probes of the two servers that did not answer", w.probes())
+	}
+	if n := len(w.resets()); n > 0 {
+		t.Fatalf("%d resets", n)
+	}
+}
+
+// A data centre loses power; its callers come to this instance with flows at
+// its servers. The servers are probed at the first packet, not at its repeat.
+func TestFlowsTakenOverFromAnotherDataCentre(t *testing.T) {
+	w := newWorld(t, server("i-1", norte), server("i-2", sur), server("i-3", sur))
+	for port := uint16(1); port <= 3; port++ {
+		w.packet(&flow.Segment{Key: key(port), Seq: 1, Ack: 9, Length: 50, Token: token.Of("i-2", 0)})
+	}
+	if w.probes() != 1 {
+		t.Fatalf("%d probes", w.probes())
+	}
+	w.pass(120 * time.Millisecond)
+	for range 3 {
+		w.handle(Probed{Server: "i-2", Result: reach.NoAnswer, PathGood: true})
+	}
+	if n := len(w.resets()); n != 3 {
+		t.Fatalf("%d of 3 flows are given up", n)
+	}
+	w.packet(&flow.Segment{Key: key(9), Seq: 1, Ack: 9, Length: 50, Token: token.Of("i-1", 0)})
+	if n := w.probes(); n > 5 {
+		t.Fatalf("%d probes", n)
+	}
+}
+
+// A data centre whose servers are out of service loses the others: its
+// instances withdraw, and come back when the servers are reached again.
+func TestCutOffWithoutServers(t *testing.T) {
+	w := newWorld(t, server("i-1", norte), server("i-2", sur), server("i-3", sur))
+	w.withdraw(norte, true)
+	v := w.opened(1)
+	w.pass(time.Second)
+	w.request(1, v, 1)
+	w.pass(200 * time.Millisecond)
+	w.request(1, v, 1)
+	for range 3 {
+		w.pass(120 * time.Millisecond)
+		for _, name := range []string{"i-2", "i-3"} {
+			w.handle(Probed{Server: name, Result: reach.NoAnswer, PathGood: true})
+		}
+	}
+	if w.core.Ready() {
+		t.Fatal("ready without any server")
+	}
+	if w.resets()[key(1)] != ServerLost {
+		t.Fatal("the flow across the cut is not given up")
+	}
+	for range 20 {
+		w.pass(TickInterval)
+		for _, a := range w.handle(Tick{}) {
+			if p, ok := a.(Probe); ok {
+				w.handle(Probed{Server: p.Server, Result: reach.Answered})
+			}
+		}
+	}
+	if !w.core.Ready() {
+		t.Fatal("not ready though the servers answer again")
+	}
+}
+
+// A service with a flow for each request opens more flows than one with long
+// flows. That its few servers are out of reach must not withdraw an instance
+// whose other callers are served.
+func TestLongFlowsWeighAsMuchAsTheirRequests(t *testing.T) {
+	other := server("i-9", sur)
+	other.Service = "ordenes"
+	w := newWorld(t, server("i-1", norte), other)
+	second := netip.MustParseAddrPort("198.18.0.2:443")
+	c := &routing.Configuration{Version: 2, IdleTimeout: time.Minute, Routes: map[netip.AddrPort]*routing.Route{
+		service: {Shares: []routing.Share{{Service: campo, Weight: 1}}},
+		second:  {Shares: []routing.Share{{Service: "ordenes", Weight: 1}}},
+	}}
+	w.handle(Updated{Kind: source.Configuration, AsOf: w.now, Update: source.Update{Full: true, Revision: 50, Configuration: c}})
+	v := w.opened(1)
+	for i := range uint32(60) {
+		w.request(1, v, 1+50*i)
+		w.packet(&flow.Segment{Key: key(1), Seq: 51 + 50*i, Ack: 200 + i, Token: v.Token})
+		if i%3 == 0 {
+			k := flow.NewKey(netip.AddrPortFrom(netip.MustParseAddr("100.64.0.8"), uint16(i)), second)
+			got := w.packet(&flow.Segment{Key: k, Opening: true})
+			w.packet(&flow.Segment{Key: k, Seq: 1, Ack: 7, Length: 9, Token: got.Token})
+		}
+		w.pass(10 * time.Millisecond)
+	}
+	w.core.services["ordenes"].remote[0].reach.Doubt(w.now)
+	for range 3 {
+		w.handle(Probed{Server: "i-9", Result: reach.NoAnswer, PathGood: true})
+		w.handle(Tick{})
+	}
+	if !w.core.Ready() {
+		t.Fatal("withdrawn though three quarters of the requests are served")
+	}
+}
+
+// A packet of a flow whose server left before this instance started.
+func TestUnknownToken(t *testing.T) {
+	w := newWorld(t, server("i-1", norte))
+	w.pass(3 * time.Second)
+	s := flow.Segment{Key: key(1), Seq: 1, Ack: 5, Length: 9, Token: token.Of("i-99", 0)}
+	if v := w.packet(&s); v.Kind != Drop || v.Reason != UnknownToken {
+		t.Fatalf("%+v", v)
+	}
+	if _, ok := w.actions[len(w.actions)-1].(Refresh); !ok {
+		t.Fatalf("no read of the registry: %+v", w.actions)
+	}
+	w.pass(5 * time.Millisecond)
+	w.list(server("i-1", norte))
+	if w.resets()[key(1)] != UnknownToken {
+		t.Fatalf("the flow of a server that left is not given up: %+v", w.actions)
+	}
+}
+
+// A server may register between two reads: its flows are not given up.
+func TestUnknownTokenOfANewServer(t *testing.T) {
+	w := newWorld(t, server("i-1", norte))
+	w.pass(3 * time.Second)
+	s := flow.Segment{Key: key(1), Seq: 1, Ack: 5, Length: 9, Token: token.Of("i-99", 0)}
+	w.packet(&s)
+	w.pass(5 * time.Millisecond)
+	w.list(server("i-1", norte), server("i-99", norte))
+	if n := len(w.resets()); n > 0 {
+		t.Fatalf("%d resets", n)
+	}
+	if v := w.packet(&s); v.Kind != Forward || v.Server.Name != "i-99" {
+		t.Fatalf("%+v", v)
+	}
+}
+
+// After an outage of the registry entries of live servers may be missing.
+func TestUnknownTokenAfterAnOutage(t *testing.T) {
+	w := newWorld(t, server("i-1", norte))
+	w.pass(3 * time.Second)
+	w.handle(Unanswered{Kind: source.Registry, Sent: w.now})
+	w.pass(3 * time.Second)
+	w.list(server("i-1", norte))
+	w.packet(&flow.Segment{Key: key(1), Seq: 1, Ack: 5, Length: 9, Token: token.Of("i-99", 0)})
+	w.pass(time.Second)
+	w.list(server("i-1", norte))
+	if n := len(w.resets()); n > 0 {
+		t.Fatalf("%d resets within the time in which entries come back", n)
+	}
+}
+
+// A follower hears of an outage of the registry only from the instance that it
+// follows. Entries that lapsed in it must not empty the service there.
+func TestFollowerKeepsLapsedServers(t *testing.T) {
+	w := newWorld(t, server("i-1", norte))
+	w.pass(5 * time.Second)
+	w.handle(RegistryOutage{Returned: w.now.Add(-100 * time.Millisecond)})
+	w.list()
+	if v := w.open(1); v.Kind != Forward {
+		t.Fatalf("%s, %s", v.Kind, v.Reason)
+	}
+	w.pass(3 * time.Second)
+	w.handle(Tick{})
+	w.confirm()
+	if v := w.open(2); v.Kind != Reset {
+		t.Fatalf("3 s later: %s, %s", v.Kind, v.Reason)
+	}
+}
--- a/internal/gatewayshell/packets.go
+++ b/internal/gatewayshell/packets.go
@@ -54,6 +54,7 @@
 		sh.counters.dropped.Inc(1)
 	}
 	sh.counters.verdict(&v)
+	sh.burn.verdict(now, &v)
 	sh.log.verdict(s, &v)
 	sh.do(actions)
 }
--- a/internal/gatewayshell/ready.go
+++ b/internal/gatewayshell/ready.go
@@ -12,7 +12,8 @@
 // readyTimeout bounds one readiness check, which comes twice a second.
 const readyTimeout = 2 * time.Second
 
-// serveReady answers the fabric's readiness checks and serves the metrics.
+// serveReady answers the fabric's readiness checks and serves the metrics
+// and the burn report.
 func (sh *Shell) serveReady(ctx context.Context, l net.Listener) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc(sh.parts.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
@@ -21,6 +22,7 @@
 		}
 	})
 	mux.HandleFunc("/metrics", sh.serveMetrics)
+	mux.HandleFunc("/burn", sh.serveBurn)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: readyTimeout}
 	go func() {
 		<-ctx.Done()
--- a/internal/gatewayshell/shell.go
+++ b/internal/gatewayshell/shell.go
@@ -80,6 +80,7 @@
 	core     *gateway.Core
 	packets  *net.UDPConn
 	counters *counters
+	burn     *burnBook
 	probes   *prober
 	// lastPacket is the time of the last packet, for the planned stop.
 	lastPacket atomicTime
@@ -103,7 +104,7 @@
 
 // Run serves until ctx ends, then makes a planned stop.
 func Run(ctx context.Context, s *Settings, parts Parts, log *zap.Logger) error {
-	sh := &Shell{settings: s, parts: parts, log: newDecisionLog(log), counters: newCounters()}
+	sh := &Shell{settings: s, parts: parts, log: newDecisionLog(log), counters: newCounters(), burn: newBurnBook()}
 	sh.core = gateway.New(gateway.Config{
 		DataCentre:   s.DataCentre,
 		FreshFor:     time.Duration(freshShare * float64(s.Bounds[source.Configuration])),
@@ -220,6 +221,7 @@
 			go sh.refresh(a.Kind)
 		case gateway.ResetFlow:
 			sh.sendReset(a.Flow, a.Ack)
+			sh.burn.givenUp(time.Now(), &a)
 			sh.log.reset(a)
 		case gateway.Note:
 			sh.log.note(a)
--- a/internal/gatewayshell/shell_test.go
+++ b/internal/gatewayshell/shell_test.go
@@ -1,14 +1,16 @@
 package gatewayshell_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"regexp"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -17,6 +19,7 @@
 
 	"cuminshift/internal/gatewayshell"
 	"cuminshift/internal/standin/platform/client"
+	"cuminshift/internal/standin/platform/operator"
 	"cuminshift/internal/standin/platform/router"
 	"cuminshift/internal/standin/platform/server"
 	"cuminshift/internal/standin/platform/store"
@@ -55,13 +58,12 @@
 func (s *site) Ran(string, string, string, time.Time)                            {}
 func (s *site) Forged(string, time.Time)                                         { s.mu.Lock(); s.forged++; s.mu.Unlock() }
 
-func (s *site) configure(version int, routes ...netip.AddrPort) {
-	var list []map[string]any
-	for _, r := range routes {
-		list = append(list, map[string]any{"name": r.String(), "host": r.Addr().String(), "path_prefix": fmt.Sprintf("/%d/", r.Port()), "service": "campo"})
+func (s *site) configure(version int, addresses ...netip.AddrPort) {
+	var routes []operator.Route
+	for _, a := range addresses {
+		routes = append(routes, operator.Route{Address: a, Service: "campo"})
 	}
-	s.store.Put("config", "main", map[string]any{"version": version, "routes": list, "limits": map[string]any{"idle_timeout_ms": 15000},
-		"services": []map[string]any{{"name": "campo", "health_path": "/health"}}})
+	operator.Configure(s.store, version, routes)
 }
 
 func (s *site) serve(st http.Handler, address netip.AddrPort) {
@@ -112,14 +114,9 @@
 }
 
 func (s *site) settings(i int, storeAddress netip.AddrPort) string {
-	return fmt.Sprintf(`node_name: "norte-%d"
-zone: "norte"
-listen: {packet_addr: "%s", ready_addr: "%s"}
-port_range: [7720, 7735]
-seeds: ["%s"]
-bounds: {grace_s: 6, flow_ttl_s: 60, warmup_slack: 5, apply_ms: 3000, drain_ms: 3000, evacuate_ms: 5000}
-platform: {address: "%s"}
-`, i, s.address(20+i, packetPort), s.address(20+i, readyPort), s.address(20, 8166), storeAddress)
+	p := operator.Process{Name: fmt.Sprint("norte-", i), Zone: "norte", Packets: s.address(20+i, packetPort), Ready: s.address(20+i, readyPort),
+		Control: s.address(20+i, 8166), Store: storeAddress, Seed: s.address(20, 8166)}
+	return p.Settings()
 }
 
 func (s *site) startInstance(i int) {
@@ -151,16 +148,25 @@
 	}
 }
 
-// metric returns a metric of an instance, -1 when it cannot be read.
-func (s *site) metric(i int, name string) float64 {
-	r, err := http.Get("http://" + s.address(20+i, readyPort).String() + "/metrics")
+// page returns a page of an instance; empty when it cannot be read.
+func (s *site) page(i int, path string) string {
+	r, err := http.Get("http://" + s.address(20+i, readyPort).String() + path)
 	if err != nil {
-		return -1
+		return ""
 	}
 	defer r.Body.Close()
-	for lines := bufio.NewScanner(r.Body); lines.Scan(); {
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return ""
+	}
+	return string(b)
+}
+
+// metric returns a metric of an instance, -1 when it cannot be read.
+func (s *site) metric(i int, name string) float64 {
+	for line := range strings.Lines(s.page(i, "/metrics")) {
 		var v float64
-		if n, _ := fmt.Sscanf(lines.Text(), "cuminshift_"+name+" %f", &v); n == 1 {
+		if n, _ := fmt.Sscanf(line, "cuminshift_"+name+" %f", &v); n == 1 {
 			return v
 		}
 	}
@@ -278,6 +284,10 @@
 	if got := s.request(f, "d").Server; got == victim.ID() {
 		t.Error("new flow at the dead server")
 	}
+	f.Close()
+	s.until(time.Second, "the burn report shows the broken flows", func() bool {
+		return regexp.MustCompile(`campo +norte +broken-flows +5m0s +[1-9]\d* +[3-9] .*server lost`).MatchString(s.page(0, "/burn"))
+	})
 }
 
 // The store is out in each way while the configuration changes; the change is
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -139,6 +139,9 @@
 	g.outage = time.Time{}
 }
 
+// Record returns the named server's record, or nil.
+func (g *Registry) Record(name string) *Record { return g.records[name] }
+
 // Outage returns the begin of the present outage and the end of the last one;
 // zero for none.
 func (g *Registry) Outage() (since, returned time.Time) { return g.outage, g.returned }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -20,6 +20,8 @@
 type Route struct {
 	Name   string
 	Shares []Share
+	// AnswerWithin is the objective for the time to an answer; 0 for none.
+	AnswerWithin time.Duration
 }
 
 // Service is what the configuration says of a service.
@@ -63,7 +65,7 @@
 
 // Equal reports whether two routes lead to the same services.
 func (r *Route) Equal(other *Route) bool {
-	return other != nil && r.Name == other.Name && slices.Equal(r.Shares, other.Shares)
+	return other != nil && r.Name == other.Name && r.AnswerWithin == other.AnswerWithin && slices.Equal(r.Shares, other.Shares)
 }
 
 // Pick returns the service for a new flow. All copies of an opening, at any
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"syscall"
 	"time"
 
+	"cuminshift/internal/standin/platform/operator"
 	"cuminshift/internal/standin/platform/server"
 	"cuminshift/internal/standin/platform/store"
 )
@@ -198,6 +198,6 @@
 
 func (r *run) evacuate(length time.Duration) {
 	zone := zones[r.rng.IntN(len(zones))]
-	r.fleet.store.Put("evacuations", zone, map[string]any{"by": fmt.Sprint(r.version)})
-	time.AfterFunc(evacuateBound+length, func() { r.fleet.store.Delete("evacuations", zone) })
+	operator.Evacuate(r.fleet.store, zone)
+	time.AfterFunc(evacuateBound+length, func() { operator.TakeBack(r.fleet.store, zone) })
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cuminshift/internal/standin/platform/operator"
 	"cuminshift/internal/standin/platform/router"
 	"cuminshift/internal/standin/platform/server"
 	"cuminshift/internal/standin/platform/store"
@@ -23,7 +24,6 @@
 	packetPort  = 8172
 	readyPort   = 8167
 	controlPort = 8166
-	peerPort    = 7720
 	storePort   = 8169
 	serverPort  = 8080
 
@@ -87,16 +87,17 @@
 	return f, f.startInstances(o.InstancesPerZone)
 }
 
-// configure writes a version with the first n routes in force.
+// configure writes a version with n routes; those beyond the callers'
+// routes are used by nobody.
 func (f *fleet) configure(version, n int) {
-	var list []map[string]any
+	var list []operator.Route
 	for i := range n {
 		r := routes[i%len(routes)]
-		list = append(list, map[string]any{"name": fmt.Sprint("r", i), "host": fmt.Sprintf("198.18.%d.%d", i/len(routes), r.address.Addr().As4()[3]),
-			"path_prefix": fmt.Sprintf("/%d/", r.address.Port()), "service": r.service, "type": "safe"})
+		ip := r.address.Addr().As4()
+		ip[2] = byte(i / len(routes))
+		list = append(list, operator.Route{Address: netip.AddrPortFrom(netip.AddrFrom4(ip), r.address.Port()), Service: r.service})
 	}
-	f.store.Put("config", "main", map[string]any{"version": version, "routes": list, "limits": map[string]any{"idle_timeout_ms": 15000},
-		"services": []map[string]any{{"name": "campo", "health_path": "/health"}, {"name": "ordenes", "health_path": "/health"}}})
+	operator.Configure(f.store, version, list)
 }
 
 // addServer starts a server; address 0 takes a new one.
@@ -154,17 +155,9 @@
 }
 
 func (f *fleet) writeSettings(g *process, zone string, z, n, i int) error {
-	text := fmt.Sprintf(`node_name: "%s"
-zone: "%s"
-listen: {packet_addr: "%s", ready_addr: "%s", control: "%s"}
-port_range: [%d, %d]
-seeds: ["%s"]
-limits: {bandwidth_mbps: 100.0}
-bounds: {grace_s: 6, flow_ttl_s: 60, warmup_slack: 5, apply_ms: 3000, drain_ms: 3000, evacuate_ms: 5000}
-platform: {address: "%s"}
-`, g.name, zone, f.address(20+z, n+1, packetPort), f.address(20+z, n+1, readyPort), f.address(20+z, n+1, controlPort),
-		peerPort, peerPort+15, f.address(20, 1, controlPort), f.address(2, i+1, storePort))
-	return errors.Wrap(os.WriteFile(g.settings, []byte(text), 0o600), "soak: settings")
+	p := operator.Process{Name: g.name, Zone: zone, Packets: f.address(20+z, n+1, packetPort), Ready: f.address(20+z, n+1, readyPort),
+		Control: f.address(20+z, n+1, controlPort), Store: f.address(2, i+1, storePort), Seed: f.address(20, 1, controlPort)}
+	return errors.Wrap(os.WriteFile(g.settings, []byte(p.Settings()), 0o600), "soak: settings")
 }
 
 func (f *fleet) stop() {
