Take instances that ask as seeds

Ruled out: seeds from the store (it is down) and more seeds (the settings hold three). Change: an instance that is left asks those it follows; one that starts takes the asker as a seed. Loaded instances serve others before they are registered; two that follow each other learn nothing, which their ages show. Tests: TestLearnsFromAnInstanceThatAsks, TestSeeds.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -178,6 +178,13 @@
 	return c.loaded() && !c.stopping && c.able.Able()
 }
 
+// Loaded reports whether the instance knows a configuration and the servers.
+func (c *Core) Loaded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.loaded()
+}
+
 func (c *Core) loaded() bool { return c.routes.Current() != nil && c.servers.Loaded() }
 
 func (c *Core) fresh(now time.Time, s source.Kind) bool {
--- a/internal/gatewayshell/feedclient.go
+++ b/internal/gatewayshell/feedclient.go
@@ -54,7 +54,7 @@
 // one registered before it. While the store does not answer, a seed is followed.
 func (sh *Shell) followInstances(ctx context.Context) {
 	go sh.register(ctx)
-	for begin := time.Now(); time.Since(begin) < seedDelay && !sh.serving() && !sh.storeFailed.Load(); {
+	for begin := time.Now(); time.Since(begin) < seedDelay && !sh.registered() && !sh.storeFailed.Load(); {
 		sleepUntil(ctx, time.Now().Add(readyInterval))
 	}
 	sh.seed()
@@ -78,24 +78,26 @@
 			continue
 		}
 		sh.setFollowing("")
-		if now.After(nextCount) && sh.serving() {
+		if now.After(nextCount) && sh.registered() {
 			nextCount = now.Add(fleetInterval)
 			sh.countFleet(ctx)
 		}
-		sleepUntil(ctx, now.Add(followPause))
+		pause := followPause
+		if !sh.core.Loaded() {
+			pause = readyInterval
+		}
+		sleepUntil(ctx, now.Add(pause))
 	}
 }
 
 // seed takes the settings' seeds as instances to follow, unless the instance is
 // registered.
 func (sh *Shell) seed() {
-	var seeds []netip.AddrPort
-	for _, ip := range sh.live.Load().settings.SeedAddresses {
-		seeds = append(seeds, netip.AddrPortFrom(ip, sh.settings.PeerPorts[0]))
-	}
 	sh.upstreamMu.Lock()
 	defer sh.upstreamMu.Unlock()
-	sh.upstream.Seed(sh.peerAddress(), seeds)
+	for _, ip := range sh.live.Load().settings.SeedAddresses {
+		sh.upstream.Seed(sh.peerAddress(), netip.AddrPortFrom(ip, sh.settings.PeerPorts[0]))
+	}
 }
 
 // register enters the instance in the directory once it serves.
@@ -178,6 +180,9 @@
 		if sh.upstream.Failed(now, instance) {
 			go sh.removeDead(ctx, instance)
 		}
+	case response.NotServing:
+		sh.setFollowing("")
+		sh.upstream.Failed(now, instance)
 	case response.FullUp:
 		sh.setFollowing("")
 		sh.upstream.Refused(now, instance)
@@ -196,7 +201,8 @@
 
 func (sh *Shell) askFeed(ctx context.Context, client *rpcframe.Client, instance upstream.Instance) (*pb.FeedResponse, error) {
 	request := &pb.FeedRequest{Instance: string(sh.settings.Instance), Place: int64(sh.place()), WaitMs: uint32(feedWait.Milliseconds()),
-		Departed: sh.following() != instance.Name, Whole: sh.askWhole.Load()}
+		Departed: sh.following() != instance.Name, Whole: sh.askWhole.Load(),
+		Address: sh.peerAddress().String(), Loaded: sh.core.Loaded()}
 	for _, r := range sh.core.Revisions() {
 		request.Revisions = append(request.Revisions, int64(r))
 	}
--- a/internal/gatewayshell/feedserver.go
+++ b/internal/gatewayshell/feedserver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -77,9 +78,13 @@
 }
 
 func (f *Feed) answer(request *pb.FeedRequest) *pb.FeedResponse {
+	f.learnAsker(request)
 	defer f.followers.Add(-1)
-	if f.followers.Add(1) > maxFollowers || !f.shell.serving() {
+	switch {
+	case f.followers.Add(1) > maxFollowers:
 		return &pb.FeedResponse{Place: int64(f.shell.place()), FullUp: true}
+	case !f.shell.serving():
+		return &pb.FeedResponse{Place: int64(f.shell.place()), NotServing: true}
 	}
 	timer := time.NewTimer(time.Duration(request.WaitMs) * time.Millisecond)
 	defer timer.Stop()
@@ -103,7 +108,7 @@
 	response := &pb.FeedResponse{Place: int64(f.shell.place()), Instances: uint32(f.shell.fleet.Load())}
 	ages, ok := f.shell.core.Ages(now)
 	if !ok {
-		response.FullUp = true
+		response.NotServing = true
 		return response
 	}
 	outage := f.shell.core.RegistryOutage()
@@ -127,6 +132,23 @@
 	return response
 }
 
+// learnAsker takes an instance that asks as a seed. After a loss of most
+// instances, those that are left ask the ones that start again, whose own seeds
+// may know nothing either.
+func (f *Feed) learnAsker(request *pb.FeedRequest) {
+	if !request.Loaded {
+		return
+	}
+	address, err := netip.ParseAddrPort(request.Address)
+	if err != nil {
+		f.shell.log.failed("feed: address of "+request.Instance, err)
+		return
+	}
+	f.shell.upstreamMu.Lock()
+	defer f.shell.upstreamMu.Unlock()
+	f.shell.upstream.Seed(f.shell.peerAddress(), address)
+}
+
 // ageMS returns the age of a time in milliseconds, at least 1; 0 for the zero
 // time.
 func ageMS(now, t time.Time) uint32 {
@@ -151,13 +173,16 @@
 	return sh.upstream.Self()
 }
 
-// serving reports whether the instance passes on what it knows.
-func (sh *Shell) serving() bool {
+// registered reports whether the instance is in the directory.
+func (sh *Shell) registered() bool {
 	sh.upstreamMu.Lock()
 	defer sh.upstreamMu.Unlock()
-	return !sh.stopping.Load() && sh.upstream.Registered()
+	return sh.upstream.Registered()
 }
 
+// serving reports whether the instance passes on what it knows.
+func (sh *Shell) serving() bool { return !sh.stopping.Load() && sh.core.Loaded() }
+
 // serveFeed answers other instances until ctx ends.
 func (sh *Shell) serveFeed(ctx context.Context) error {
 	listener, err := sh.listenPeer()
--- a/internal/gatewayshell/shell_test.go
+++ b/internal/gatewayshell/shell_test.go
@@ -340,6 +340,29 @@
 	}
 }
 
+// The store is out and an instance starts whose seeds know nothing: it learns
+// from one that asks it.
+func TestLearnsFromAnInstanceThatAsks(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 17, 2)
+	s.until(5*time.Second, "the second instance follows the first", func() bool { return s.metric(1, "feed_calls") > 4 })
+	s.store.SetMode(store.Busy, 0)
+	s.stops[0]()
+	if err := <-s.ended[0]; err != nil {
+		t.Fatal(err)
+	}
+	s.ended[0] <- nil
+	// The only seed of the settings is the address of this instance itself.
+	s.startInstance(0)
+	s.until(4*time.Second, "the restarted instance is ready", func() bool {
+		r, err := http.Get("http://" + s.address(20, readyPort).String() + "/cuminshift/ready")
+		if err == nil {
+			r.Body.Close()
+		}
+		return err == nil && r.StatusCode == http.StatusOK
+	})
+}
+
 // The settings file names another address of the store; the instance goes there
 // without a restart.
 func TestStoreMoves(t *testing.T) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -53,9 +53,15 @@
 	// refusedFor keeps one that serves others or is about to stop away
 	// longer; its own followers are no use to it.
 	refusedFor = 10 * time.Second
+	// seedRetry is the time between two calls to a seed: callers lose half a
+	// second with the second repeat of a packet.
+	seedRetry = 200 * time.Millisecond
 	// maxOthers is the number of instances of other data centres that one may
 	// follow: a data centre is seldom cut off from more than one other.
 	maxOthers = 4
+	// maxSeeds bounds the seeds: those of the settings and instances that ask
+	// this one.
+	maxSeeds = 16
 	// deadAfter is the silence after which a registration is removed: much
 	// longer than a restart or a cut.
 	deadAfter = 10 * time.Minute
@@ -98,17 +104,15 @@
 	}
 }
 
-// Seed takes addresses of instances that may live, for an instance that cannot
-// register. It does nothing once the instance is registered.
-func (u *Upstream) Seed(self netip.AddrPort, seeds []netip.AddrPort) {
-	if u.Registered() {
+// Seed takes the address of an instance that may live, for an instance that
+// cannot register. It does nothing once the instance is registered.
+func (u *Upstream) Seed(self, seed netip.AddrPort) {
+	i := Instance{Name: model.InstanceID(seed.String()), Address: seed}
+	if u.Registered() || seed == self || len(u.candidates) >= maxSeeds || u.find(i) != nil {
 		return
 	}
-	all := make([]Instance, 0, len(seeds))
-	for _, address := range seeds {
-		all = append(all, Instance{Name: model.InstanceID(address.String()), Address: address})
-	}
-	u.Register(Instance{Address: self, Bandwidth: -1, Place: Unregistered}, all)
+	u.self = Instance{Address: self, Bandwidth: -1, Place: Unregistered}
+	u.candidates = append(u.candidates, candidate{Instance: i})
 }
 
 // Registered reports whether the instance has a place.
@@ -140,9 +144,11 @@
 }
 
 // Answered notes an answer with the ages of the knowledge behind it. An
-// instance that has registered anew since is no longer followed.
+// instance that has registered anew since is no longer followed. An instance
+// that is not registered itself follows any: two that follow each other learn
+// nothing new, which their ages show.
 func (u *Upstream) Answered(now time.Time, i Instance, place Place, ages [source.Kinds]time.Duration) (follow bool) {
-	if i.Place = place; !i.before(u.self) {
+	if i.Place = place; u.Registered() && !i.before(u.self) {
 		u.remove(i)
 		return false
 	}
@@ -162,6 +168,10 @@
 	if c == nil {
 		return false
 	}
+	if !u.Registered() {
+		c.avoidUntil = now.Add(seedRetry)
+		return false
+	}
 	c.avoidUntil = now.Add(avoidFor)
 	if c.silentSince.IsZero() {
 		c.silentSince = now
@@ -175,7 +185,12 @@
 
 // Refused notes that an instance serves no more others.
 func (u *Upstream) Refused(now time.Time, i Instance) {
-	if c := u.find(i); c != nil {
+	c := u.find(i)
+	switch {
+	case c == nil:
+	case !u.Registered():
+		c.avoidUntil = now.Add(seedRetry)
+	default:
 		c.avoidUntil = now.Add(refusedFor)
 	}
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -88,7 +88,9 @@
 	var u Upstream
 	self := netip.MustParseAddrPort("10.0.0.9:7720")
 	seed := netip.MustParseAddrPort("10.0.0.1:7720")
-	u.Seed(self, []netip.AddrPort{self, seed})
+	u.Seed(self, self)
+	u.Seed(self, seed)
+	u.Seed(self, seed)
 	i, ok := u.Next(start)
 	if !ok || i.Address != seed || u.Registered() {
 		t.Fatalf("%+v, %t", i, ok)
@@ -97,7 +99,7 @@
 		t.Fatal("a seed that answers is not followed")
 	}
 	u.Register(instance("b", 80), nil)
-	u.Seed(self, []netip.AddrPort{seed})
+	u.Seed(self, seed)
 	if _, ok := u.Next(start); ok {
 		t.Fatal("a registered instance follows a seed")
 	}
