Form the feed's tree by the order of registration

Change: an instance's parent follows from its place, (n-1)/7; its ancestors and a few others are its candidates. Tests: TestInstancesFormATree, TestFollowsTheParentsParent.

--- a/internal/gatewayshell/feedserver.go
+++ b/internal/gatewayshell/feedserver.go
@@ -28,9 +28,9 @@
 	feedMargin = 300 * time.Millisecond
 	// feedDialTimeout bounds the opening of a connection to an instance.
 	feedDialTimeout = 200 * time.Millisecond
-	// maxFollowers is the number of instances that one instance serves; above
-	// it a tree forms. A follower takes 0.85 KB/s, and control may take 7 KB/s.
-	maxFollowers = 7
+	// maxFollowers bounds the instances that one instance serves: those of the
+	// tree, those of a lost child, and first ones of other data centres.
+	maxFollowers = 3 * upstream.FanOut
 )
 
 // Feed is the net/rpc receiver that passes on what this instance knows.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -3,9 +3,9 @@
 //
 // Instances register in the platform's store. The width of their links and the
 // order of their registrations are the order in which they are followed: an
-// instance follows the first one before it that answers, of its own data centre
-// if there is one, so nobody follows in a circle. The first one of all calls the
-// store for the others, the first one of a data centre passes it on there. No agreement is
+// instance follows one before it that answers, of its own data centre if there
+// is one, so nobody follows in a circle. The first one of all calls the store
+// for the others; within a data centre the instances form a tree. No agreement is
 // needed: two instances that call the store do no harm but the cost.
 package upstream
 
@@ -48,6 +48,9 @@
 }
 
 const (
+	// FanOut is the number of instances that follow one within its data centre.
+	// A follower takes 0.85 KB/s, and control may take 7 KB/s.
+	FanOut = 7
 	// avoidFor keeps an instance that did not answer from being asked again.
 	avoidFor = 2 * time.Second
 	// refusedFor keeps one that serves others or is about to stop away
@@ -99,11 +102,30 @@
 	slices.SortFunc(own, compare)
 	slices.SortFunc(others, compare)
 	u.candidates = u.candidates[:0]
-	for _, i := range append(own, others[:min(len(others), maxOthers)]...) {
+	for _, i := range append(ancestorsFirst(own), others[:min(len(others), maxOthers)]...) {
 		u.candidates = append(u.candidates, candidate{Instance: i})
 	}
 }
 
+// ancestorsFirst orders the instances before one, of its own data centre. They
+// form a tree in which each is followed by FanOut others: the parent comes
+// first, then its parent, up to the first of all, and a few others for the case
+// that all of these are lost.
+func ancestorsFirst(before []Instance) []Instance {
+	var out []Instance
+	taken := map[int]bool{}
+	for n := len(before); n > 0; {
+		n = (n - 1) / FanOut
+		out, taken[n] = append(out, before[n]), true
+	}
+	for n := 0; n < len(before) && n < maxOthers; n++ {
+		if !taken[n] {
+			out = append(out, before[n])
+		}
+	}
+	return out
+}
+
 // Seed takes the address of an instance that may live, for an instance that
 // cannot register. It does nothing once the instance is registered.
 func (u *Upstream) Seed(self, seed netip.AddrPort) {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -70,6 +70,53 @@
 	}
 }
 
+// In a large data centre nobody is followed by more than FanOut others, and all
+// are a few steps from the first one.
+func TestInstancesFormATree(t *testing.T) {
+	const n = 750
+	var all []Instance
+	followers, depth := map[model.InstanceID]int{}, map[model.InstanceID]int{}
+	for p := Place(1); p <= n; p++ {
+		self := instance(fmt.Sprint(p), p)
+		all = append(all, self)
+		var u Upstream
+		u.Register(self, all)
+		if len(u.candidates) > 10 {
+			t.Fatalf("instance %d has %d candidates", p, len(u.candidates))
+		}
+		if i, ok := u.Next(start); ok {
+			followers[i.Name]++
+			depth[self.Name] = depth[i.Name] + 1
+		}
+	}
+	for name, n := range followers {
+		if n > FanOut {
+			t.Errorf("instance %s has %d followers", name, n)
+		}
+	}
+	if last := depth[all[n-1].Name]; last > 4 {
+		t.Errorf("the last one is %d steps from the first", last)
+	}
+}
+
+// The parent is lost: its parent is followed.
+func TestFollowsTheParentsParent(t *testing.T) {
+	var all []Instance
+	for p := Place(1); p <= 60; p++ {
+		all = append(all, instance(fmt.Sprint(p), p))
+	}
+	var u Upstream
+	u.Register(all[59], all)
+	parent, _ := u.Next(start)
+	u.Failed(start, parent)
+	grand, _ := u.Next(start)
+	u.Failed(start, grand)
+	root, _ := u.Next(start)
+	if parent.Place != 9 || grand.Place != 2 || root.Place != 1 {
+		t.Fatalf("%d, %d, %d", parent.Place, grand.Place, root.Place)
+	}
+}
+
 // An instance that has registered anew is behind its former followers.
 func TestRestartedInstanceIsNotFollowed(t *testing.T) {
 	var u Upstream
