Keep an open flow at the server that the caller accepted; see a port used again

Found by reading: after a copy of an opening went to a second server, a later token of that server moved the open flow; a new flow on a port that the instance still knew went to the old flow's server, also one that drains. Tests: TestOpenFlowKeepsTheAcceptedServer, TestPortUsedAgain, both failed before.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -212,6 +212,35 @@
 	}
 }
 
+// A copy of an opening went to a second server, whose acceptance reaches the
+// caller after it has accepted the first one's. The flow stays at the first.
+func TestOpenFlowKeepsTheAcceptedServer(t *testing.T) {
+	w := newWorld(t, server("i-1", norte), server("i-2", norte))
+	first := w.open(1)
+	w.pass(200 * time.Millisecond)
+	second := w.copy(1, 1)
+	if first.Server.Name == second.Server.Name {
+		t.Fatal("the copy went to the same server")
+	}
+	w.request(1, first, 1)
+	if got := w.request(1, second, 51); got.Server.Name != first.Server.Name {
+		t.Fatalf("the open flow moved to %s", got.Server.Name)
+	}
+}
+
+// A caller uses a port again while the instance still knows the flow before.
+// The new flow must not go to a server that has begun to drain.
+func TestPortUsedAgain(t *testing.T) {
+	w := newWorld(t, server("i-1", norte))
+	w.opened(1)
+	draining := server("i-1", norte)
+	draining.Draining = true
+	w.list(draining, server("i-2", norte))
+	if got := w.open(1); got.Server.Name != "i-2" {
+		t.Fatalf("the new flow went to %s", got.Server.Name)
+	}
+}
+
 func TestDrainingServerKeepsItsFlows(t *testing.T) {
 	w := newWorld(t, server("i-1", norte))
 	v := w.opened(1)
--- a/internal/gateway/packets.go
+++ b/internal/gateway/packets.go
@@ -22,12 +22,18 @@
 	return c.following(now, s)
 }
 
+// opening decides about a request to open a flow or a copy of it.
 func (c *Core) opening(now time.Time, s *flow.Segment) (Verdict, []Action) {
 	route := c.routes.Current().Route(s.Key.Service())
 	if route == nil {
 		return c.refuse(now, s, NoRoute, source.Configuration), nil
 	}
 	t := c.flows[s.Key]
+	if t != nil && t.Opened && s.Copy == 0 {
+		// The caller uses the port again.
+		c.drop(t)
+		t = nil
+	}
 	if t == nil {
 		t = &tracked{key: s.Key}
 	}
@@ -77,11 +83,13 @@
 	return v
 }
 
-// following decides about a packet of a flow that was opened before.
+// following decides about a packet of a flow that was opened before. The first
+// such packet says which server the caller has accepted. Later ones may carry
+// the token of another server that got a copy of the opening.
 func (c *Core) following(now time.Time, s *flow.Segment) (Verdict, []Action) {
 	t := c.flows[s.Key]
 	takenOver := false
-	if t == nil || t.backend == nil || (s.Token != token.None && !c.names(s.Token, t.backend)) {
+	if t == nil || t.backend == nil || (!t.Opened && s.Token != token.None && !c.names(s.Token, t.backend)) {
 		found, reason := c.resolve(s)
 		if found == nil {
 			if reason == UnknownToken {
