Check the other servers of a data centre when one is lost

Change: a lost server has the others of its data centre probed; only the outcome counts. Tests: TestServersThatCrashTogether, TestCheckedServer.

--- a/internal/gateway/reachability.go
+++ b/internal/gateway/reachability.go
@@ -66,8 +66,8 @@
 	before, failed := b.reach.State(), b.reach.Failed()
 	again := b.reach.Probed(now, e.Result, e.PathGood)
 	actions := c.afterEvidence(now, b, before, again, "probe: "+e.Result.String())
-	if before != reach.Unreachable && e.Result == reach.NoAnswer {
-		actions = append(actions, c.doubtDataCentre(now, b)...)
+	if before != reach.Unreachable && b.reach.State() == reach.Unreachable {
+		actions = append(actions, c.checkDataCentre(now, b)...)
 	}
 	if !failed && b.reach.Failed() {
 		actions = append(actions, c.giveUpAll(b)...)
@@ -75,18 +75,19 @@
 	return append(actions, c.judge(now)...)
 }
 
-// doubtDataCentre probes the other servers of a silent server's data centre that
-// have shown no life since: the data centre may be cut off or without power.
-func (c *Core) doubtDataCentre(now time.Time, silent *backend) []Action {
+// checkDataCentre probes the other servers of a lost server's data centre that
+// have shown no life lately: several may have crashed at once, or the data centre
+// may be cut off or without power.
+func (c *Core) checkDataCentre(now time.Time, lost *backend) []Action {
 	var actions []Action
 	for r, b := range c.backends {
-		if len(actions) >= maxDoubtProbes {
+		if len(actions) >= maxChecks {
 			break
 		}
-		if b == silent || r.DataCentre != silent.record.DataCentre || !r.Listed || b.reach.State() != reach.Reachable {
+		if b == lost || r.DataCentre != lost.record.DataCentre || !r.Listed {
 			continue
 		}
-		if now.Sub(b.reach.Alive()) > aliveWithin && b.reach.Doubt(now) {
+		if now.Sub(b.reach.Alive()) > aliveWithin && b.reach.Check() {
 			actions = append(actions, c.probe(b))
 		}
 	}
@@ -128,10 +129,10 @@
 }
 
 const (
-	// maxDoubtProbes bounds the probes that one silent server sets off.
-	maxDoubtProbes = 64
+	// maxChecks bounds the probes that one lost server sets off.
+	maxChecks = 64
 	// aliveWithin is how recently a server must have answered a caller not to
-	// be doubted when another one of its data centre falls silent.
+	// be checked when another one of its data centre is lost.
 	aliveWithin = 100 * time.Millisecond
 )
 
--- a/internal/gateway/trouble_test.go
+++ b/internal/gateway/trouble_test.go
@@ -62,6 +62,38 @@
 	}
 }
 
+// Several servers crash at once. The first one that is found has the others
+// probed, so that callers do not have to find them one by one.
+func TestServersThatCrashTogether(t *testing.T) {
+	w := newWorld(t, server("i-1", norte), server("i-2", norte), server("i-3", norte), server("i-4", norte), server("i-5", sur))
+	flows := map[uint16]string{}
+	for port := uint16(1); port <= 8; port++ {
+		flows[port] = w.opened(port).Server.Name
+	}
+	w.pass(time.Second)
+	dead := map[string]bool{"i-1": true, "i-2": true, "i-3": true}
+	w.core.backends[w.core.servers.Record("i-1")].reach.Doubt(w.now)
+	w.handle(Probed{Server: "i-1", Result: reach.Refused})
+	if n := w.probes(); n != 3 {
+		t.Fatalf("%d probes of the 3 other servers of the data centre", n)
+	}
+	for _, name := range []string{"i-2", "i-3"} {
+		w.handle(Probed{Server: name, Result: reach.Refused})
+	}
+	w.handle(Probed{Server: "i-4", Result: reach.Answered})
+	resets := w.resets()
+	for port, name := range flows {
+		if _, reset := resets[key(port)]; reset != dead[name] {
+			t.Errorf("flow at %s given up: %t", name, reset)
+		}
+	}
+	for port := uint16(20); port < 30; port++ {
+		if v := w.opened(port); v.Server.Name != "i-4" {
+			t.Fatalf("new flow at %s", v.Server.Name)
+		}
+	}
+}
+
 // The entry of a server goes with flows still open: whether it lives is asked,
 // and the flows end at once when it does not.
 func TestDepartedServer(t *testing.T) {
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -82,6 +82,9 @@
 	// without an answer since the server last showed life.
 	probing bool
 	silent  int
+	// checked is set while a probe is under way that a state of other servers
+	// set off.
+	checked bool
 	// failed is set when flows and probes agree.
 	failed  bool
 	hold    time.Duration
@@ -133,6 +136,12 @@
 // own link, and no flow is given up.
 func (e *Evidence) Probed(now time.Time, result ProbeResult, pathGood bool) (probe bool) {
 	e.probing = false
+	if e.checked {
+		e.checked = false
+		if e.state == Reachable && result != Answered {
+			e.set(Suspect, now)
+		}
+	}
 	switch result {
 	case OtherServer:
 		e.set(Ended, now)
@@ -219,6 +228,16 @@
 	}
 }
 
+// Check reports whether the server is to be probed because another one of its
+// data centre was lost. New flows do not avoid it meanwhile.
+func (e *Evidence) Check() (probe bool) {
+	if e.state != Reachable || e.probing {
+		return false
+	}
+	e.checked = true
+	return e.startProbe()
+}
+
 // Doubt notes that something else than its flows speaks against the server. It
 // reports whether the server is to be probed.
 func (e *Evidence) Doubt(now time.Time) (probe bool) {
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -160,3 +160,21 @@
 		t.Fatalf("%s", e.State())
 	}
 }
+
+// A server is checked because another one was lost. New flows do not avoid it
+// meanwhile; a refused connection counts at once.
+func TestCheckedServer(t *testing.T) {
+	var e Evidence
+	if !e.Check() || e.State() != Reachable {
+		t.Fatalf("%s while it is checked", e.State())
+	}
+	e.Probed(at(2), Answered, false)
+	if e.State() != Reachable {
+		t.Fatalf("%s after it answered", e.State())
+	}
+	e.Check()
+	e.Probed(at(4), Refused, false)
+	if !e.Failed() {
+		t.Fatal("not given up though its connection was refused")
+	}
+}
