Let a test find out which instance is followed

Cause: the test took the first instance for the one that registers first; instances that start together register in any order. Change: the test stops whichever is followed and gives it no other seed than itself, the harder case; the bounds stay.

--- a/internal/gatewayshell/shell_test.go
+++ b/internal/gatewayshell/shell_test.go
@@ -45,6 +45,8 @@
 	stops  []context.CancelFunc
 	ended  []chan error
 	files  []string
+	// ownSeeds gives instances their own address as the only seed.
+	ownSeeds bool
 
 	mu     sync.Mutex
 	forged int
@@ -114,8 +116,12 @@
 }
 
 func (s *site) settings(i int, storeAddress netip.AddrPort) string {
+	seed := s.address(20, 8166)
+	if s.ownSeeds {
+		seed = s.address(20+i, 8166)
+	}
 	p := operator.Process{Name: fmt.Sprint("norte-", i), Zone: "norte", Packets: s.address(20+i, packetPort), Ready: s.address(20+i, readyPort),
-		Control: s.address(20+i, 8166), Store: storeAddress, Seed: s.address(20, 8166)}
+		Control: s.address(20+i, 8166), Store: storeAddress, Seed: seed}
 	return p.Settings()
 }
 
@@ -345,17 +351,26 @@
 func TestLearnsFromAnInstanceThatAsks(t *testing.T) {
 	t.Parallel()
 	s := newSite(t, 17, 2)
-	s.until(5*time.Second, "the second instance follows the first", func() bool { return s.metric(1, "feed_calls") > 4 })
+	// Who registers first is followed.
+	followed := -1
+	s.until(5*time.Second, "one instance follows the other", func() bool {
+		for i := range 2 {
+			if s.metric(i, "feed_calls") > 4 {
+				followed = 1 - i
+			}
+		}
+		return followed >= 0
+	})
 	s.store.SetMode(store.Busy, 0)
-	s.stops[0]()
-	if err := <-s.ended[0]; err != nil {
+	s.stops[followed]()
+	if err := <-s.ended[followed]; err != nil {
 		t.Fatal(err)
 	}
-	s.ended[0] <- nil
-	// The only seed of the settings is the address of this instance itself.
-	s.startInstance(0)
+	s.ended[followed] <- nil
+	s.ownSeeds = true
+	s.startInstance(followed)
 	s.until(4*time.Second, "the restarted instance is ready", func() bool {
-		r, err := http.Get("http://" + s.address(20, readyPort).String() + "/cuminshift/ready")
+		r, err := http.Get("http://" + s.address(20+followed, readyPort).String() + "/cuminshift/ready")
 		if err == nil {
 			r.Body.Close()
 		}
