Instances tell each other of lost servers

Cause: an instance learns of a silent server only from its own callers, so each of 26 instances loses openings there before it stops. Ruled out: probing all servers at intervals (slots, price). Change: losses of servers that the registry expects to stay go up and down the feed's tree; the receiver probes them. Only the instance that found a loss checks the rest of the data centre. What is lost is the first packet on open flows; new flows avoid the servers after the check of the data centre.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -42,6 +42,8 @@
 		// PathGood: the control answered promptly.
 		PathGood bool
 	}
+	// LossesReported are servers that other instances do not reach.
+	LossesReported struct{ Losses []Loss }
 	// Tick comes at TickInterval.
 	Tick struct{}
 	// StopRequested begins a planned stop.
@@ -54,6 +56,7 @@
 func (Departed) event()       {}
 func (FleetSize) event()      {}
 func (Probed) event()         {}
+func (LossesReported) event() {}
 func (Tick) event()           {}
 func (StopRequested) event()  {}
 
@@ -83,6 +86,8 @@
 		Server, Service string
 		Reason          Reason
 	}
+	// LossNoted says that LossesSince has a loss to pass on.
+	LossNoted struct{}
 	// Note is a change of what the instance believes, for the log.
 	Note struct {
 		// Subject is the server, data centre or version that changed.
@@ -99,4 +104,5 @@
 func (Probe) action()     {}
 func (Refresh) action()   {}
 func (ResetFlow) action() {}
+func (LossNoted) action() {}
 func (Note) action()      {}
