--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -42,8 +42,6 @@
 		// PathGood: the control answered promptly.
 		PathGood bool
 	}
-	// LossesReported are servers that other instances do not reach.
-	LossesReported struct{ Losses []Loss }
 	// Tick comes at TickInterval.
 	Tick struct{}
 	// StopRequested begins a planned stop.
@@ -56,7 +54,6 @@
 func (Departed) event()       {}
 func (FleetSize) event()      {}
 func (Probed) event()         {}
-func (LossesReported) event() {}
 func (Tick) event()           {}
 func (StopRequested) event()  {}
 
@@ -86,8 +83,6 @@
 		Server, Service string
 		Reason          Reason
 	}
-	// LossNoted says that LossesSince has a loss to pass on.
-	LossNoted struct{}
 	// Note is a change of what the instance believes, for the log.
 	Note struct {
 		// Subject is the server, data centre or version that changed.
@@ -104,5 +99,4 @@
 func (Probe) action()     {}
 func (Refresh) action()   {}
 func (ResetFlow) action() {}
-func (LossNoted) action() {}
 func (Note) action()      {}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -143,7 +143,6 @@
 	tokens   *token.Index[*backend]
 	flows    map[flow.Key]*tracked
 	unknown  unknownFlows
-	losses   lossLog
 	recent   recentFlows
 
 	// candidates and choices are scratch space of choose.
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -43,8 +43,6 @@
 		c.cfg.Instances, c.cfg.Rank = e.Instances, e.Rank
 	case Probed:
 		return c.probed(now, e)
-	case LossesReported:
-		return c.lossesReported(now, e.Losses)
 	case Tick:
 		return c.tick(now)
 	case StopRequested:
--- a/internal/gateway/reachability.go
+++ b/internal/gateway/reachability.go
@@ -66,8 +66,7 @@
 	before, failed := b.reach.State(), b.reach.Failed()
 	again := b.reach.Probed(now, e.Result, e.PathGood)
 	actions := c.afterEvidence(now, b, before, again, "probe: "+e.Result.String())
-	// A reachable server was probed since others were lost.
-	if before == reach.Suspect && b.reach.State() == reach.Unreachable && expected(b) {
+	if before != reach.Unreachable && b.reach.State() == reach.Unreachable {
 		actions = append(actions, c.checkDataCentre(now, b)...)
 	}
 	if !failed && b.reach.Failed() {
@@ -76,11 +75,6 @@
 	return append(actions, c.judge(now)...)
 }
 
-// expected reports whether the registry has the server as one that stays.
-func expected(b *backend) bool {
-	return (b.record.Listed || b.record.Lapsing()) && !b.record.Draining
-}
-
 // checkDataCentre probes the other servers of a lost server's data centre that
 // have shown no life lately: several may have crashed at once, or the data centre
 // may be cut off or without power.
@@ -114,9 +108,6 @@
 	var actions []Action
 	if state := b.reach.State(); state != before {
 		actions = append(actions, Note{Subject: b.record.Name, What: "server " + state.String(), Cause: cause, Age: aliveAge(now, b)})
-		if state == reach.Unreachable {
-			actions = append(actions, c.noteLoss(now, b)...)
-		}
 	}
 	if probe {
 		actions = append(actions, c.probe(b))
--- a/internal/gatewayshell/feedclient.go
+++ b/internal/gatewayshell/feedclient.go
@@ -58,7 +58,14 @@
 		sleepUntil(ctx, time.Now().Add(readyInterval))
 	}
 	sh.seed()
-	client := sh.feedClient()
+	client := rpcframe.Client{DialTimeout: feedDialTimeout, Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		var d net.Dialer
+		conn, err := d.DialContext(ctx, "tcp4", address)
+		if err != nil {
+			return nil, err
+		}
+		return sh.feedBytes.Count(conn), nil
+	}}
 	defer client.Close()
 	nextCount := time.Now().Add(fleetFirst)
 	for ctx.Err() == nil {
@@ -67,7 +74,7 @@
 		instance, ok := sh.upstream.Next(now)
 		sh.upstreamMu.Unlock()
 		if ok {
-			sh.followOnce(ctx, client, instance)
+			sh.followOnce(ctx, &client, instance)
 			continue
 		}
 		sh.setFollowing("")
@@ -83,18 +90,6 @@
 	}
 }
 
-// feedClient returns a client of other instances' feeds.
-func (sh *Shell) feedClient() *rpcframe.Client {
-	return &rpcframe.Client{DialTimeout: feedDialTimeout, Dial: func(ctx context.Context, address string) (net.Conn, error) {
-		var d net.Dialer
-		conn, err := d.DialContext(ctx, "tcp4", address)
-		if err != nil {
-			return nil, err
-		}
-		return sh.feedBytes.Count(conn), nil
-	}}
-}
-
 // seed takes the settings' seeds as instances to follow, unless the instance is
 // registered.
 func (sh *Shell) seed() {
@@ -208,9 +203,6 @@
 	request := &pb.FeedRequest{Instance: string(sh.settings.Instance), Place: int64(sh.place()), WaitMs: uint32(feedWait.Milliseconds()),
 		Departed: sh.following() != instance.Name, Whole: sh.askWhole.Load(),
 		Address: sh.peerAddress().String(), Loaded: sh.core.Loaded()}
-	if !request.Departed {
-		request.LossesSeen = sh.lossesSeen.Load()
-	}
 	for _, r := range sh.core.Revisions() {
 		request.Revisions = append(request.Revisions, int64(r))
 	}
@@ -263,8 +255,6 @@
 		sh.handle(gateway.Updated{Kind: k, Update: updates[k], AsOf: now.Add(-ages[k])})
 	}
 	sh.takeDeparted(instance, response.Departed)
-	sh.lossesSeen.Store(response.LossesNoted)
-	sh.takeLosses(response.Losses)
 	if response.Instances > 0 {
 		sh.setFleet(int(response.Instances), int(sh.rank.Load()))
 	}
--- a/internal/gatewayshell/feedserver.go
+++ b/internal/gatewayshell/feedserver.go
@@ -21,8 +21,6 @@
 const (
 	// feedMethod is the net/rpc method of the feed.
 	feedMethod = "Feed.Changes"
-	// lossesMethod is the net/rpc method that reports losses.
-	lossesMethod = "Feed.Losses"
 	// feedWait is how long a call waits for changes; with feedMargin it bounds
 	// how long a silent instance is followed.
 	feedWait = 500 * time.Millisecond
@@ -94,7 +92,7 @@
 	for {
 		changed := f.wait()
 		renewed := f.shell.core.Confirmed() != first
-		if response := f.collect(request); len(response.Updates) > 0 || len(response.Losses) > 0 || request.Departed || renewed {
+		if response := f.collect(request); len(response.Updates) > 0 || request.Departed || renewed {
 			return response
 		}
 		select {
@@ -126,8 +124,6 @@
 			response.Updates = append(response.Updates, feed.Encode(k, &u, base))
 		}
 	}
-	losses, noted := f.shell.core.LossesSince(now, request.LossesSeen)
-	response.Losses, response.LossesNoted = encodeLosses(now, losses), noted
 	if request.Departed {
 		for _, e := range f.shell.core.Departed() {
 			response.Departed = append(response.Departed, feed.EncodeServer(&e, false))
--- a/internal/gatewayshell/shell.go
+++ b/internal/gatewayshell/shell.go
@@ -100,15 +100,11 @@
 	followed   atomic.Pointer[model.InstanceID]
 	// askWhole asks the followed instance for a whole configuration.
 	askWhole atomic.Bool
-	// lossesSeen is the number of losses that the followed instance has noted.
-	lossesSeen atomic.Uint64
-	// lossNoted wakes reportLosses.
-	lossNoted chan struct{}
 }
 
 // Run serves until ctx ends, then makes a planned stop.
 func Run(ctx context.Context, s *Settings, parts Parts, log *zap.Logger) error {
-	sh := &Shell{settings: s, parts: parts, log: newDecisionLog(log), counters: newCounters(), burn: newBurnBook(), lossNoted: make(chan struct{}, 1)}
+	sh := &Shell{settings: s, parts: parts, log: newDecisionLog(log), counters: newCounters(), burn: newBurnBook()}
 	sh.core = gateway.New(gateway.Config{
 		DataCentre:   s.DataCentre,
 		FreshFor:     time.Duration(freshShare * float64(s.Bounds[source.Configuration])),
@@ -147,7 +143,6 @@
 	group.Go(func() error { sh.reload(serving); return nil })
 	group.Go(func() error { return sh.serveFeed(serving) })
 	group.Go(func() error { sh.followInstances(serving); return nil })
-	group.Go(func() error { sh.reportLosses(serving); return nil })
 	group.Go(func() error { return sh.serveReady(serving, ready) })
 	sh.log.started(sh.settings)
 
@@ -228,8 +223,6 @@
 			sh.sendReset(a.Flow, a.Ack)
 			sh.burn.givenUp(time.Now(), &a)
 			sh.log.reset(a)
-		case gateway.LossNoted:
-			sh.wakeLosses()
 		case gateway.Note:
 			sh.log.note(a)
 		}
--- a/internal/gatewayshell/shell_test.go
+++ b/internal/gatewayshell/shell_test.go
@@ -105,13 +105,9 @@
 	return s
 }
 
-func (s *site) addServer(i int) *server.Server { return s.addServerThatWrites(i, 200*time.Millisecond) }
-
-// addServerThatWrites starts a server whose entry lapses three heartbeats after
-// its end.
-func (s *site) addServerThatWrites(i int, heartbeat time.Duration) *server.Server {
+func (s *site) addServer(i int) *server.Server {
 	x, err := server.Start(server.Config{ID: fmt.Sprintf("i-%x", 0x100+i), Service: "campo", Zone: "norte", Address: s.address(100+i, serverPort),
-		CallerPort: packetPort, Slots: 3, Store: "http://" + s.address(1, storePort).String(), Heartbeat: heartbeat, Observer: s})
+		CallerPort: packetPort, Slots: 3, Store: "http://" + s.address(1, storePort).String(), Heartbeat: 200 * time.Millisecond, Observer: s})
 	if err != nil {
 		s.t.Fatal(err)
 	}
