Check a data centre only for servers that were to stay

Cause: each server that drained and left was probed for its flows, was found to have ended, and had the other servers of its data centre probed by every instance with a flow there. Ruled out: checking again for each server that a check finds lost; all of them have been probed by then. Change: a check follows only on a server that the registry expects to stay, and not on the outcome of another check. Test first: 3 probes instead of 1.

--- a/internal/gateway/reachability.go
+++ b/internal/gateway/reachability.go
@@ -66,7 +66,8 @@
 	before, failed := b.reach.State(), b.reach.Failed()
 	again := b.reach.Probed(now, e.Result, e.PathGood)
 	actions := c.afterEvidence(now, b, before, again, "probe: "+e.Result.String())
-	if before != reach.Unreachable && b.reach.State() == reach.Unreachable {
+	// A server that was reachable is itself one of those that are checked.
+	if before == reach.Suspect && b.reach.State() == reach.Unreachable && expected(b) {
 		actions = append(actions, c.checkDataCentre(now, b)...)
 	}
 	if !failed && b.reach.Failed() {
@@ -75,6 +76,11 @@
 	return append(actions, c.judge(now)...)
 }
 
+// expected reports whether the registry has the server as one that stays.
+func expected(b *backend) bool {
+	return (b.record.Listed || b.record.Lapsing()) && !b.record.Draining
+}
+
 // checkDataCentre probes the other servers of a lost server's data centre that
 // have shown no life lately: several may have crashed at once, or the data centre
 // may be cut off or without power.
--- a/internal/gateway/trouble_test.go
+++ b/internal/gateway/trouble_test.go
@@ -311,3 +311,24 @@
 		t.Fatalf("3 s later: %s, %s", v.Kind, v.Reason)
 	}
 }
+
+// A server that drained and left says nothing of the other servers of its data
+// centre.
+func TestDepartedServerSetsOffNoCheck(t *testing.T) {
+	w := newWorld(t, server("i-1", norte), server("i-2", norte), server("i-3", norte))
+	for port := uint16(1); port <= 6; port++ {
+		w.opened(port)
+	}
+	w.pass(time.Second)
+	draining := server("i-1", norte)
+	draining.Draining = true
+	w.list(draining, server("i-2", norte), server("i-3", norte))
+	w.list(server("i-2", norte), server("i-3", norte))
+	if n := w.probes(); n != 1 {
+		t.Fatalf("%d probes of a server that left with flows", n)
+	}
+	w.handle(Probed{Server: "i-1", Result: reach.Refused})
+	if n := w.probes(); n != 1 {
+		t.Errorf("%d probes after it was found to have ended", n)
+	}
+}
