Admitter: a draining server may be cold

Ruled out: the drain as such, and the rule that only the larger side grants slots of cold servers; it asks whether the server is cold. Change: a server that drains starts its ramp as one without evidence.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -537,3 +537,13 @@
 	want(t, "after the answer", a.HandlePeer(at(1520), "b", answered(2, healthy)), 3, granted)
 	want(t, "and more", a.HandlePeer(at(1520), "b", idempotent(4)), 4, granted)
 }
+
+// Guards against a server in cold start that counts as warm because it drains
+// (fault matrix, seed 71, I3).
+func TestDrainingServerMayBeCold(t *testing.T) {
+	a := alone(Config{}, pb.ServerCondition_SERVER_CONDITION_DRAINING)
+	want(t, "first request", a.HandlePeer(at(0), "b", idempotent(1)), 1, granted)
+	if got := a.HandlePeer(at(0), "b", idempotent(2)); len(got) != 0 {
+		t.Errorf("second request beside it: %v", got)
+	}
+}
--- a/internal/admission/ramp.go
+++ b/internal/admission/ramp.go
@@ -30,11 +30,12 @@
 func coldSlots(info *model.BackendServer) int { return min(info.ColdSlots, info.Slots) }
 
 // start sets the ramp from what this instance's serverhealth knows. A server
-// without evidence counts as cold.
+// without evidence counts as cold, and so does one that drains, since that says
+// nothing of whether it is warm.
 func (r *ramp) start(now time.Time, info *model.BackendServer, c pb.ServerCondition) {
 	r.reset(now, info)
 	switch c {
-	case pb.ServerCondition_SERVER_CONDITION_HEALTHY, pb.ServerCondition_SERVER_CONDITION_DRAINING:
+	case pb.ServerCondition_SERVER_CONDITION_HEALTHY:
 		r.slots = info.Slots
 	case pb.ServerCondition_SERVER_CONDITION_SHEDDING:
 	default:
