Copies of a running request are not refused

Cause: the admitter answered a copy of a non-idempotent request that another instance had under way with DUPLICATE, and the caller got a refusal with an unknown outcome a moment before its answer. Ruled out: holding the copy until the first one ends; the caller repeats it. Change: such a copy is answered with UNDER_WAY and dropped by its coordinator. Once the grant ended, or its holder died, it is a duplicate as before.

--- a/internal/admission/server.go
+++ b/internal/admission/server.go
@@ -105,6 +105,8 @@
 		return pb.GrantResult_GRANT_RESULT_GRANTED, 0
 	case known && latest.holder == w.key.holder && slices.Contains(r.GetFormerGrants(), latest.id):
 		return pb.GrantResult_GRANT_RESULT_GRANTED, 0
+	case known && s.grants[latest] != nil && latest.holder != w.key.holder:
+		return pb.GrantResult_GRANT_RESULT_UNDER_WAY, 0
 	case known:
 		return pb.GrantResult_GRANT_RESULT_DUPLICATE, pb.Reason_REASON_DUPLICATE
 	case r.GetRetry() || ((s.memory.lossy(now) || !a.complete) && s.mayBeCopy(w)):
@@ -157,7 +159,7 @@
 
 // refuse refuses a waiter; not as one that did not run if a copy may have.
 func (a *Admitter) refuse(now time.Time, s *server, w *waiter, reason pb.Reason) peer.Message {
-	if result, why := a.check(now, s, w); result == pb.GrantResult_GRANT_RESULT_DUPLICATE {
+	if result, why := a.check(now, s, w); result == pb.GrantResult_GRANT_RESULT_DUPLICATE || result == pb.GrantResult_GRANT_RESULT_UNDER_WAY {
 		return reply(w.key.holder, w.key.id, result, why)
 	}
 	granted := w.request.GetIdempotent() && s.recent.keys[keyOf(w.request)]
--- a/internal/requests/requests.go
+++ b/internal/requests/requests.go
@@ -298,6 +298,10 @@
 		c.forgetAsk(r)
 		r.copyElsewhere = true
 		return c.finish(now, r, r.refusalLater(m.GetReason()))
+	case pb.GrantResult_GRANT_RESULT_UNDER_WAY:
+		// A refusal would make the caller give up the answer that is to come.
+		c.forgetAsk(r)
+		return c.finish(now, r, func() []Action { return nil })
 	case pb.GrantResult_GRANT_RESULT_REFUSED:
 		c.forgetAsk(r)
 		return c.grantRefused(now, r, m.GetReason())
--- a/internal/requests/requests_test.go
+++ b/internal/requests/requests_test.go
@@ -411,3 +411,15 @@
 		c.Tick(now)
 	}
 }
+
+// A copy of a request that runs elsewhere is not answered: a refusal would make
+// the caller give up the answer that is to come.
+func TestCopyOfARunningRequestIsDropped(t *testing.T) {
+	h := newHarness(t, Config{})
+	h.start(0, Request{Key: key(1), CallerAttempt: 2, Deadline: at(1000)})
+	h.reply(1, pb.GrantResult_GRANT_RESULT_UNDER_WAY)
+	h.tick(2000)
+	if len(h.replies) != 0 || len(h.sent) != 0 || h.Running(key(1)) {
+		t.Errorf("%d replies, %d sent, running %v", len(h.replies), len(h.sent), h.Running(key(1)))
+	}
+}
