Instances tell each other at once of servers that go cold

Ruled out: a longer grace of the check. Shorter heartbeats: bytes at all times for something that seldom happens. Change: a condition that gets worse is sent to the other members of a small data centre at once and counts until the next verdicts. The cold flag of a single answer part counts before the other parts come.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -84,6 +84,8 @@
 		c.summary(now, from, body.Summary)
 	case *pb.PeerMessage_LimitRequest, *pb.PeerMessage_LimitReply:
 		c.limitMessage(now, from, m)
+	case *pb.PeerMessage_ServerNews:
+		c.serverNews(now, from, incarnation, body.ServerNews)
 	case *pb.PeerMessage_FlowsEnded:
 		c.flowsEnded(now, body.FlowsEnded)
 	}
@@ -169,3 +171,26 @@
 		}
 	}
 }
+
+// maxNewsPeers bounds the instances that are told of a server's condition
+// between heartbeats; in larger data centres the publisher tells them.
+const maxNewsPeers = 16
+
+// sendNews tells the other instances of servers whose condition got worse.
+func (c *Core) sendNews() {
+	news := c.health.TakeNews()
+	if len(news) == 0 || len(c.state.Members) > maxNewsPeers {
+		return
+	}
+	for _, m := range c.state.Members {
+		if m.Instance != c.cfg.Self {
+			c.post(peer.Message{To: m.Instance, Body: &pb.PeerMessage{Body: &pb.PeerMessage_ServerNews{ServerNews: &pb.ServerNews{Servers: news}}}})
+		}
+	}
+}
+
+func (c *Core) serverNews(now time.Time, from model.InstanceID, incarnation uint64, news *pb.ServerNews) {
+	c.reports.Add(now, from, incarnation, news.GetServers())
+	c.health.AddNews(now, news.GetServers())
+	c.merge(now)
+}
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -83,6 +83,10 @@
 // answerFromServer passes an answer part or the refusal of a request to the
 // coordinator.
 func (c *Core) answerFromServer(now time.Time, server *model.BackendServer, p *packet.Packet) {
+	if p.Cold {
+		// The other parts may come late.
+		c.health.SetCold(now, server.ID)
+	}
 	c.requestActions(now, c.coordinator.ServerPacket(now, requests.ServerPacket{
 		Key:     requests.Key{Service: server.Service, Flow: p.Flow(), ID: p.RequestID},
 		Server:  server.ID,
--- a/internal/serverhealth/cold.go
+++ b/internal/serverhealth/cold.go
@@ -11,5 +11,6 @@
 func (h *Health) SetCold(now time.Time, id model.ServerID) {
 	if s := h.servers[id]; s != nil {
 		s.markCold(now)
+		h.refresh(now, s)
 	}
 }
--- a/internal/serverhealth/serverhealth.go
+++ b/internal/serverhealth/serverhealth.go
@@ -130,6 +130,8 @@
 	// verdicts are what the publisher has merged from all instances' reports.
 	verdicts   map[model.ServerID]Condition
 	verdictsAt time.Time
+	// news are servers whose condition got worse since the last TakeNews.
+	news []*server
 	// since is the time at which the servers first were known.
 	since time.Time
 }
@@ -366,9 +368,39 @@
 	if s.condition != Unknown || c != Healthy {
 		s.urgent = 3
 	}
+	if c == Cold || c == Silent || c == Shedding || c == Draining {
+		h.news = append(h.news, s)
+	}
 	s.condition = c
 }
 
+// TakeNews returns the reports of the servers whose condition got worse since
+// the last call. They are worth a message at once: until the next heartbeats
+// the other instances go on as before.
+func (h *Health) TakeNews() []*pb.ServerReport {
+	var out []*pb.ServerReport
+	for _, s := range h.news {
+		out = append(out, s.report())
+	}
+	h.news = nil
+	return out
+}
+
+// AddNews takes another instance's reports until the next verdicts come.
+func (h *Health) AddNews(now time.Time, reports []*pb.ServerReport) {
+	if h.verdicts == nil {
+		h.verdicts = map[model.ServerID]Condition{}
+	}
+	h.verdictsAt = now
+	for _, r := range reports {
+		id := model.ServerID(r.GetServer())
+		h.verdicts[id] = r.GetCondition()
+		if s := h.servers[id]; s != nil {
+			h.refresh(now, s)
+		}
+	}
+}
+
 // joint adds the verdict of all instances to the own condition. An instance
 // that still gets answers does not believe in silence.
 func (h *Health) joint(now time.Time, s *server, own Condition) Condition {
--- a/internal/serverhealth/serverhealth_test.go
+++ b/internal/serverhealth/serverhealth_test.go
@@ -297,3 +297,30 @@
 	wantCondition(t, h, 2, Healthy)
 	wantCondition(t, h, 3, Unknown)
 }
+
+// Guards against openings that meet at a server which went cold while the
+// publisher has not heard of it (fault matrix, seed 72, I3).
+func TestNewsBeforeTheNextVerdict(t *testing.T) {
+	first, second := newHealth(1), newHealth(1)
+	for _, h := range []*Health{first, second} {
+		answer(h, 0, 1, Observation{})
+	}
+	if news := first.TakeNews(); len(news) != 0 {
+		t.Errorf("news of a healthy server: %v", news)
+	}
+	answer(first, 100, 1, Observation{Cold: true})
+	news := first.TakeNews()
+	if len(news) != 1 || news[0].Condition != Cold {
+		t.Fatalf("news %v", news)
+	}
+	if again := first.TakeNews(); len(again) != 0 {
+		t.Errorf("told twice: %v", again)
+	}
+	second.AddNews(at(101), news)
+	wantCondition(t, second, 1, Cold)
+	if again := second.TakeNews(); len(again) != 0 {
+		t.Errorf("passed on: %v", again)
+	}
+	second.SetVerdicts(at(300), nil)
+	wantCondition(t, second, 1, Healthy)
+}
