--- a/internal/gatewayshell/feedclient.go
+++ b/internal/gatewayshell/feedclient.go
@@ -124,7 +124,8 @@
 	if err != nil {
 		return err
 	}
-	all, err := sh.live.Load().directory.Instances(ctx)
+	all, rejected, err := sh.live.Load().directory.Instances(ctx)
+	sh.log.rejected(rejected)
 	if err != nil {
 		return err
 	}
@@ -150,7 +151,8 @@
 func (sh *Shell) countFleet(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	all, err := sh.live.Load().directory.Instances(ctx)
+	all, rejected, err := sh.live.Load().directory.Instances(ctx)
+	sh.log.rejected(rejected)
 	if err != nil {
 		sh.log.failed("count the instances", err)
 		return
--- a/internal/gatewayshell/probe.go
+++ b/internal/gatewayshell/probe.go
@@ -27,12 +27,15 @@
 	client   *http.Client
 	identity func(http.Header) string
 	done     func(gateway.Event)
+	// failed logs a probe that could not be made.
+	failed func(error)
 }
 
-func newProber(identity func(http.Header) string, done func(gateway.Event)) *prober {
+func newProber(identity func(http.Header) string, done func(gateway.Event), failed func(error)) *prober {
 	return &prober{
 		identity: identity,
 		done:     done,
+		failed:   failed,
 		client: &http.Client{
 			Timeout:       probeTimeout,
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -67,7 +70,10 @@
 func (p *prober) ask(a gateway.Probe) reach.ProbeResult {
 	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+a.Address.String()+a.Path, nil)
 	if err != nil {
-		return reach.NoAnswer
+		// A health path that makes no URL: the probe says nothing against
+		// the server.
+		p.failed(errors.Wrapf(err, "probe of %s", a.Server))
+		return reach.Answered
 	}
 	connected := false
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
--- a/internal/gatewayshell/shell.go
+++ b/internal/gatewayshell/shell.go
@@ -114,7 +114,7 @@
 	})
 	sh.feed = newFeed(sh)
 	sh.apply(s)
-	sh.probes = newProber(parts.Identity, func(e gateway.Event) { sh.handle(e) })
+	sh.probes = newProber(parts.Identity, func(e gateway.Event) { sh.handle(e) }, func(err error) { sh.log.failed("probe", err) })
 	return sh.run(ctx)
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -153,18 +153,6 @@
 	return Instance{}, false
 }
 
-// Retry returns the earliest time at which Next may return an instance; zero
-// when there is none to wait for.
-func (u *Upstream) Retry() time.Time {
-	var first time.Time
-	for _, c := range u.candidates {
-		if first.IsZero() || c.avoidUntil.Before(first) {
-			first = c.avoidUntil
-		}
-	}
-	return first
-}
-
 // Answered notes an answer with the ages of the knowledge behind it. An
 // instance that has registered anew since is no longer followed. An instance
 // that is not registered itself follows any: two that follow each other learn
@@ -256,8 +244,9 @@
 type Directory interface {
 	// Register enters the instance and returns its place.
 	Register(ctx context.Context, i Instance) (Place, error)
-	// Instances returns all registered instances.
-	Instances(ctx context.Context) ([]Instance, error)
+	// Instances returns all registered instances, and the registrations that
+	// cannot be understood.
+	Instances(ctx context.Context) ([]Instance, []source.Rejection, error)
 	// Remove takes out an instance that has not registered anew.
 	Remove(ctx context.Context, i Instance) error
 }
