--- /dev/null
+++ b/internal/lists/update_check.go
@@ -0,0 +1,135 @@
+package lists
+
+import (
+	"fmt"
+	"net/netip"
+
+	"cuminshift/internal/findings"
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/model"
+)
+
+// check returns the faults of the changed entries, alone and with the others.
+func (u *updater) check() findings.Findings {
+	items := make(Items, len(u.changes))
+	for _, c := range u.changes {
+		if c.To != nil {
+			items[c.Key] = c.To
+		}
+	}
+	content := Join(items)
+	for _, s := range content.Plans.GetServices() {
+		u.completeSites(s)
+	}
+	c := newChecker(Callers{List: content.Callers}, Plans{List: content.Plans}, content.Marks)
+	c.checkServices()
+	for _, s := range u.next.Services {
+		c.serviceNames[s.Name] = true
+	}
+	c.checkPlans()
+	for name := range u.next.Plans {
+		c.planNames[name] = true
+	}
+	c.checkCallers()
+	c.checkMarks()
+	u.checkDangling()
+	u.checkAddresses(c)
+	u.checkPrefixes(content.Callers)
+	return append(u.found, c.found...)
+}
+
+// completeSites gives the parts of a service the addresses of their sites,
+// which the check of a whole service demands.
+func (u *updater) completeSites(e *pb.ServiceEntry) {
+	s := u.next.Services[model.NewServiceID(e.GetName())]
+	if s == nil {
+		return
+	}
+	for _, part := range e.GetSites() {
+		if site := s.SiteOf(model.DataCentre(part.GetDataCentre())); site != nil && part.GetAddress() == "" {
+			part.Address = site.Address.String()
+		}
+	}
+}
+
+func (u *updater) checkDangling() {
+	u.ofKind(KindPlan, func(c Change) {
+		if c.To != nil {
+			return
+		}
+		for _, caller := range u.next.Callers {
+			if caller.Plan == nil {
+				u.report(c, "caller %q is on the unknown plan", caller.Name)
+				return
+			}
+		}
+	})
+	u.ofKind(KindService, func(c Change) {
+		id := model.NewServiceID(c.Key.Name)
+		for _, plan := range u.next.Plans {
+			if _, ok := plan.Uses[id]; ok && c.To == nil {
+				u.report(c, "plan %q uses the unknown service", plan.Name)
+			}
+		}
+	})
+}
+
+// checkAddresses compares the addresses of the changed entries, which the
+// checker has collected, with those of all servers and sites.
+func (u *updater) checkAddresses(c *checker) {
+	if len(c.addresses) == 0 && len(c.health) == 0 {
+		return
+	}
+	owned, health := map[netip.AddrPort]int{}, map[netip.AddrPort]int{}
+	for _, b := range u.next.Servers {
+		if _, ok := c.addresses[b.Address]; ok {
+			owned[b.Address]++
+		}
+		if len(c.health) == 0 || b.Health == "" {
+			continue
+		}
+		if a, err := netip.ParseAddrPort(b.Health); err == nil && c.health[a] != "" {
+			health[a]++
+		}
+	}
+	for address := range u.next.Sites {
+		if _, ok := c.addresses[address]; ok {
+			owned[address]++
+		}
+	}
+	for _, counts := range []map[netip.AddrPort]int{owned, health} {
+		for address, n := range counts {
+			if n > 1 {
+				u.found = append(u.found, findings.Finding{File: "update", Path: address.String(), Message: "address has several owners"})
+			}
+		}
+	}
+}
+
+func (u *updater) checkPrefixes(changed *pb.CallerList) {
+	type own struct {
+		prefix netip.Prefix
+		caller string
+	}
+	var prefixes []own
+	for _, e := range changed.GetCallers() {
+		for _, text := range e.GetPrefixes() {
+			if p, err := ParsePrefix(text); err == nil {
+				prefixes = append(prefixes, own{p, e.GetName()})
+			}
+		}
+	}
+	if len(prefixes) == 0 {
+		return
+	}
+	for name, caller := range u.next.Callers {
+		for _, p := range caller.Prefixes {
+			for _, o := range prefixes {
+				if o.caller != name && o.prefix.Overlaps(p) {
+					u.found = append(u.found, findings.Finding{File: "update", Path: "caller " + o.caller,
+						Message: fmt.Sprintf("prefix %s overlaps %s of caller %q", o.prefix, p, name)})
+				}
+			}
+		}
+	}
+}
--- a/internal/membership/role.go
+++ b/internal/membership/role.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"cuminshift/internal/dcstate"
@@ -339,77 +338,5 @@
 	return !m.publishing && m.yieldedTo == "" && m.state.Version.Publisher == m.cfg.Self && m.rival(now) == to
 }
 
-// targets returns the instances to which heartbeats go: all of a small data
-// centre, else the publisher and the next in its ranking. The window doubles
-// with each DeadAfter without acknowledgement, so that a lower rank hears all
-// instances when the publisher and its successors are gone together.
-func (m *Membership) targets(now time.Time) []model.InstanceID {
-	silence := now.Sub(m.silenceSince())
-	useList := !m.inView() || silence > m.cfg.DeadAfter
-	var all, ranked []model.InstanceID
-	publisher := m.state.Version.Publisher
-	for _, id := range m.ranking() {
-		p := m.peers[id]
-		if id == m.cfg.Self || (!m.isMember(id) && (p == nil || !m.heard(now, p)) && !(useList && m.listed[id])) {
-			continue
-		}
-		all = append(all, id)
-		if id == publisher || p == nil || m.mayPublishLater(id, p) {
-			ranked = append(ranked, id)
-		}
-	}
-	out := all
-	if len(all)+1 > m.cfg.FullMesh {
-		window := m.cfg.Successors + 1
-		for t := m.cfg.DeadAfter; t < silence && window < len(ranked); t += m.cfg.DeadAfter {
-			window *= 2
-		}
-		out = ranked[:min(window, len(ranked))]
-		if m.isMember(publisher) && publisher != m.cfg.Self && !slices.Contains(out, publisher) {
-			out = append(slices.Clone(out), publisher)
-		}
-	}
-	return append(slices.Clone(out), m.probes(now)...)
-}
-
-func (m *Membership) mayPublishLater(id model.InstanceID, p *peerInfo) bool {
-	return p.state != pb.InstanceState_INSTANCE_STATE_LEAVING && !m.out[id]
-}
-
-// probes returns a few listed instances that the publisher does not hear, in
-// turn: after a partition neither side would otherwise learn of the other.
-func (m *Membership) probes(now time.Time) []model.InstanceID {
-	if !m.publishing {
-		return nil
-	}
-	var silent []model.InstanceID
-	for _, id := range m.ranking() {
-		p := m.peers[id]
-		if m.listed[id] && !m.isMember(id) && (p == nil || !m.heard(now, p)) {
-			silent = append(silent, id)
-		}
-	}
-	var out []model.InstanceID
-	for i := 0; i < min(m.cfg.Successors+1, len(silent)); i++ {
-		out = append(out, silent[m.probeNext%len(silent)])
-		m.probeNext++
-	}
-	return out
-}
-
-// reportReceivers returns the publisher and the instance next in rank.
-func (m *Membership) reportReceivers(now time.Time, targets []model.InstanceID) (publisher, successor model.InstanceID) {
-	publisher = m.state.Version.Publisher
-	if m.Publishing(now) {
-		publisher = m.cfg.Self
-	}
-	for _, id := range targets {
-		if id != publisher {
-			return publisher, id
-		}
-	}
-	return publisher, ""
-}
-
 // Following returns the newest state applied, for status reports.
 func (m *Membership) Following() dcstate.Version { return m.state.Version }
--- /dev/null
+++ b/internal/membership/view.go
@@ -0,0 +1,132 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"cuminshift/internal/dcstate"
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/model"
+)
+
+// View returns the members to publish, sorted by instance. It is meaningful
+// on the publisher. Instances that are joining are left out; those that
+// operators marked out are shown as leaving, so that they own nothing.
+func (m *Membership) View(now time.Time) []dcstate.Member {
+	view := []dcstate.Member{{Instance: m.cfg.Self, Incarnation: m.cfg.Incarnation, State: m.published(m.cfg.Self, m.ownState())}}
+	for id, p := range m.peers {
+		if p.state != pb.InstanceState_INSTANCE_STATE_READY && p.state != pb.InstanceState_INSTANCE_STATE_LEAVING {
+			continue
+		}
+		if m.aliveForView(now, id, p) {
+			view = append(view, dcstate.Member{Instance: id, Incarnation: p.incarnation, State: m.published(id, p.state)})
+		}
+	}
+	slices.SortFunc(view, func(a, b dcstate.Member) int { return compare(a.Instance, b.Instance) })
+	return view
+}
+
+func (m *Membership) published(id model.InstanceID, state pb.InstanceState) pb.InstanceState {
+	if m.out[id] {
+		return pb.InstanceState_INSTANCE_STATE_LEAVING
+	}
+	return state
+}
+
+// aliveForView reports whether the instance belongs in the view. A member of
+// the applied view gets the grace period of a new publisher, to which it may
+// not have sent heartbeats before; an instance that ranks above this one is
+// known to be silent, or this instance would not publish.
+func (m *Membership) aliveForView(now time.Time, id model.InstanceID, p *peerInfo) bool {
+	heard := p.lastHeard
+	member, ok := m.members[id]
+	if ok && member.Incarnation == p.incarnation && heard.Before(m.graceFrom) && (m.earlyTakeover || !m.ranksAbove(id)) {
+		heard = m.graceFrom
+	}
+	if !ok && p.heardSince.IsZero() {
+		return false
+	}
+	return now.Sub(heard) <= m.cfg.DeadAfter
+}
+
+// Confirmations returns what the members of View reported, in the same order.
+func (m *Membership) Confirmations(now time.Time) []Confirmation {
+	view := m.View(now)
+	out := make([]Confirmation, 0, len(view))
+	for _, member := range view {
+		c := Confirmation{Instance: member.Instance, Incarnation: member.Incarnation}
+		if member.Instance == m.cfg.Self {
+			c.Applied, c.ConfigVersion = m.state.Version, m.local.ConfigVersion
+			c.Uptime = now.Sub(m.cfg.Started)
+		} else {
+			p := m.peers[member.Instance]
+			c.Applied, c.ConfigVersion, c.Uptime = p.applied, p.configVersion, now.Sub(p.started)
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// KnownInstances returns this instance, those of the view and of the instance
+// list, and those heard from within DeadAfter, sorted.
+func (m *Membership) KnownInstances(now time.Time) []model.InstanceID {
+	out := []model.InstanceID{m.cfg.Self}
+	for id := range m.listed {
+		out = append(out, id)
+	}
+	for id, p := range m.peers {
+		if !m.listed[id] && (m.isMember(id) || m.heard(now, p)) {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Recipients returns the other instances to which the publisher sends state
+// updates, sorted: the view and those that are joining.
+func (m *Membership) Recipients(now time.Time) []model.InstanceID {
+	var out []model.InstanceID
+	for id, p := range m.peers {
+		if m.isMember(id) || m.heard(now, p) {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Newest returns the newest state that this instance has applied or that any
+// instance has reported, also one that is gone since: the publisher counts on
+// from it.
+func (m *Membership) Newest(time.Time) dcstate.Version {
+	if m.state.Version.Less(m.newestSeen) {
+		return m.newestSeen
+	}
+	return m.state.Version
+}
+
+// newestHeard returns the newest state that a live instance reported, or a
+// version not above the applied one when there is none newer. It scans the
+// instances only when a newer state was ever reported.
+func (m *Membership) newestHeard(now time.Time) dcstate.Version {
+	if !m.state.Version.Less(m.newestSeen) {
+		return m.newestSeen
+	}
+	var newest dcstate.Version
+	for _, p := range m.peers {
+		if newest.Less(p.applied) && m.heard(now, p) {
+			newest = p.applied
+		}
+	}
+	return newest
+}
+
+func (m *Membership) isMember(id model.InstanceID) bool {
+	_, ok := m.members[id]
+	return ok
+}
+
+func (m *Membership) heard(now time.Time, p *peerInfo) bool {
+	return now.Sub(p.lastHeard) <= m.cfg.DeadAfter
+}
--- a/internal/requests/attempt.go
+++ b/internal/requests/attempt.go
@@ -290,27 +290,6 @@
 	}
 }
 
-// linger keeps the grant of an attempt that may still run at the server.
-func (c *Coordinator) linger(now time.Time, a *attempt) {
-	g := c.held[a.grant]
-	if g == nil || !g.releaseAt.IsZero() {
-		return
-	}
-	g.releaseAt = a.deadline.Add(c.cfg.Margin)
-	c.addTimer(timer{at: g.releaseAt, grant: a.grant})
-}
-
-func (c *Coordinator) endLinger(now time.Time, t timer) []Action {
-	g := c.held[t.grant]
-	if g == nil {
-		return nil
-	}
-	c.dropHeld(t.grant)
-	return []Action{ReleaseGrant{g.server, &pb.GrantRelease{
-		Grant: t.grant, Server: uint64(g.server), Condition: serverhealth.Silent,
-	}}}
-}
-
 // release releases the grant of an attempt with what was observed.
 func (c *Coordinator) release(now time.Time, a *attempt, m *pb.GrantRelease) []Action {
 	if c.held[a.grant] == nil {
@@ -346,46 +325,6 @@
 	return append(actions, Ended{r.Key})
 }
 
-// schedule sets the time at which the request needs attention next.
-func (c *Coordinator) schedule(r *request) {
-	at := r.Deadline
-	switch r.phase {
-	case asking:
-		at = earlier(at, earlier(r.window, r.nextAsk))
-	case running:
-		at = r.current().deadline
-	case backingOff:
-		at = earlier(at, r.retryAt)
-	case cancelling:
-		at = earlier(at, r.cancelUntil)
-	}
-	if !r.wake.Equal(at) {
-		r.wake = at
-		c.addTimer(timer{at: at, key: r.Key})
-	}
-}
-
-// addTimer adds a timer. When most timers in the heap are out of date, it is
-// built anew, so that its size follows that of the live state.
-func (c *Coordinator) addTimer(t timer) {
-	if len(c.timers) > 4*(len(c.requests)+len(c.held))+64 {
-		c.timers = c.timers[:0]
-		for k, r := range c.requests {
-			c.timers.add(timer{at: r.wake, key: k})
-		}
-		for id, g := range c.held {
-			if !g.releaseAt.IsZero() {
-				c.timers.add(timer{at: g.releaseAt, grant: id})
-			}
-		}
-	}
-	c.timers.add(t)
-}
-
-func (c *Coordinator) jitter(limit time.Duration) time.Duration {
-	return time.Duration(c.cfg.Rand.Int64N(int64(limit) + 1))
-}
-
 func (c *Coordinator) budget(service model.ServiceID) *budget {
 	b := c.budgets[service]
 	if b == nil {
@@ -404,15 +343,3 @@
 	after, _ := new.Member(is)
 	return was != is || before.Incarnation != after.Incarnation
 }
-
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
-// milliseconds rounds up, so that an interval never seems shorter.
-func milliseconds(d time.Duration) uint32 {
-	return uint32(max(0, (d+time.Millisecond-1)/time.Millisecond))
-}
--- /dev/null
+++ b/internal/requests/bounds_test.go
@@ -0,0 +1,155 @@
+package requests
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cuminshift/internal/dcstate"
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/model"
+	"cuminshift/internal/serverhealth"
+)
+
+// Guards against retries above 10% of the requests.
+func TestRetryBudget(t *testing.T) {
+	h := newHarness(t, Config{})
+	const n = 1000
+	for i := 0; i < n; i++ {
+		ms := i * 100
+		h.start(ms, Request{Key: key(uint64(i)), Idempotent: true, Deadline: at(ms + 5000)})
+		for sent := -1; sent != len(h.sent); {
+			sent = len(h.sent)
+			if h.Running(key(uint64(i))) {
+				h.reply(ms, granted)
+				h.refuse(ms+1, len(h.sent)-1, pb.Reason_REASON_SHED, didNotRun)
+				h.tick(ms + 90)
+			}
+		}
+	}
+	if retries := len(h.sent) - n; retries > n/10+1 || retries < n/20 {
+		t.Errorf("%d retries of %d requests, want about 10%%", retries, n)
+	}
+}
+
+// Guards against a request that is lost when the admitter changes or refuses
+// to be one, and against using a former admitter's late grant.
+func TestAdmitterChanges(t *testing.T) {
+	member := func(id model.InstanceID) dcstate.Member { return dcstate.Member{Instance: id, Incarnation: 1} }
+	old := dcstate.New(dcstate.Version{Generation: 1}, []dcstate.Member{member("a")})
+	new := dcstate.New(dcstate.Version{Generation: 2}, []dcstate.Member{member("b")})
+	h := newHarness(t, Config{})
+	h.start(0, Request{Key: key(1), Deadline: at(5000)})
+	h.reply(1, notAdmitter)
+	h.tick(60)
+	if len(h.asks) != 2 || h.asks[0].Request.GetGrant() != h.asks[1].Request.GetGrant() {
+		t.Fatalf("asks %v, want the same ask repeated", h.asks)
+	}
+	h.do(h.StateChanged(at(70), old, new))
+	if len(h.asks) != 3 || h.asks[2].Request.GetGrant() == h.asks[0].Request.GetGrant() || !h.asks[2].Request.GetReasked() {
+		t.Fatalf("asks %v, want a new one", h.asks)
+	}
+	h.do(h.GrantReply(at(80), &pb.GrantReply{Grant: h.asks[0].Request.GetGrant(), Result: granted}))
+	if len(h.sent) != 0 || len(h.releases) != 1 {
+		t.Errorf("%d sent, %d releases after a late grant; want it released", len(h.sent), len(h.releases))
+	}
+	h.reply(90, granted)
+	if len(h.sent) != 1 {
+		t.Error("the new admitter's grant was not used")
+	}
+}
+
+// Guards against a planned stop that cuts requests or takes new ones.
+func TestPlannedStop(t *testing.T) {
+	h := newHarness(t, Config{})
+	h.start(0, Request{Key: key(1), Deadline: at(5000)})
+	h.Stop()
+	h.start(1, Request{Key: key(2), Deadline: at(5000)})
+	h.wantRefusal(pb.Reason_REASON_INSTANCE_NOT_READY, didNotRun)
+	h.reply(2, granted)
+	h.answer(3, 0, 0, 1)
+	if len(h.replies) != 2 || h.replies[1].Kind != pb.Kind_KIND_ANSWER || !h.Idle() {
+		t.Errorf("replies %+v, idle %v; want the first request answered", h.replies, h.Idle())
+	}
+}
+
+// Guards against unbounded memory: requests, payloads and timers.
+func TestBounds(t *testing.T) {
+	h := newHarness(t, Config{MaxInFlight: 100, MaxBytes: 1000})
+	for i := 0; i < 200; i++ {
+		h.start(0, Request{Key: key(uint64(i)), Deadline: at(5000), Payload: make([]byte, 20)})
+	}
+	if h.InFlight() != 50 || len(h.replies) != 150 {
+		t.Errorf("%d in flight, %d refused; want 50 and 150", h.InFlight(), len(h.replies))
+	}
+	h.tick(10_000)
+	for i := 0; i < 5000; i++ {
+		h.start(10_000, Request{Key: key(uint64(i)), Idempotent: true, Deadline: at(60_000)})
+		h.reply(10_000, granted)
+		h.answer(10_001, len(h.sent)-1, 0, 1)
+	}
+	if len(h.timers) > 100 {
+		t.Errorf("%d timers for no request in flight", len(h.timers))
+	}
+}
+
+// Guards against a retry at the server that just failed when another is
+// offered, and against moving a non-idempotent request.
+func TestRetryElsewhere(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		h := newHarness(t, Config{Choose: func(time.Time, Key, model.ServerID) model.ServerID { return 11 }})
+		h.start(0, Request{Key: key(1), Idempotent: idempotent, Deadline: at(5000)})
+		h.reply(1, granted)
+		h.refuse(2, 0, pb.Reason_REASON_SHED, didNotRun)
+		h.tick(100)
+		h.reply(101, granted)
+		want := model.ServerID(10)
+		if idempotent {
+			want = 11
+		}
+		if len(h.sent) != 2 || h.sent[1].Server != want {
+			t.Errorf("idempotent %v: attempts %+v, want the second at %d", idempotent, h.sent, want)
+		}
+	}
+}
+
+// Guards against evidence that is not passed to serverhealth.
+func TestObservations(t *testing.T) {
+	h := newHarness(t, Config{})
+	h.start(0, Request{Key: key(1), Deadline: at(5000)})
+	h.reply(1, granted)
+	s := h.sent[0]
+	actions := h.ServerPacket(at(31), ServerPacket{Key: s.Key, Server: 10, Kind: pb.Kind_KIND_ANSWER, Attempt: s.Attempt, Cold: true})
+	release, _ := actions[0].(ReleaseGrant)
+	observe, _ := actions[1].(Observe)
+	if release.Release.GetCondition() != serverhealth.Cold || release.Release.GetLatencyMs() != 30 {
+		t.Errorf("release %v, want cold after 30 ms", release.Release)
+	}
+	if want := (serverhealth.Observation{Kind: serverhealth.Answered, Cold: true, Latency: 30 * time.Millisecond}); observe.Observation != want {
+		t.Errorf("observation %+v, want %+v", observe.Observation, want)
+	}
+}
+
+func BenchmarkRequest(b *testing.B) {
+	c := New(Config{Self: "a", Rand: rand.New(rand.NewPCG(1, 2))})
+	b.ReportAllocs()
+	for i := 0; i < b.N; i++ {
+		now := epoch.Add(time.Duration(i) * time.Millisecond)
+		ask := c.Start(now, Request{Key: key(uint64(i)), Server: 10, Idempotent: true, CallerAttempt: 1})[0].(AskGrant)
+		sent := c.GrantReply(now, &pb.GrantReply{Grant: ask.Request.Grant, Result: granted})[0].(SendToServer)
+		c.ServerPacket(now, ServerPacket{Key: sent.Key, Server: 10, Kind: pb.Kind_KIND_ANSWER, Attempt: sent.Attempt, Parts: 1})
+		c.Tick(now)
+	}
+}
+
+// A copy of a request that runs elsewhere is not answered: a refusal would make
+// the caller give up the answer that is to come.
+func TestCopyOfARunningRequestIsDropped(t *testing.T) {
+	h := newHarness(t, Config{})
+	h.start(0, Request{Key: key(1), CallerAttempt: 2, Deadline: at(1000)})
+	h.reply(1, pb.GrantResult_GRANT_RESULT_UNDER_WAY)
+	h.tick(2000)
+	if len(h.replies) != 0 || len(h.sent) != 0 || h.Running(key(1)) {
+		t.Errorf("%d replies, %d sent, running %v", len(h.replies), len(h.sent), h.Running(key(1)))
+	}
+}
--- /dev/null
+++ b/internal/requests/instance_test.go
@@ -0,0 +1,109 @@
+package requests_test
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cuminshift/internal/admission"
+	"cuminshift/internal/dcstate"
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/model"
+	"cuminshift/internal/peer"
+	"cuminshift/internal/requests"
+	"cuminshift/internal/serverhealth"
+)
+
+// instance runs the three packages as the entry instance does.
+type instance struct {
+	sim         *sim
+	id          model.InstanceID
+	incarnation uint64
+	dead        bool
+	leaving     bool
+	frozenUntil time.Time
+	// acked is the last time at which the publisher heard the instance.
+	acked   time.Time
+	state   *dcstate.State
+	coord   *requests.Coordinator
+	admit   *admission.Admitter
+	health  *serverhealth.Health
+	lastSaw map[model.ServerID]serverhealth.Condition
+}
+
+func (in *instance) fenced(now time.Time) bool { return in.state == nil || now.Sub(in.acked) > lease }
+
+func (in *instance) apply(state *dcstate.State) {
+	if in.state != nil && !in.state.Version.Less(state.Version) {
+		return
+	}
+	old, now := in.state, in.sim.now
+	in.state = state
+	if in.sim.published == state {
+		in.acked = now
+	}
+	in.send(in.admit.StateChanged(now, old, state, func(id model.ServerID) []*pb.OutstandingGrant { return in.coord.Held(now, id) }))
+	in.perform(in.coord.StateChanged(now, old, state))
+}
+
+func (in *instance) send(messages []peer.Message) {
+	s := in.sim
+	for _, m := range messages {
+		to, body, delay := s.find(m.To), proto.Clone(m.Body).(*pb.PeerMessage), s.ms(0, 20)
+		if m.To == in.id {
+			delay = 0
+		} else if s.chance(s.loss) {
+			continue
+		}
+		if to == nil {
+			continue
+		}
+		s.deliver(to, delay, func() {
+			if r := body.GetGrantReply(); r != nil {
+				to.perform(to.coord.GrantReply(s.now, r))
+				return
+			}
+			to.send(to.admit.HandlePeer(s.now, in.id, body))
+		})
+	}
+}
+
+func (in *instance) observeConditions() {
+	for id := range in.sim.infos {
+		if c := in.health.Recent(in.sim.now, id); c != in.lastSaw[id] {
+			in.lastSaw[id] = c
+			in.send(in.admit.Observe(in.sim.now, id, c))
+		}
+	}
+}
+
+func (in *instance) perform(actions []requests.Action) {
+	s := in.sim
+	for _, a := range actions {
+		switch a := a.(type) {
+		case requests.AskGrant:
+			in.toAdmitter(a.Server, &pb.PeerMessage{Body: &pb.PeerMessage_GrantRequest{GrantRequest: a.Request}})
+		case requests.ReleaseGrant:
+			in.toAdmitter(a.Server, &pb.PeerMessage{Body: &pb.PeerMessage_GrantRelease{GrantRelease: a.Release}})
+		case requests.SendToServer:
+			left := a.Deadline.Sub(s.now)
+			if !s.chance(s.loss) {
+				s.after(s.ms(0, 20), func() { s.serve(in, a, left) })
+			}
+		case requests.SendCancel:
+			if !s.chance(s.loss) {
+				s.after(s.ms(0, 20), func() { s.cancel(in, a) })
+			}
+		case requests.Observe:
+			in.health.Observe(s.now, a.Server, 0, a.Observation)
+		case requests.ReplyToCaller:
+			s.receive(a)
+		}
+	}
+}
+
+func (in *instance) toAdmitter(id model.ServerID, body *pb.PeerMessage) {
+	if in.state != nil {
+		in.send([]peer.Message{{To: in.state.Admitter(id), Body: body}})
+	}
+}
--- /dev/null
+++ b/internal/requests/schedule.go
@@ -0,0 +1,81 @@
+package requests
+
+import (
+	"time"
+
+	pb "cuminshift/internal/gen/cuminshift/v1"
+	"cuminshift/internal/serverhealth"
+)
+
+// linger keeps the grant of an attempt that may still run at the server.
+func (c *Coordinator) linger(now time.Time, a *attempt) {
+	g := c.held[a.grant]
+	if g == nil || !g.releaseAt.IsZero() {
+		return
+	}
+	g.releaseAt = a.deadline.Add(c.cfg.Margin)
+	c.addTimer(timer{at: g.releaseAt, grant: a.grant})
+}
+
+func (c *Coordinator) endLinger(now time.Time, t timer) []Action {
+	g := c.held[t.grant]
+	if g == nil {
+		return nil
+	}
+	c.dropHeld(t.grant)
+	return []Action{ReleaseGrant{g.server, &pb.GrantRelease{
+		Grant: t.grant, Server: uint64(g.server), Condition: serverhealth.Silent,
+	}}}
+}
+
+// schedule sets the time at which the request needs attention next.
+func (c *Coordinator) schedule(r *request) {
+	at := r.Deadline
+	switch r.phase {
+	case asking:
+		at = earlier(at, earlier(r.window, r.nextAsk))
+	case running:
+		at = r.current().deadline
+	case backingOff:
+		at = earlier(at, r.retryAt)
+	case cancelling:
+		at = earlier(at, r.cancelUntil)
+	}
+	if !r.wake.Equal(at) {
+		r.wake = at
+		c.addTimer(timer{at: at, key: r.Key})
+	}
+}
+
+// addTimer adds a timer. When most timers in the heap are out of date, it is
+// built anew, so that its size follows that of the live state.
+func (c *Coordinator) addTimer(t timer) {
+	if len(c.timers) > 4*(len(c.requests)+len(c.held))+64 {
+		c.timers = c.timers[:0]
+		for k, r := range c.requests {
+			c.timers.add(timer{at: r.wake, key: k})
+		}
+		for id, g := range c.held {
+			if !g.releaseAt.IsZero() {
+				c.timers.add(timer{at: g.releaseAt, grant: id})
+			}
+		}
+	}
+	c.timers.add(t)
+}
+
+func (c *Coordinator) jitter(limit time.Duration) time.Duration {
+	return time.Duration(c.cfg.Rand.Int64N(int64(limit) + 1))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// milliseconds rounds up, so that an interval never seems shorter.
+func milliseconds(d time.Duration) uint32 {
+	return uint32(max(0, (d+time.Millisecond-1)/time.Millisecond))
+}
--- a/internal/requests/sim_test.go
+++ b/internal/requests/sim_test.go
@@ -5,17 +5,12 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"testing"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-	"pgregory.net/rapid"
-
 	"cuminshift/internal/admission"
 	"cuminshift/internal/dcstate"
 	pb "cuminshift/internal/gen/cuminshift/v1"
 	"cuminshift/internal/model"
-	"cuminshift/internal/peer"
 	"cuminshift/internal/requests"
 	"cuminshift/internal/serverhealth"
 )
@@ -33,30 +28,6 @@
 	do func()
 }
 
-// instance runs the three packages as the entry instance does.
-type instance struct {
-	sim         *sim
-	id          model.InstanceID
-	incarnation uint64
-	dead        bool
-	leaving     bool
-	frozenUntil time.Time
-	// acked is the last time at which the publisher heard the instance.
-	acked   time.Time
-	state   *dcstate.State
-	coord   *requests.Coordinator
-	admit   *admission.Admitter
-	health  *serverhealth.Health
-	lastSaw map[model.ServerID]serverhealth.Condition
-}
-
-// run is one execution at a server.
-type run struct {
-	key     requests.Key
-	attempt uint32
-	over    bool
-}
-
 type server struct {
 	info    *model.BackendServer
 	cold    bool
@@ -167,8 +138,6 @@
 	})
 }
 
-func (in *instance) fenced(now time.Time) bool { return in.state == nil || now.Sub(in.acked) > lease }
-
 // publish makes a new state of the instances that are heard and sends it.
 func (s *sim) publish() {
 	var members []dcstate.Member
@@ -194,19 +163,6 @@
 	}
 }
 
-func (in *instance) apply(state *dcstate.State) {
-	if in.state != nil && !in.state.Version.Less(state.Version) {
-		return
-	}
-	old, now := in.state, in.sim.now
-	in.state = state
-	if in.sim.published == state {
-		in.acked = now
-	}
-	in.send(in.admit.StateChanged(now, old, state, func(id model.ServerID) []*pb.OutstandingGrant { return in.coord.Held(now, id) }))
-	in.perform(in.coord.StateChanged(now, old, state))
-}
-
 // watch removes instances that were not heard for deadAfter, and adds those
 // that woke.
 func (s *sim) watch() {
@@ -226,68 +182,6 @@
 	s.after(100*time.Millisecond, s.watch)
 }
 
-func (in *instance) send(messages []peer.Message) {
-	s := in.sim
-	for _, m := range messages {
-		to, body, delay := s.find(m.To), proto.Clone(m.Body).(*pb.PeerMessage), s.ms(0, 20)
-		if m.To == in.id {
-			delay = 0
-		} else if s.chance(s.loss) {
-			continue
-		}
-		if to == nil {
-			continue
-		}
-		s.deliver(to, delay, func() {
-			if r := body.GetGrantReply(); r != nil {
-				to.perform(to.coord.GrantReply(s.now, r))
-				return
-			}
-			to.send(to.admit.HandlePeer(s.now, in.id, body))
-		})
-	}
-}
-
-func (in *instance) observeConditions() {
-	for id := range in.sim.infos {
-		if c := in.health.Recent(in.sim.now, id); c != in.lastSaw[id] {
-			in.lastSaw[id] = c
-			in.send(in.admit.Observe(in.sim.now, id, c))
-		}
-	}
-}
-
-func (in *instance) perform(actions []requests.Action) {
-	s := in.sim
-	for _, a := range actions {
-		switch a := a.(type) {
-		case requests.AskGrant:
-			in.toAdmitter(a.Server, &pb.PeerMessage{Body: &pb.PeerMessage_GrantRequest{GrantRequest: a.Request}})
-		case requests.ReleaseGrant:
-			in.toAdmitter(a.Server, &pb.PeerMessage{Body: &pb.PeerMessage_GrantRelease{GrantRelease: a.Release}})
-		case requests.SendToServer:
-			left := a.Deadline.Sub(s.now)
-			if !s.chance(s.loss) {
-				s.after(s.ms(0, 20), func() { s.serve(in, a, left) })
-			}
-		case requests.SendCancel:
-			if !s.chance(s.loss) {
-				s.after(s.ms(0, 20), func() { s.cancel(in, a) })
-			}
-		case requests.Observe:
-			in.health.Observe(s.now, a.Server, 0, a.Observation)
-		case requests.ReplyToCaller:
-			s.receive(a)
-		}
-	}
-}
-
-func (in *instance) toAdmitter(id model.ServerID, body *pb.PeerMessage) {
-	if in.state != nil {
-		in.send([]peer.Message{{To: in.state.Admitter(id), Body: body}})
-	}
-}
-
 // serve is the backend server: it sheds, or runs the request until it is done
 // or past its deadline, and answers in parts that cross and repeat.
 func (s *sim) serve(in *instance, a requests.SendToServer, left time.Duration) {
@@ -439,123 +333,3 @@
 }
 
 func (s *sim) anyServer() model.ServerID { return model.ServerID(1 + s.rng.IntN(len(s.servers))) }
-
-// disturb kills, freezes, restarts or retires an instance.
-func (s *sim) disturb() {
-	var live []*instance
-	for _, in := range s.instances {
-		if !in.dead && !in.leaving && in.frozenUntil.Before(s.now) {
-			live = append(live, in)
-		}
-	}
-	if len(live) == 0 {
-		return
-	}
-	in := live[s.rng.IntN(len(live))]
-	switch s.rng.IntN(4) {
-	case 0:
-		in.dead = true
-		s.after(s.ms(100, 3000), func() { s.start(in.id) })
-	case 1:
-		in.frozenUntil = s.now.Add(s.ms(100, 4000))
-	case 2:
-		in.dead = true
-	case 3:
-		in.leaving = true
-		in.coord.Stop()
-		s.publish()
-		s.after(3*time.Second, func() {
-			if !in.dead && !in.coord.Idle() {
-				s.fail("planned stop of %s did not finish its requests", in.id)
-			}
-			in.dead = true
-			s.publish()
-		})
-		s.start(model.InstanceID(rune('a' + len(s.instances))))
-	}
-}
-
-// upset restarts a server, which is cold then for a while, or silences it.
-func (s *sim) upset() {
-	sv := s.servers[s.anyServer()]
-	for _, r := range sv.running {
-		r.over = true
-	}
-	sv.silentUntil = s.now.Add(s.ms(0, 2000))
-	sv.cold = true
-	s.after(s.ms(2000, 8000), func() { sv.cold = s.alwaysCold })
-}
-
-// checkKnowledge notes since when the admitters treat servers as cold.
-func (s *sim) checkKnowledge() {
-	for id, sv := range s.servers {
-		in := s.find(s.published.Admitter(id))
-		if in == nil {
-			continue
-		}
-		if st := in.admit.Status(s.now, id); !st.Cold || st.Allowed > sv.info.ColdSlots {
-			sv.knownCold = time.Time{}
-		} else if sv.knownCold.IsZero() {
-			sv.knownCold = s.now
-		}
-	}
-	s.after(5*time.Millisecond, s.checkKnowledge)
-}
-
-func (s *sim) run(length time.Duration) {
-	end := s.now.Add(length)
-	for len(s.queue) > 0 && s.failure == "" {
-		e := s.queue[0]
-		s.queue = s.queue[1:]
-		if s.now = e.at; s.now.After(end) {
-			return
-		}
-		e.do()
-	}
-}
-
-func newSim(seed uint64, cold bool, loss int) *sim {
-	s := &sim{
-		rng: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(0, 0), calls: map[requests.Key]*call{}, loss: loss, alwaysCold: cold,
-		servers: map[model.ServerID]*server{}, infos: map[model.ServerID]*model.BackendServer{},
-	}
-	for id := model.ServerID(1); id <= 3; id++ {
-		s.infos[id] = &model.BackendServer{ID: id, Service: 1, Slots: 3, ColdSlots: 1}
-		s.servers[id] = &server{info: s.infos[id], cold: cold, seen: map[string]bool{}}
-	}
-	for i := 0; i < 4; i++ {
-		s.start(model.InstanceID(rune('a' + i)))
-	}
-	s.watch()
-	s.checkKnowledge()
-	return s
-}
-
-// Guards against a second run of a non-idempotent request, a false
-// DID_NOT_RUN, a mixed or partial answer, more load on cold servers than they
-// bear, and requests cut by a planned stop, while instances are killed,
-// frozen, restarted and replaced.
-func TestRequestsUnderFaults(t *testing.T) {
-	answers, denied, runs := 0, 0, 0
-	rapid.Check(t, func(t *rapid.T) {
-		s := newSim(rapid.Uint64().Draw(t, "seed"), rapid.Bool().Draw(t, "cold"), rapid.IntRange(0, 3).Draw(t, "loss"))
-		for i := uint64(1); i <= uint64(rapid.IntRange(50, 600).Draw(t, "requests")); i++ {
-			s.after(500*time.Millisecond+s.ms(0, 10_000), func() { s.request(i) })
-		}
-		for n := rapid.IntRange(0, 6).Draw(t, "faults"); n > 0; n-- {
-			s.after(s.ms(500, 10_000), s.disturb)
-		}
-		for n := rapid.IntRange(0, 3).Draw(t, "upsets"); n > 0; n-- {
-			s.after(s.ms(500, 8_000), s.upset)
-		}
-		s.run(16 * time.Second)
-		if s.failure != "" {
-			t.Fatal(s.failure)
-		}
-		answers, denied, runs = answers+s.answers, denied+s.denied, runs+1
-	})
-	t.Logf("%d simulations: %d answers, %d refusals", runs, answers, denied)
-	if answers < denied/20 {
-		t.Errorf("%d answers and %d refusals: the simulation shows little", answers, denied)
-	}
-}
