Soak: packets to a ready instance are lost; matrix: new regression cells

Change: the soak loses all packets from the routers to an instance whose readiness checks go on; its observer counts that as unplanned. The cells in which the matrix found faults today are kept as tests. The step admitter-handover lets a third instance leave if the first two admitted to no server.

--- a/internal/faultmatrix/cells.go
+++ b/internal/faultmatrix/cells.go
@@ -199,7 +199,7 @@
 		reached := false
 		onPeer(s, func(f focus) { reached = true; fire(f) }, func(m *pb.PeerMessage) bool { return len(m.GetAdmitterHandover().GetServers()) > 0 })
 		// An instance may admit to no server.
-		for _, d := range []time.Duration{500 * time.Millisecond, 1500 * time.Millisecond} {
+		for _, d := range []time.Duration{500 * time.Millisecond, 1500 * time.Millisecond, 2500 * time.Millisecond} {
 			s.after(d, func() {
 				if !reached {
 					leaveOne(s)
--- a/internal/faultmatrix/product_test.go
+++ b/internal/faultmatrix/product_test.go
@@ -32,6 +32,10 @@
 	{"cancellations to a data centre that is out", 2, Cell{"answer-under-way", []string{"instance-frozen", "centre-out-and-back"}}},
 	{"pins of openings refused during an announced move", 21, Cell{"start-up", []string{"store-answer-lost"}}},
 	{"a map of its own by an instance that knew no peers", 41, Cell{"edit-spreading", []string{"centre-cut-from-platform", "instance-joins"}}},
+	{"a cold server's share used before and after a restart", 1, Cell{"ramp", []string{"instance-restarted"}}},
+	{"two requests at a server that went cold while it was quiet", 44, Cell{"start-up", []string{"lease-expires-while-paused", "server-goes-cold"}}},
+	{"a cold server taken for warm since it drains", 71, Cell{"ramp", []string{"partition-in-centre", "server-drains"}}},
+	{"news of a cold server that waited for heartbeats", 72, Cell{"start-up", []string{"answers-late-and-crossed", "server-goes-cold"}}},
 	{"relays to an instance that died", 3, Cell{"flow-opening", []string{"instance-killed"}}},
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -47,6 +47,7 @@
 	{"store slow", (*run).storeSlow},
 	{"path to the store troubled", (*run).path},
 	{"history dropped", (*run).compact},
+	{"packets to an instance lost", (*run).cutPackets},
 	{"server killed", (*run).serverKill},
 	{"server drained", (*run).serverDrain},
 	{"configuration changed", (*run).change},
@@ -125,6 +126,21 @@
 	time.AfterFunc(length, func() { p.set(pathOpen) })
 }
 
+// cutPackets loses all packets from the routers to an instance that goes on to
+// report ready.
+func (r *run) cutPackets(length time.Duration) {
+	packets := r.fleet.packets[r.rng.IntN(len(r.fleet.packets))]
+	r.watch.disturb(time.Now().Add(length))
+	for _, router := range r.fleet.routers {
+		router.Cut(packets, true)
+	}
+	time.AfterFunc(length, func() {
+		for _, router := range r.fleet.routers {
+			router.Cut(packets, false)
+		}
+	})
+}
+
 func (r *run) compact(time.Duration) { r.fleet.store.Compact() }
 
 // pick takes a server of campo of which others remain in its zone.
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -44,6 +44,8 @@
 	paths   []*proxy
 	gates   []*process
 	routers map[string]*router.Router
+	// packets are the instances' addresses for packets.
+	packets []netip.AddrPort
 	watch   *observer
 
 	mu      sync.Mutex
@@ -136,6 +138,7 @@
 				return err
 			}
 			f.gates = append(f.gates, g)
+			f.packets = append(f.packets, f.address(20+z, n+1, packetPort))
 			instances = append(instances, router.Instance{Zone: zone, Packets: f.address(20+z, n+1, packetPort), Ready: f.address(20+z, n+1, readyPort)})
 		}
 	}
--- a/internal/standin/platform/router/router.go
+++ b/internal/standin/platform/router/router.go
@@ -44,6 +44,8 @@
 type state struct {
 	Instance
 	missed int
+	// cut: packets to the instance are lost, though it is in rotation.
+	cut bool
 }
 
 // Start runs a router at an address until Stop. Instances of the zone come
@@ -77,6 +79,18 @@
 	return len(own)
 }
 
+// Cut loses the packets to an instance, while its readiness checks go on, or
+// ends that.
+func (r *Router) Cut(packets netip.AddrPort, cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, i := range r.instances {
+		if i.Packets == packets {
+			i.cut = cut
+		}
+	}
+}
+
 func (r *Router) rotation() (own, all []*state) {
 	var zone []*state
 	for _, i := range r.instances {
@@ -140,15 +154,18 @@
 	if len(own) == 0 {
 		own = all
 	}
-	var best netip.AddrPort
+	var best *state
 	var top uint64
 	for _, i := range own {
 		d := xxhash.New()
 		_, _ = d.Write(addresses)
 		_, _ = d.WriteString(i.Packets.String())
 		if w := d.Sum64(); w >= top {
-			best, top = i.Packets, w
+			best, top = i, w
 		}
 	}
-	return best, len(own) > 0
+	if best == nil || best.cut {
+		return netip.AddrPort{}, false
+	}
+	return best.Packets, true
 }
