A request that a copy overtook is answered

Ruled out: narrowing the check; the caller heard nothing of its request. Change: a coordinator that has sent the request refuses it as a duplicate with an unknown outcome, as before. A stranger's data packet without a token is not noted as the end of a flow.

--- a/internal/entry/packets.go
+++ b/internal/entry/packets.go
@@ -71,7 +71,9 @@
 	allowed := false
 	h.caller = c.catalog.CallerOf(h.packet.Caller.Addr())
 	if h.use, allowed = c.catalog.Allows(h.caller, h.flow.Service); !allowed {
-		c.endFlow(now, h.flow, "not in plan")
+		if h.packet.Token != 0 {
+			c.endFlow(now, h.flow, "not in plan")
+		}
 		c.refuse(now, h, pb.Reason_REASON_NOT_IN_PLAN)
 		return
 	}
--- a/internal/faultmatrix/product_test.go
+++ b/internal/faultmatrix/product_test.go
@@ -36,6 +36,7 @@
 	{"two requests at a server that went cold while it was quiet", 44, Cell{"start-up", []string{"lease-expires-while-paused", "server-goes-cold"}}},
 	{"a cold server taken for warm since it drains", 71, Cell{"ramp", []string{"partition-in-centre", "server-drains"}}},
 	{"news of a cold server that waited for heartbeats", 72, Cell{"start-up", []string{"answers-late-and-crossed", "server-goes-cold"}}},
+	{"a request that a copy overtook ended without a word", 78, Cell{"admitter-handover", []string{"server-sheds"}}},
 	{"relays to an instance that died", 3, Cell{"flow-opening", []string{"instance-killed"}}},
 }
 
--- a/internal/requests/bounds_test.go
+++ b/internal/requests/bounds_test.go
@@ -153,3 +153,15 @@
 		t.Errorf("%d replies, %d sent, running %v", len(h.replies), len(h.sent), h.Running(key(1)))
 	}
 }
+
+// Guards against a request that its coordinator sent, and that a copy overtook,
+// ending without a word (fault matrix, seed 78, I9).
+func TestOvertakenRequestIsAnswered(t *testing.T) {
+	h := newHarness(t, Config{})
+	h.start(0, Request{Key: key(1), Deadline: at(2000)})
+	h.reply(1, granted)
+	h.refuse(5, 0, pb.Reason_REASON_SHED, didNotRun)
+	h.tick(500)
+	h.reply(501, pb.GrantResult_GRANT_RESULT_UNDER_WAY)
+	h.wantRefusal(pb.Reason_REASON_DUPLICATE, unknown)
+}
--- a/internal/requests/requests.go
+++ b/internal/requests/requests.go
@@ -234,8 +234,13 @@
 		r.copyElsewhere = true
 		return c.finish(now, r, r.refusalLater(m.GetReason()))
 	case pb.GrantResult_GRANT_RESULT_UNDER_WAY:
-		// A refusal would make the caller give up the answer that is to come.
 		c.forgetAsk(r)
+		if len(r.attempts) > 0 {
+			// This instance has sent the request before and owes a word on it.
+			r.copyElsewhere = true
+			return c.finish(now, r, r.refusalLater(pb.Reason_REASON_DUPLICATE))
+		}
+		// A refusal would make the caller give up the answer that is to come.
 		return c.finish(now, r, func() []Action { return nil })
 	case pb.GrantResult_GRANT_RESULT_REFUSED:
 		c.forgetAsk(r)
