explain takes no decision on openings

Cause: explain asked steering for a server as an opening does, which counts as a trial of a silent service. Change: Preview. Test in TestAllServersSilent.

--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -12,7 +12,6 @@
 	"cuminshift/internal/dcstate"
 	pb "cuminshift/internal/gen/cuminshift/v1"
 	"cuminshift/internal/model"
-	"cuminshift/internal/steering"
 )
 
 // Metrics returns the registry of histograms.
@@ -236,8 +235,8 @@
 	if c.members.Fenced(now) {
 		return "this instance holds no lease; it refuses openings with INSTANCE_NOT_READY"
 	}
-	server, outcome := c.steering.Choose(now, service, flow, c.health, func(model.ServerID) bool { return true })
-	if outcome != steering.Chosen {
+	server, ok := c.steering.Preview(now, service, flow, c.health)
+	if !ok {
 		return "no server of the service takes new flows; openings are refused with NO_SERVER"
 	}
 	return "an opening would go to server " + c.serverName(server)
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -139,6 +139,20 @@
 	return 0, Overload
 }
 
+// Preview returns the server that an opening would go to now, if it bears the
+// opening, and counts nothing; ok is false when there is none.
+func (s *Steering) Preview(now time.Time, id model.ServiceID, flow model.FlowHash, health Health) (server model.ServerID, ok bool) {
+	svc := s.services[id]
+	if svc == nil {
+		return 0, false
+	}
+	usable, _ := s.split(now, svc, flow, health)
+	if len(usable) == 0 {
+		return 0, false
+	}
+	return usable[s.best(usable[:min(choices, len(usable))], flow, health)].server.ID, true
+}
+
 // split returns the servers that take new flows, in the flow's order with those
 // that shed load last, and those that do not answer. A large service is
 // represented by a sample.
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -183,6 +183,12 @@
 			t.Fatal(outcome)
 		}
 	}
+	if server, ok := s.Preview(start.Add(2*time.Second), campo, flow(1), h); ok {
+		t.Errorf("preview of a silent service: %v", server)
+	}
+	if _, outcome := s.Choose(start.Add(2*time.Second), campo, flow(1), h, always); outcome != Chosen {
+		t.Error("a preview counts as a trial")
+	}
 	if tried != 10 {
 		t.Errorf("%d trials in a second, want 10", tried)
 	}
