Count only flows and requests that somebody ends

Cause: Limits counted every allowed flow and request, but the core reports an end only where the plan limits concurrency. A limit that was set later therefore refused at once. Units that were borrowed for a rate limit stayed lent for ever for the same reason. A retransmission that got the stored answer left its request in the table of running requests, and with a limit of one the caller was refused from then on; while the limit was reached, the retransmission was refused instead of answered.

Ruled out: counting every flow and reporting every end. It needs a record for each flow at an instance, which the fast path is there to avoid.

Change: without a concurrency limit nothing counts as in use and nothing stays lent; a stored answer ends its request and needs no place under a limit; of two copies that waited for a limit only one counts.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -236,6 +236,14 @@
 	return c.takeActions()
 }
 
+// InUse returns the number of flows and requests that count as open: those under a
+// concurrency limit, and the requests that this instance runs.
+func (c *Core) InUse() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.limits.InUse() + len(c.runningRequests)
+}
+
 func (c *Core) dispatch(now time.Time, ev Event) {
 	switch e := ev.(type) {
 	case CallerPacket:
--- a/internal/entry/requests.go
+++ b/internal/entry/requests.go
@@ -32,12 +32,13 @@
 	idempotent bool
 }
 
-// forwardRequest starts a request at the server of its flow. A request that is
-// already running is not checked against the limits again.
+// forwardRequest starts a request at the server of its flow. A copy of a request
+// that is running or was answered is not checked against the limits again.
 func (c *Core) forwardRequest(now time.Time, pending *pendingPacket, server *model.BackendServer) {
 	pending.server = server.ID
 	key := requestKey(pending)
-	if c.coordinator.IsInFlight(key) || pending.counted {
+	answered := !pending.packet.Idempotent && c.coordinator.IsAnswered(now, key)
+	if c.coordinator.IsInFlight(key) || answered || pending.counted {
 		c.startRequest(now, pending)
 		return
 	}
@@ -53,7 +54,10 @@
 // startRequest passes a request that the limits have allowed to the coordinator.
 func (c *Core) startRequest(now time.Time, pending *pendingPacket) {
 	key := requestKey(pending)
-	if c.runningRequests[key] == nil {
+	if c.runningRequests[key] != nil {
+		// Two copies may have waited for the limits; one of them counts.
+		c.releaseLimits(now, pending)
+	} else {
 		c.runningRequests[key] = &runningRequest{
 			started: pending.receivedAt, callerAddress: pending.packet.Caller, serviceAddress: pending.packet.Service, callerName: pending.caller.Name,
 			counted: pending.counted, afterPause: c.pausedBefore(pending.receivedAt), idempotent: pending.packet.Idempotent,
--- a/internal/entry/token_test.go
+++ b/internal/entry/token_test.go
@@ -14,6 +14,8 @@
 var (
 	serviceAddress = netip.MustParseAddrPort("10.200.0.1:80")
 	callerAddress  = netip.MustParseAddrPort("10.1.0.1:5000")
+	// otherCallerAddress belongs to the same caller, on another flow.
+	otherCallerAddress = netip.MustParseAddrPort("10.1.0.2:5000")
 )
 
 // singleInstance drives the core of the only instance of a data centre.
--- a/internal/faultmatrix/cells.go
+++ b/internal/faultmatrix/cells.go
@@ -346,6 +346,9 @@
 	})
 	s.runUntil(runDuration)
 	s.observer.checkEnd()
+	s.endTraffic()
+	s.runUntil(runDuration + releaseLimit)
+	s.observer.checkNothingInUse()
 	r := Result{Cell: cell, Seed: seed, Violations: s.observer.violations, Trace: s.trace, StepReached: reached, BrokenFlows: s.observer.brokenFlows, LastBrokenFlow: s.observer.lastBrokenFlow}
 	for _, f := range s.flows {
 		if f.server != nil {
@@ -361,6 +364,18 @@
 	return r
 }
 
+// endTraffic stops all callers. Half of them close their flows, the others vanish.
+func (s *sim) endTraffic() {
+	for i, key := range s.flowKeys {
+		f := s.flows[key]
+		if i%2 == 0 {
+			f.closeTime = s.now
+		} else {
+			f.vanished = true
+		}
+	}
+}
+
 func findFault(name string) fault {
 	for _, f := range faults {
 		if f.name == name {
--- a/internal/faultmatrix/entry_instance.go
+++ b/internal/faultmatrix/entry_instance.go
@@ -67,6 +67,8 @@
 	return inst.core.Status(now).GetPublisher() == string(inst.spec.ID)
 }
 
+func (inst *entryInstance) InUse() int { return inst.core.InUse() }
+
 func (inst *entryInstance) Handle(now time.Time, in any) []any {
 	switch i := in.(type) {
 	case Tick:
--- a/internal/faultmatrix/flows.go
+++ b/internal/faultmatrix/flows.go
@@ -35,6 +35,8 @@
 	token uint64
 	// broken is set when the flow ended although the caller did not close it.
 	broken, closed bool
+	// vanished is set when the caller stops without closing the flow.
+	vanished bool
 	// ackedAt is the time at which the first acknowledgement of the opening arrived.
 	ackedAt time.Time
 	// lastEchoAt is the time of the last answer to a data packet.
@@ -127,7 +129,7 @@
 func (f *fakeFlow) tick() bool {
 	now := f.s.now
 	switch {
-	case f.broken || f.closed:
+	case f.broken || f.closed || f.vanished:
 		return false
 	case !f.closeTime.IsZero() && now.After(f.closeTime) && f.findPending(pb.Kind_KIND_REQUEST) == nil:
 		f.closed = true
--- a/internal/faultmatrix/instance.go
+++ b/internal/faultmatrix/instance.go
@@ -24,6 +24,9 @@
 	// Publishing reports whether the instance publishes the state of its data
 	// centre.
 	Publishing(now time.Time) bool
+	// InUse returns the number of flows and requests that count as open: against
+	// a limit, or as running.
+	InUse() int
 }
 
 // InstanceSpec describes one start of an instance; a restart has another
--- a/internal/faultmatrix/observer.go
+++ b/internal/faultmatrix/observer.go
@@ -27,6 +27,13 @@
 	// delay between instance and server (0.3 ms), so that evenly spaced openings at
 	// the limit are not reported.
 	openingWindow = time.Second - time.Millisecond
+	// releaseLimit is the time after the end of all traffic at which nothing may
+	// count as open: an idle flow counts for flowIdleTimeout, a request for
+	// requestDeadline.
+	releaseLimit = flowIdleTimeout + requestDeadline + 2*time.Second
+	// limitsCheck is the Invariant of a violation that says that an instance counts
+	// flows or requests that have ended.
+	limitsCheck = "limits"
 	// finalQuietPeriod is the fault-free time at the end of a run in which every
 	// flow must receive an echo.
 	finalQuietPeriod = 3 * time.Second
@@ -43,7 +50,7 @@
 
 // Violation is a violation of an invariant.
 type Violation struct {
-	// Invariant is "I1" to "I10" or trafficCheck.
+	// Invariant is "I1" to "I10", trafficCheck or limitsCheck.
 	Invariant string
 	// At is the time since the start of the run.
 	At time.Duration
@@ -311,6 +318,17 @@
 	}
 }
 
+// checkNothingInUse reports instances that count flows or requests as open although
+// all traffic has ended releaseLimit ago.
+func (o *observer) checkNothingInUse() {
+	for _, id := range o.s.instanceIDs {
+		inst := o.s.instances[id]
+		if n := inst.impl.InUse(); inst.alive && !inst.frozen && n != 0 {
+			o.report(limitsCheck, "%s counts %d flows and requests as open after all traffic has ended", id, n)
+		}
+	}
+}
+
 // checkFlowEnd reports answers of which parts are missing (I5), and a flow that
 // received no echo in the final quiet period (I1).
 func (o *observer) checkFlowEnd(f *fakeFlow) {
--- a/internal/faultmatrix/reference_test.go
+++ b/internal/faultmatrix/reference_test.go
@@ -54,6 +54,8 @@
 }
 func (inst *referenceInstance) Publishing(time.Time) bool { return false }
 
+func (inst *referenceInstance) InUse() int { return 0 }
+
 func (inst *referenceInstance) Handle(now time.Time, in any) []any {
 	switch i := in.(type) {
 	case CallerPacket:
--- a/internal/faultmatrix/topology.go
+++ b/internal/faultmatrix/topology.go
@@ -65,10 +65,15 @@
 	}}
 }
 
+// unreachedLimit is a limit on concurrent flows or requests that the callers of a
+// run never reach. The instances count under it nevertheless.
+const unreachedLimit = 100_000
+
 func initialPlans() *pb.PlanList {
 	p := &pb.PlanList{}
 	for _, name := range []string{"parana", "other"} {
-		p.Plans = append(p.Plans, &pb.PlanEntry{Name: name, Uses: []*pb.PlanUse{{Service: "campo", Priority: 1}, {Service: "ordenes"}}})
+		p.Plans = append(p.Plans, &pb.PlanEntry{Name: name, Uses: []*pb.PlanUse{
+			{Service: "campo", Priority: 1, ConcurrentFlows: unreachedLimit, ConcurrentRequests: unreachedLimit}, {Service: "ordenes"}}})
 	}
 	for _, service := range services {
 		s := &pb.ServiceEntry{Name: service}
--- a/internal/limits/borrowing.go
+++ b/internal/limits/borrowing.go
@@ -133,7 +133,8 @@
 }
 
 // lendUnit lends a unit to another instance, or returns the reason of a refusal.
-// A unit that is already lent under the ID is not counted again.
+// A unit that is already lent under the ID is not counted again. Without a
+// concurrency limit only the rate counts, and there is nothing to give back.
 func (l *Limits) lendUnit(now time.Time, from model.InstanceID, id uint64, k key, lookup PlanLookup) pb.Reason {
 	if _, ok := l.lent[from][id]; ok {
 		return 0
@@ -149,6 +150,9 @@
 	if reason := l.state(now, k, perSecond, concurrent).takeUnit(now); reason != 0 {
 		return reason
 	}
+	if concurrent == 0 {
+		return 0
+	}
 	if l.lent[from] == nil {
 		l.lent[from] = map[uint64]key{}
 	}
@@ -174,9 +178,15 @@
 	}
 	if r.GetAllowed() {
 		delete(l.pending, r.GetId())
+		resolved := []Resolved{{ID: r.GetId(), Allowed: true}}
+		if p.concurrent == 0 {
+			// The lender counts the unit if its configuration already has a
+			// concurrency limit.
+			return []peer.Message{l.sendRelease(now, p.key, unit{from, r.GetId()})}, resolved
+		}
 		s := l.state(now, p.key, p.perSecond, p.concurrent)
 		s.borrowed = append(s.borrowed, unit{from, r.GetId()})
-		return nil, []Resolved{{ID: r.GetId(), Allowed: true}}
+		return nil, resolved
 	}
 	if len(p.remaining) > 0 {
 		p.lender, p.remaining = p.remaining[0], p.remaining[1:]
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -55,8 +55,8 @@
 	ID uint64
 	// Reason is the reason of a refusal.
 	Reason pb.Reason
-	// Allowed is set if the flow or request is allowed. It counts until CloseFlow
-	// or EndRequest ends it.
+	// Allowed is set if the flow or request is allowed. Under a concurrency limit
+	// it counts until CloseFlow or EndRequest ends it.
 	Allowed bool
 }
 
@@ -200,21 +200,14 @@
 	l.dropDepartedInstances(ids)
 }
 
-// Open decides whether the caller may open a flow to the service, and counts the
-// flow if it is allowed. planUse holds the limits; zero means unlimited.
+// Open decides whether the caller may open a flow to the service. planUse holds
+// the limits; zero means unlimited. An allowed flow counts until CloseFlow, if
+// planUse limits the concurrent flows; otherwise it must not be passed to CloseFlow.
 func (l *Limits) Open(now time.Time, caller string, service model.ServiceID, planUse model.PlanUse) Decision {
 	return l.start(now, key{caller, service, openings}, planUse.OpeningsPerSecond, planUse.ConcurrentFlows)
 }
 
-// AdoptFlow counts a flow that was opened through another instance and whose
-// packets now arrive at this one. It does not check the limits, because established
-// flows survive any planned change.
-func (l *Limits) AdoptFlow(now time.Time, caller string, service model.ServiceID, planUse model.PlanUse) {
-	s := l.state(now, key{caller, service, openings}, planUse.OpeningsPerSecond, planUse.ConcurrentFlows)
-	s.inUse++
-}
-
-// CloseFlow ends a flow that was allowed or adopted. If units are borrowed for the
+// CloseFlow ends a flow that was allowed under a limit on concurrent flows. If units are borrowed for the
 // caller and service, it returns the message that gives one of them back to its
 // lender; otherwise it returns no message.
 func (l *Limits) CloseFlow(now time.Time, caller string, service model.ServiceID) []peer.Message {
@@ -226,11 +219,23 @@
 	return l.start(now, key{caller, service, requests}, planUse.RequestsPerSecond, planUse.ConcurrentRequests)
 }
 
-// EndRequest ends a request that was allowed, like CloseFlow.
+// EndRequest ends a request that was allowed under a limit on concurrent requests,
+// like CloseFlow.
 func (l *Limits) EndRequest(now time.Time, caller string, service model.ServiceID) []peer.Message {
 	return l.end(now, key{caller, service, requests})
 }
 
+// InUse returns the number of flows and requests that count against a concurrency
+// limit: those of this instance, including units borrowed from other instances, and
+// the units lent to them.
+func (l *Limits) InUse() int {
+	n := 0
+	for _, s := range l.states {
+		n += s.inUse + len(s.borrowed)
+	}
+	return n
+}
+
 // Len returns the number of limit states held: for each caller and service, one
 // for flows and one for requests.
 func (l *Limits) Len() int { return len(l.states) }
@@ -247,6 +252,8 @@
 }
 
 // takeUnit counts one unit against the share, or returns the reason of a refusal.
+// Without a concurrency limit nobody reports the end of a flow or request, so its
+// start does not count as in use either.
 // The concurrency limit is checked first, so that a refusal by it does not consume
 // a token of the rate limit.
 func (s *limitState) takeUnit(now time.Time) pb.Reason {
@@ -256,7 +263,9 @@
 	if s.perSecond > 0 && (s.rateShare == 0 || !s.limiter.AllowN(now, 1)) {
 		return pb.Reason_REASON_RATE_LIMIT
 	}
-	s.inUse++
+	if s.concurrent > 0 {
+		s.inUse++
+	}
 	return 0
 }
 
--- a/internal/requests/actions.go
+++ b/internal/requests/actions.go
@@ -67,8 +67,8 @@
 }
 
 // RequestEnded means that a request that Start began has ended, or that Start has
-// refused it. A retransmission that joined another request, or that got a stored
-// answer, has no RequestEnded.
+// refused it or repeated its stored answer. A retransmission that joined another
+// request has no RequestEnded of its own.
 type RequestEnded struct{ Key }
 
 func (RequestGrant) action() {}
--- a/internal/requests/requests.go
+++ b/internal/requests/requests.go
@@ -203,6 +203,10 @@
 // retransmission of such a request joins it and is not counted again.
 func (c *Coordinator) IsInFlight(k Key) bool { return c.requests[k] != nil }
 
+// IsAnswered reports whether the answer to a non-idempotent request with the key is
+// kept for its retransmissions. Such a retransmission starts nothing.
+func (c *Coordinator) IsAnswered(now time.Time, k Key) bool { return c.answers.lookup(now, k) != nil }
+
 // InFlight returns the number of requests in flight.
 func (c *Coordinator) InFlight() int { return len(c.requests) }
 
@@ -231,7 +235,7 @@
 		return nil
 	}
 	if parts := c.answers.lookup(now, req.Key); parts != nil && !req.Idempotent {
-		return answerActions(req.Key, parts)
+		return append(answerActions(req.Key, parts), RequestEnded{req.Key})
 	}
 	if req.Deadline.IsZero() {
 		req.Deadline = now.Add(c.cfg.MaxGrantDuration)
--- a/internal/requests/requests_test.go
+++ b/internal/requests/requests_test.go
@@ -31,6 +31,7 @@
 	cancels       []SendCancel
 	replies       []ReplyToCaller
 	releases      []ReleaseGrant
+	ended         []RequestEnded
 }
 
 func newHarness(t *testing.T, cfg Config) *harness {
@@ -52,6 +53,8 @@
 			h.replies = append(h.replies, a)
 		case ReleaseGrant:
 			h.releases = append(h.releases, a)
+		case RequestEnded:
+			h.ended = append(h.ended, a)
 		}
 	}
 }
@@ -272,6 +275,11 @@
 	if len(h.grantRequests) != 1 || len(h.replies) != 2 || h.replies[1].Kind != pb.Kind_KIND_ANSWER {
 		t.Errorf("replies %+v to a retransmission after the answer, want the same answer", h.replies)
 	}
+	// A retransmission that is not reported as ended would count as running, and
+	// against the caller's limit, for ever.
+	if len(h.ended) != 2 {
+		t.Errorf("%d requests reported as ended, want the request and its retransmission after the answer", len(h.ended))
+	}
 	h.start(6000, Request{Key: key(1), Deadline: at(9000), CallerAttempt: 5})
 	if len(h.grantRequests) != 2 {
 		t.Error("no grant requested for a retransmission after AnswerRetention")
