Stand-ins: a refusal as not run is true for all copies; resets are remembered

Cause of TestShedRequestDidNotRun: the stand-in server judged each copy of a datagram by itself. A caller whose reply was late sent a copy; the first copy was refused with DID_NOT_RUN and the second one ran, or the first ran and the second was refused so. No code of the product takes part in the test. The server now remembers per attempt whether it ran or was shed: a copy of a shed attempt is refused again, and a copy of one that ran is refused as UNKNOWN.

Cause of TestServerFailure: Flow.WasReset took the reset off the channel, so that a condition over two flows could never be met once a poll fell between the two resets. The flow now remembers its reset (TestWasResetRemembersReset).

The instances' logs are printed when a test of gatewayshell fails. A gauge says whether an instance follows another one; TestStartFromRequester reads it instead of waiting for five feed calls, which take 2.5 s of its 5 s even when nothing fails.

--- a/internal/gatewayshell/counters.go
+++ b/internal/gatewayshell/counters.go
@@ -24,8 +24,10 @@
 	packets, forwarded, resets, dropped, malformed                    metrics.Counter
 	socketErrors, probes, storeCalls, storeErrors, feedCalls, reloads metrics.Counter
 	flows                                                             metrics.Gauge
-	logDropped                                                        metrics.Gauge
-	feedSent, feedReceived                                            metrics.Gauge
+	// following is 1 while this instance is registered and follows another one.
+	following              metrics.Gauge
+	logDropped             metrics.Gauge
+	feedSent, feedReceived metrics.Gauge
 
 	// answerTime is the time in microseconds from a caller's request to the first
 	// acknowledgement of its answer, openTime the time from an opening to its
@@ -55,6 +57,7 @@
 		feedCalls:    counter("feed_calls"),
 		reloads:      counter("settings_reloads"),
 		flows:        metrics.GetOrRegisterGauge("flows", r),
+		following:    metrics.GetOrRegisterGauge("following", r),
 		feedSent:     metrics.GetOrRegisterGauge("feed_bytes_sent", r),
 		feedReceived: metrics.GetOrRegisterGauge("feed_bytes_received", r),
 		logDropped:   metrics.GetOrRegisterGauge("log_lines_dropped", r),
@@ -81,6 +84,10 @@
 
 func (sh *Shell) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	sh.counters.flows.Update(int64(sh.core.FlowCount()))
+	sh.counters.following.Update(0)
+	if sh.registered() && sh.followedInstance() != "" {
+		sh.counters.following.Update(1)
+	}
 	sh.counters.feedSent.Update(int64(sh.feedBytes.Sent.Load()))
 	sh.counters.feedReceived.Update(int64(sh.feedBytes.Received.Load()))
 	if sh.adapter.LogDropped != nil {
--- a/internal/gatewayshell/feedclient.go
+++ b/internal/gatewayshell/feedclient.go
@@ -135,6 +135,7 @@
 	self.Place = place
 	sh.upstreamMu.Lock()
 	sh.upstream.Register(self, all)
+	sh.setFollowedInstance("") // a seed that was followed so far is not a candidate any more
 	sh.upstreamMu.Unlock()
 	sh.setFleetSize(len(all), rank(self, all))
 	return nil
--- a/internal/gatewayshell/shell_test.go
+++ b/internal/gatewayshell/shell_test.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest"
 
 	"cuminshift/internal/gatewayshell"
 	"cuminshift/internal/standin/platform/client"
@@ -138,11 +140,23 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- gatewayshell.Run(ctx, settings, platform.Adapter(), zap.NewNop()) }()
+	go func() { done <- gatewayshell.Run(ctx, settings, platform.Adapter(), s.logger(i)) }()
 	s.stops, s.results, s.files = append(s.stops, cancel), append(s.results, done), append(s.files, file)
 	s.t.Cleanup(func() { cancel(); <-done })
 }
 
+// logger returns the logger of an instance. Its lines are printed if the test fails.
+func (s *site) logger(i int) *zap.Logger {
+	var lines zaptest.Buffer
+	s.t.Cleanup(func() {
+		if s.t.Failed() {
+			s.t.Logf("log of instance %d:\n%s", i, lines.String())
+		}
+	})
+	encoder := zapcore.NewJSONEncoder(zapcore.EncoderConfig{TimeKey: "ts", MessageKey: "msg", EncodeTime: zapcore.RFC3339NanoTimeEncoder, EncodeDuration: zapcore.StringDurationEncoder})
+	return zap.New(zapcore.NewCore(encoder, zapcore.Lock(&lines), zapcore.InfoLevel))
+}
+
 func (s *site) writeFile(file, text string) {
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
@@ -364,7 +378,7 @@
 	followed := -1
 	s.waitUntil(5*time.Second, "one instance follows the other", func() bool {
 		for i := range 2 {
-			if s.metric(i, "feed_calls") > 4 {
+			if s.metric(i, "following") == 1 {
 				followed = 1 - i
 			}
 		}
--- a/internal/standin/platform/client/client.go
+++ b/internal/standin/platform/client/client.go
@@ -117,6 +117,7 @@
 	seq           uint32 // sequence number of the next byte to send
 	nextSeq       uint32 // sequence number of the next byte to receive
 	receivedParts int
+	reset         bool // a reset arrived while the flow was idle
 	// OpenedAt is the time at which the acceptance by the server arrived.
 	OpenedAt time.Time
 }
@@ -198,6 +199,9 @@
 // Request sends a request and waits for its complete answer. The server works on
 // it for workMS milliseconds and answers with size bytes.
 func (f *Flow) Request(ctx context.Context, id string, workMS, size int) (Answer, error) {
+	if f.reset {
+		return Answer{}, ErrReset
+	}
 	payload := fmt.Appendf(nil, "%s %d %d", id, workMS, size)
 	endSeq := f.seq + uint32(len(payload))
 	interval, acked := retransmitInitial, false
@@ -266,17 +270,18 @@
 }
 
 // WasReset consumes the packets that have arrived while the flow was idle and
-// reports whether one of them is a reset.
+// reports whether a reset was among these or earlier ones.
 func (f *Flow) WasReset() bool {
 	for {
 		select {
 		case a := <-f.arrivals:
 			if a.packet.Flags&wire.RST != 0 {
-				return true
+				f.reset = true
+				continue
 			}
 			f.echo = a.packet.Echo
 		default:
-			return false
+			return f.reset
 		}
 	}
 }
--- a/internal/standin/server/requests.go
+++ b/internal/standin/server/requests.go
@@ -14,6 +14,21 @@
 	id   uint64
 }
 
+// attemptKey identifies an attempt of an entry instance to run a request. Copies of
+// its datagram have the same key.
+type attemptKey struct {
+	requestKey
+	attempt uint32
+}
+
+// fate is what became of the first copy of an attempt.
+type fate uint8
+
+const (
+	ran fate = iota + 1
+	shed
+)
+
 // runningRequest is a request that occupies a slot.
 type runningRequest struct {
 	// timer ends the request when it has run or its deadline has passed.
@@ -29,11 +44,12 @@
 		s.refuse(p, from, pb.Reason_REASON_UNKNOWN_FLOW, pb.Outcome_OUTCOME_DID_NOT_RUN)
 		return
 	}
-	if s.switches.Shed || len(s.inFlight) >= s.cfg.Slots {
-		s.stats.Shed++
-		s.refuse(p, from, pb.Reason_REASON_SHED, pb.Outcome_OUTCOME_DID_NOT_RUN)
+	attempt := attemptKey{requestKey{flow, p.GetRequestId()}, p.GetAttempt()}
+	if s.switches.Shed || len(s.inFlight) >= s.cfg.Slots || s.fates[attempt] == shed {
+		s.shedRequest(attempt, p, from)
 		return
 	}
+	s.fates[attempt] = ran
 	s.countRun(flow, p)
 	serviceTime := s.cfg.ServiceTime
 	if s.cold && s.countColdRequest() {
@@ -48,6 +64,19 @@
 	r.timer = time.AfterFunc(serviceTime, func() { s.finish(r) })
 }
 
+// shedRequest refuses a request. If an earlier copy of the attempt has run, the
+// refusal does not say otherwise; if not, later copies are refused too, so that the
+// refusal stays true.
+func (s *Server) shedRequest(attempt attemptKey, p *pb.Packet, from netip.AddrPort) {
+	s.stats.Shed++
+	if s.fates[attempt] == ran {
+		s.refuse(p, from, pb.Reason_REASON_SHED, pb.Outcome_OUTCOME_UNKNOWN)
+		return
+	}
+	s.fates[attempt] = shed
+	s.refuse(p, from, pb.Reason_REASON_SHED, pb.Outcome_OUTCOME_DID_NOT_RUN)
+}
+
 // countRun counts a run of a request, and a duplicate run when it is not the
 // first.
 func (s *Server) countRun(flow wire.Flow, p *pb.Packet) {
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -125,6 +125,7 @@
 	flows       map[wire.Flow]struct{} // open flows
 	inFlight    map[*runningRequest]struct{}
 	runCounts   map[requestKey]int // runs started so far
+	fates       map[attemptKey]fate
 	cold        bool
 	warmUpCount int // answers and accepted openings of the cold phase
 	// recentColdOpenings are the arrival times of the openings of the last
@@ -145,7 +146,7 @@
 	}
 	s := &Server{
 		Addr: wire.LocalAddr(conn), cfg: cfg, conn: conn,
-		flows: map[wire.Flow]struct{}{}, inFlight: map[*runningRequest]struct{}{}, runCounts: map[requestKey]int{},
+		flows: map[wire.Flow]struct{}{}, inFlight: map[*runningRequest]struct{}{}, runCounts: map[requestKey]int{}, fates: map[attemptKey]fate{},
 		cold: cfg.WarmAfter > 0,
 	}
 	mux := http.NewServeMux()
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -180,6 +180,82 @@
 	}
 }
 
+// testRequest sends copies of one request of an open flow to a server.
+type testRequest struct {
+	t      *testing.T
+	conn   *net.UDPConn
+	server *server.Server
+	flow   wire.Flow
+	id     uint64
+}
+
+func (r *testRequest) send(kind pb.Kind) *pb.Packet {
+	r.t.Helper()
+	p := &pb.Packet{Kind: kind}
+	if kind == pb.Kind_KIND_REQUEST {
+		p.RequestId = r.id
+	}
+	wire.SetCaller(p, r.flow.Caller)
+	wire.SetService(p, r.flow.Service)
+	if err := wire.Send(r.conn, p, r.server.Addr); err != nil {
+		r.t.Fatal(err)
+	}
+	return r.receive()
+}
+
+func (r *testRequest) receive() *pb.Packet {
+	r.t.Helper()
+	buf := make([]byte, wire.MaxDatagramSize)
+	if err := r.conn.SetReadDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		r.t.Fatal(err)
+	}
+	n, _, err := r.conn.ReadFromUDPAddrPort(buf)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	p, err := wire.Decode(buf[:n])
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return p
+}
+
+// Guards against a refusal with DID_NOT_RUN that another copy of the same request
+// makes untrue: a copy that ran before, or one that arrives after the overload. A
+// caller sends copies when the reply to the first one is late.
+func TestCopyOfShedRequestDoesNotRun(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	s, err := server.Start(ctx, server.Config{Name: "s1", Service: "campo", Listen: "127.0.0.1:0", HealthListen: "127.0.0.1:0", Slots: 1, ServiceTime: time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := wire.ListenUDP("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	r := &testRequest{t: t, conn: conn, server: s, id: 1,
+		flow: wire.Flow{Caller: netip.MustParseAddrPort("127.0.1.1:5000"), Service: netip.MustParseAddrPort("127.0.0.200:80")}}
+	r.send(pb.Kind_KIND_OPEN)
+	s.SetSwitches(server.Switches{Shed: true})
+	if p := r.send(pb.Kind_KIND_REQUEST); p.GetOutcome() != pb.Outcome_OUTCOME_DID_NOT_RUN {
+		t.Fatalf("got %v %v from a server that sheds all requests, want DID_NOT_RUN", p.GetKind(), p.GetOutcome())
+	}
+	s.SetSwitches(server.Switches{})
+	if p := r.send(pb.Kind_KIND_REQUEST); p.GetKind() != pb.Kind_KIND_REFUSAL || s.Runs(r.flow, r.id) > 0 {
+		t.Errorf("got %v for a copy of a request that was refused with DID_NOT_RUN, and %d runs", p.GetKind(), s.Runs(r.flow, r.id))
+	}
+	r.id = 2
+	if p := r.send(pb.Kind_KIND_REQUEST); p.GetKind() != pb.Kind_KIND_ANSWER {
+		t.Fatalf("got %v, want an answer", p.GetKind())
+	}
+	s.SetSwitches(server.Switches{Shed: true})
+	if p := r.send(pb.Kind_KIND_REQUEST); p.GetOutcome() == pb.Outcome_OUTCOME_DID_NOT_RUN {
+		t.Error("a copy of a request that ran was refused with DID_NOT_RUN")
+	}
+}
+
 // Guards against a cold server that does not count overload or never becomes
 // warm.
 func TestColdServerCountsLoadAboveCapacity(t *testing.T) {
