Load the registry by stale pages and a watch, with a time limit a call

Cause: each starting instance read the registry in complete-price pages of 50 servers: 12 calls of the 14 that a start costs on the large deployment, and with 300 instances more reads than the store's rate allows. The time limit of 1 s was for all pages together; at 300 ms a page, as while the store is slow, no instance could load 600 servers.

Change: the first load lists pages that may be stale, at a tenth of the price and outside the rates, and watches from the oldest revision of the pages, which returns at once what they lack. After a compaction a complete read follows.

Ruled out: stale reads of the directory. The list right after a registration must hold all instances that precede it.

--- a/internal/gatewayshell/feedclient.go
+++ b/internal/gatewayshell/feedclient.go
@@ -19,9 +19,9 @@
 )
 
 const (
-	// directoryTimeout bounds the calls to the directory of one operation. Slow
-	// responses of the store take 300 ms.
-	directoryTimeout = time.Second
+	// directoryTimeout bounds the calls to the directory of one operation: one for
+	// each 50 instances. Slow responses of the store take 300 ms.
+	directoryTimeout = 5 * time.Second
 	// seedDelay is the time for which a starting instance waits for the store,
 	// unless a call fails, before it sends requests to the seeds, since each seed
 	// responds with its complete data. Reading the store takes 20 ms, and 300 ms
--- a/internal/gatewayshell/watch.go
+++ b/internal/gatewayshell/watch.go
@@ -100,10 +100,14 @@
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
 	sh.counters.storeCalls.Inc(1)
-	if call.Read {
-		return sh.reloadable.Load().store.Read(ctx, k)
+	store := sh.reloadable.Load().store
+	switch {
+	case call.Read && call.AllowStale && k.ManyObjects():
+		return source.Load(ctx, store, k)
+	case call.Read:
+		return store.Read(ctx, k)
 	}
-	return sh.reloadable.Load().store.Watch(ctx, k, call.Since, call.Wait)
+	return store.Watch(ctx, k, call.Since, call.Wait)
 }
 
 // sleepUntil sleeps until t. It returns false when ctx has ended.
--- a/internal/source/schedule.go
+++ b/internal/source/schedule.go
@@ -21,9 +21,12 @@
 	// pauseFraction is the fraction of the bound for which the next watch is
 	// delayed after a change, so that one call returns several successive changes.
 	pauseFraction = 0.1
+	// CallTimeout is the time limit of one call of a read. It suffices for a page
+	// of 1 MB.
+	CallTimeout = time.Second
 	// ReadTimeout is the time limit of a read of a complete source with all its
-	// pages. It suffices for a page of 1 MB.
-	ReadTimeout = time.Second
+	// pages. Slow responses of the store take 300 ms; 50 pages of them take 15 s.
+	ReadTimeout = 20 * time.Second
 	// firstRetryDelay is the pause after the first failed call. It doubles with
 	// each further failure up to maxRetryDelay.
 	firstRetryDelay = 100 * time.Millisecond
@@ -54,10 +57,13 @@
 type Call struct {
 	// Read is set for a read of the complete source; Since and Wait are then
 	// unused.
-	Read    bool
-	Since   Revision
-	Wait    time.Duration
-	Timeout time.Duration
+	Read bool
+	// AllowStale is set for a read that may go by a stale one and a watch from its
+	// revision; see Load.
+	AllowStale bool
+	Since      Revision
+	Wait       time.Duration
+	Timeout    time.Duration
 	// NotBefore is the earliest time for the call.
 	NotBefore time.Time
 }
@@ -84,8 +90,11 @@
 	timing Timing
 	// loaded is set when the state of the source at revision has been received, so
 	// that the source can be watched from there.
-	loaded     bool
-	revision   Revision
+	loaded   bool
+	revision Revision
+	// compacted is set once the store no longer had the changes since a revision.
+	// A stale read may then return a revision that is too old to watch from.
+	compacted  bool
 	notBefore  time.Time
 	retryDelay time.Duration
 	// failing is set from a failed call to the next one that succeeds.
@@ -111,7 +120,7 @@
 // Next returns the call to make. It changes nothing, so it may be repeated.
 func (s *Schedule) Next() Call {
 	if !s.loaded {
-		return Call{Read: true, Timeout: ReadTimeout, NotBefore: s.notBefore}
+		return Call{Read: true, AllowStale: !s.compacted, Timeout: ReadTimeout, NotBefore: s.notBefore}
 	}
 	return Call{Since: s.revision, Wait: s.timing.Wait, Timeout: s.timing.Wait + timeoutMargin, NotBefore: s.notBefore}
 }
@@ -141,7 +150,7 @@
 // failure; it makes the next call a read.
 func (s *Schedule) Failed(now time.Time, err error) (firstFailure bool) {
 	if errors.Is(err, ErrCompacted) {
-		s.loaded = false
+		s.loaded, s.compacted = false, true
 		s.notBefore = now
 		return false
 	}
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -89,8 +89,14 @@
 
 // Store is a client of the platform's store.
 type Store interface {
-	// Read returns the complete source.
+	// Read returns the complete source. It makes several calls if the source is
+	// large; each of them gets CallTimeout, so that a slow store delays the read
+	// but does not fail it.
 	Read(ctx context.Context, k Kind) (Update, error)
+	// ReadStale returns the complete source as it may have been some seconds ago,
+	// at a tenth of the cost of Read and without counting towards the store's
+	// rates. A Watch from the update's revision returns what it lacks.
+	ReadStale(ctx context.Context, k Kind) (Update, error)
 	// Watch returns the changes after a revision as soon as there are any, or
 	// an empty update after wait. After ErrCompacted a Read is needed.
 	Watch(ctx context.Context, k Kind, since Revision, wait time.Duration) (Update, error)
--- a/internal/standin/platform/store/store.go
+++ b/internal/standin/platform/store/store.go
@@ -65,9 +65,13 @@
 type Store struct {
 	mu sync.Mutex
 	// kinds holds the objects by kind and name.
-	kinds    map[string]map[string]*Object
-	revision int64
-	history  []Event
+	kinds map[string]map[string]*Object
+	// staleKinds and staleRevision are the state that stale lists return; nil and 0
+	// for the present one.
+	staleKinds    map[string]map[string]*Object
+	staleRevision int64
+	revision      int64
+	history       []Event
 	// compactedRevision is the revision up to which the history has been
 	// dropped.
 	compactedRevision int64
@@ -103,8 +107,23 @@
 	s.notifyWatches()
 }
 
-// Calls returns the number of calls by method and kind; a key is "GET config",
-// for example.
+// FreezeStale keeps the present state: lists that allow stale responses return it
+// from now on.
+func (s *Store) FreezeStale() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.staleKinds, s.staleRevision = map[string]map[string]*Object{}, s.revision
+	for kind, objects := range s.kinds {
+		s.staleKinds[kind] = map[string]*Object{}
+		for name, o := range objects {
+			kept := *o
+			s.staleKinds[kind][name] = &kept
+		}
+	}
+}
+
+// Calls returns the number of calls by method and kind; a key is "GET config" or,
+// for a call that allows a stale response, "GET config stale".
 func (s *Store) Calls() map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -176,7 +195,11 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, pathPrefix), "/")
 	s.mu.Lock()
-	s.calls[r.Method+" "+kind]++
+	key := r.Method + " " + kind
+	if r.URL.Query().Has("allow_stale") {
+		key += " stale"
+	}
+	s.calls[key]++
 	mode, delay := s.mode, s.delay
 	s.mu.Unlock()
 	time.Sleep(delay)
@@ -218,8 +241,12 @@
 func (s *Store) handleList(w http.ResponseWriter, r *http.Request, kind string) {
 	after := r.URL.Query().Get("after")
 	s.mu.Lock()
+	kinds, revision := s.kinds, s.revision
+	if s.staleKinds != nil && r.URL.Query().Has("allow_stale") {
+		kinds, revision = s.staleKinds, s.staleRevision
+	}
 	var names []string
-	for name := range s.kinds[kind] {
+	for name := range kinds[kind] {
 		if name > after {
 			names = append(names, name)
 		}
@@ -228,9 +255,8 @@
 	more := len(names) > pageSize
 	items := []Object{}
 	for _, name := range names[:min(len(names), pageSize)] {
-		items = append(items, *s.kinds[kind][name])
+		items = append(items, *kinds[kind][name])
 	}
-	revision := s.revision
 	s.mu.Unlock()
 	writeJSON(w, http.StatusOK, map[string]any{"items": items, "more": more, "store_revision": revision})
 }
