gateway: one log entry for the first load; suspects belong to one opening

The servers that had not answered one caller were still avoided by the next repeated opening, of any caller, because the scratch list was emptied only for openings without a server.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -186,8 +186,8 @@
 	candidates       []selection.Candidate
 	candidateServers []*serverState
 	// suspects holds the servers that have not answered other flows of a
-	// caller. It is scratch space, set when an opening is handled that has no
-	// server yet.
+	// caller. It is scratch space, emptied for each opening and filled for one
+	// that has no server yet.
 	suspects []*serverState
 }
 
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -128,6 +128,7 @@
 // applyRegistryUpdate applies changes of the registry; a full update also
 // removes the entries that it does not contain.
 func (c *Core) applyRegistryUpdate(now time.Time, u *source.Update) []Action {
+	firstLoad := !c.servers.Loaded()
 	var changes []registry.Change
 	listed := make(map[string]bool, len(u.Servers))
 	for i := range u.Servers {
@@ -142,7 +143,25 @@
 	if u.Full {
 		changes = append(changes, c.servers.KeepOnly(now, listed)...)
 	}
-	return c.applyServerChanges(now, changes)
+	actions := c.applyServerChanges(now, changes)
+	if firstLoad && u.Full {
+		return c.summarizeLoad(now, actions)
+	}
+	return actions
+}
+
+// summarizeLoad replaces the log entries of a first load, one for each server, by a
+// single one.
+func (c *Core) summarizeLoad(now time.Time, actions []Action) []Action {
+	kept := slices.DeleteFunc(actions, func(a Action) bool { _, ok := a.(StateChange); return ok })
+	draining := 0
+	for r := range c.serverStates {
+		if r.Draining {
+			draining++
+		}
+	}
+	return append(kept, StateChange{Subject: "registry", Description: "registry loaded",
+		Cause: fmt.Sprintf("%d servers, %d of them draining", len(c.serverStates), draining), Age: c.age(now, source.Registry)})
 }
 
 // applyServerChanges updates the state of the servers after changes of their
--- a/internal/gateway/packets.go
+++ b/internal/gateway/packets.go
@@ -43,6 +43,7 @@
 		v = Verdict{RetransmitAfter: now.Sub(observation.FirstSeenAt)}
 	}
 	previous := f.serverState
+	c.suspects = c.suspects[:0]
 	var actions []Action
 	if previous != nil {
 		if !observation.Retransmit || c.keepsServer(now, f, route) {
--- a/internal/gateway/recent_flows.go
+++ b/internal/gateway/recent_flows.go
@@ -67,7 +67,6 @@
 // shown no progress since other flows of the caller began to wait for them. The
 // opening avoids these servers, and each of them is probed.
 func (c *Core) suspectUnanswered(now time.Time, opening flow.Key) []Action {
-	c.suspects = c.suspects[:0]
 	var actions []Action
 	for _, f := range c.recentFlows[callerServiceKeyOf(opening)] {
 		srv := f.serverState
