Fewer calls to the store: at a start, after a cut, while it is out

Change: - After a read, an instance waits for the decision whom it follows before it watches. It registers once it has read all sources, also before the first configuration, which then comes from the instance it follows. - Beyond the first four instances of a data centre, followers call 0.1 of the bound later, and retry every 3.2 s in place of 0.4 s. - Fallbacks lie in several data centres, at most two in each. An instance with none left to follow calls the store at once. - The count of the fleet refreshes the candidates. - Seeds are asked for complete data only if the store fails, is silent, or takes 1.5 s. - Bytes of updates sent, by source, are counted.

Ruled out: an instance that steps aside for its followers while the store refuses it. It needs rules against cycles, and the followers call early enough without it.

--- a/internal/gatewayshell/counters.go
+++ b/internal/gatewayshell/counters.go
@@ -8,6 +8,7 @@
 
 	"cuminshift/internal/gateway"
 	"cuminshift/internal/metricstext"
+	"cuminshift/internal/source"
 )
 
 const (
@@ -29,6 +30,11 @@
 	logDropped             metrics.Gauge
 	feedSent, feedReceived metrics.Gauge
 
+	// feedUpdateSent is the size of the updates sent to followers, by source, and
+	// feedStateSent the part of it that complete states take.
+	feedUpdateSent [source.NumKinds]metrics.Counter
+	feedStateSent  metrics.Counter
+
 	// answerTime is the time in microseconds from a caller's request to the first
 	// acknowledgement of its answer, openTime the time from an opening to its
 	// acceptance.
@@ -64,6 +70,10 @@
 		answerTime:   histogram("answer_time_us"),
 		openTime:     histogram("open_time_us"),
 	}
+	c.feedStateSent = counter("feed_bytes_sent_complete")
+	for k := range c.feedUpdateSent {
+		c.feedUpdateSent[k] = counter("feed_bytes_sent_" + source.Kind(k).String())
+	}
 	for reason := range c.reasons {
 		c.reasons[reason] = counter("verdict_" + strings.ReplaceAll(gateway.Reason(reason).String(), " ", "_"))
 	}
--- a/internal/gatewayshell/feedclient.go
+++ b/internal/gatewayshell/feedclient.go
@@ -22,13 +22,8 @@
 	// directoryTimeout bounds the calls to the directory of one operation: one for
 	// each 50 instances. Slow responses of the store take 300 ms.
 	directoryTimeout = 5 * time.Second
-	// seedDelay is the time for which a starting instance waits for the store,
-	// unless a call fails, before it sends requests to the seeds, since each seed
-	// responds with its complete data. Reading the store takes 20 ms, and 300 ms
-	// when its responses are slow.
-	seedDelay = 150 * time.Millisecond
-	// readyPollInterval is the time between two checks whether the instance is
-	// ready and may register.
+	// readyPollInterval is the time between two checks whether the instance has
+	// read all sources and is registered.
 	readyPollInterval = 20 * time.Millisecond
 	// registerRetryInterval is the pause after a failed registration.
 	registerRetryInterval = time.Second
@@ -56,9 +51,7 @@
 // it. While the store does not answer, it follows a seed.
 func (sh *Shell) followUpstream(ctx context.Context) {
 	go sh.register(ctx)
-	for begin := time.Now(); time.Since(begin) < seedDelay && !sh.registered() && !sh.storeFailed.Load(); {
-		sleepUntil(ctx, time.Now().Add(readyPollInterval))
-	}
+	sh.awaitStore(ctx)
 	sh.addSeeds()
 	client := rpcframe.Client{DialTimeout: feedDialTimeout, Dial: func(ctx context.Context, address string) (net.Conn, error) {
 		var d net.Dialer
@@ -80,18 +73,32 @@
 			continue
 		}
 		sh.setFollowedInstance("")
+		if sh.registered() {
+			sh.decideUpstream()
+			sh.loseUpstream()
+		}
 		if now.After(nextCount) && sh.registered() {
 			nextCount = now.Add(fleetCountInterval)
 			sh.countFleet(ctx)
 		}
 		pause := noUpstreamPause
-		if !sh.core.Loaded() {
+		if !sh.registered() {
 			pause = readyPollInterval
 		}
 		sleepUntil(ctx, now.Add(pause))
 	}
 }
 
+// awaitStore waits until the instance is registered or needs the seeds.
+func (sh *Shell) awaitStore(ctx context.Context) {
+	begin := time.Now()
+	for !sh.registered() && !upstream.NeedsSeeds(time.Since(begin), sh.storeAnswered.Load(), sh.storeFailed.Load()) {
+		if !sleepUntil(ctx, time.Now().Add(readyPollInterval)) {
+			return
+		}
+	}
+}
+
 // addSeeds adds the seeds of the settings as instances to follow, unless this
 // instance is registered.
 func (sh *Shell) addSeeds() {
@@ -102,12 +109,12 @@
 	}
 }
 
-// register registers the instance in the directory once it is ready. It retries
-// until it succeeds or ctx ends.
+// register registers the instance in the directory once it has read all sources,
+// so that it has something to pass on. It retries until it succeeds or ctx ends.
 func (sh *Shell) register(ctx context.Context) {
 	self := upstream.Instance{Name: sh.settings.Instance, DataCentre: sh.settings.DataCentre, Address: sh.peerAddress(), Bandwidth: sh.settings.Bandwidth}
 	for ctx.Err() == nil {
-		if !sh.core.Ready() {
+		if !sh.servesFeed() {
 			sleepUntil(ctx, time.Now().Add(readyPollInterval))
 			continue
 		}
@@ -141,6 +148,10 @@
 	return nil
 }
 
+func (sh *Shell) decideUpstream() {
+	sh.upstreamDecidedOnce.Do(func() { close(sh.upstreamDecided) })
+}
+
 // rank returns the number of instances that registered before self.
 func rank(self upstream.Instance, all []upstream.Instance) int {
 	n := 0
@@ -152,7 +163,9 @@
 	return n
 }
 
-// countFleet updates the number of registered instances from the directory.
+// countFleet updates the number of registered instances from the directory, and the
+// candidates to follow: after many instances have registered again at the same time,
+// one that knew only their earlier registrations has no candidate left.
 func (sh *Shell) countFleet(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
 	defer cancel()
@@ -162,6 +175,9 @@
 		sh.log.warn("cannot count the registered instances", err)
 		return
 	}
+	sh.upstreamMu.Lock()
+	sh.upstream.Refresh(all)
+	sh.upstreamMu.Unlock()
 	sh.setFleetSize(len(all), int(sh.rank.Load()))
 	sh.feed.notify()
 }
@@ -242,6 +258,7 @@
 		return
 	}
 	sh.setFollowedInstance(instance.Name)
+	sh.decideUpstream()
 	updates := make([]source.Update, source.NumKinds)
 	sh.needFullConfiguration.Store(false)
 	for _, m := range response.Updates {
--- a/internal/gatewayshell/feedserver.go
+++ b/internal/gatewayshell/feedserver.go
@@ -126,7 +126,9 @@
 			if u.Configuration != nil && !request.Whole {
 				base = f.shell.core.ConfigurationAt(since)
 			}
-			response.Updates = append(response.Updates, feed.Encode(k, &u, base))
+			message := feed.Encode(k, &u, base)
+			f.countUpdate(k, message)
+			response.Updates = append(response.Updates, message)
 		}
 	}
 	if request.Departed {
@@ -137,6 +139,14 @@
 	return response
 }
 
+func (f *Feed) countUpdate(k source.Kind, message *pb.FeedUpdate) {
+	size := int64(proto.Size(message))
+	f.shell.counters.feedUpdateSent[k].Inc(size)
+	if message.Full {
+		f.shell.counters.feedStateSent.Inc(size)
+	}
+}
+
 // addRequesterAsSeed adds the requesting instance as a seed if it has loaded its
 // data. After the failure of most instances, the remaining ones send requests to
 // the instances that restart. The seeds in the settings of these may have no data
@@ -184,8 +194,12 @@
 	return sh.upstream.Registered()
 }
 
-// servesFeed reports whether the instance passes its data on to others.
-func (sh *Shell) servesFeed() bool { return !sh.stopping.Load() && sh.core.Loaded() }
+// servesFeed reports whether the instance passes its data on to others. Before the
+// first configuration is written, that is an empty one.
+func (sh *Shell) servesFeed() bool {
+	_, read := sh.core.Ages(time.Now())
+	return read && !sh.stopping.Load()
+}
 
 // serveFeed answers the requests of other instances until ctx ends.
 func (sh *Shell) serveFeed(ctx context.Context) error {
--- a/internal/gatewayshell/shell.go
+++ b/internal/gatewayshell/shell.go
@@ -95,8 +95,9 @@
 	// lastPacket is the time of the last packet, for the end of a planned stop.
 	lastPacket atomicTime
 	stopping   atomic.Bool
-	// storeFailed is set once a call to the store has failed.
-	storeFailed atomic.Bool
+	// storeFailed is set once a call to the store has failed, storeAnswered once one
+	// has succeeded.
+	storeFailed, storeAnswered atomic.Bool
 
 	// fleetSize is the number of registered instances, rank the position of this
 	// one among them in the order of their registrations, from 0.
@@ -108,6 +109,13 @@
 	upstream   upstream.Selector
 	// followed is the name of the followed instance; empty when there is none.
 	followed atomic.Pointer[model.InstanceID]
+	// upstreamDecided is closed once this instance follows another one, or is
+	// registered and has none to follow.
+	upstreamDecided     chan struct{}
+	upstreamDecidedOnce sync.Once
+	// upstreamLost has a value for each source when there is no instance left to
+	// follow.
+	upstreamLost [source.NumKinds]chan struct{}
 	// needFullConfiguration is set when the next request to the followed instance
 	// has to request a complete configuration instead of the differences.
 	needFullConfiguration atomic.Bool
@@ -115,7 +123,8 @@
 
 // Run serves until ctx ends, then performs a planned stop.
 func Run(ctx context.Context, s *Settings, adapter Adapter, log *zap.Logger) error {
-	sh := &Shell{settings: s, adapter: adapter, log: newDecisionLog(log), counters: newCounters(), burn: newBurnRecorder()}
+	sh := &Shell{settings: s, adapter: adapter, log: newDecisionLog(log), counters: newCounters(), burn: newBurnRecorder(),
+		upstreamDecided: make(chan struct{})}
 	sh.core = gateway.New(gateway.Config{
 		DataCentre:   s.DataCentre,
 		MaxStaleness: time.Duration(freshFraction * float64(s.Bounds[source.Configuration])),
@@ -123,6 +132,9 @@
 		ColdSlack:    s.ColdSlack,
 		Instances:    max(1, len(s.SeedAddresses)),
 	})
+	for k := range sh.upstreamLost {
+		sh.upstreamLost[k] = make(chan struct{}, 1)
+	}
 	sh.feed = newFeed(sh)
 	sh.applySettings(s)
 	sh.probes = newProber(adapter.ServerName, func(e gateway.Event) { sh.handleEvent(e) }, func(err error) { sh.log.warn("probe not sent", err) })
--- a/internal/gatewayshell/watch.go
+++ b/internal/gatewayshell/watch.go
@@ -20,10 +20,14 @@
 			return
 		}
 		schedule.SetTiming(sh.reloadable.Load().timings[k])
+		schedule.SetRelayed(sh.reliesOnOthers())
 		schedule.AdvanceTo(sh.core.Revisions()[k])
 		call := schedule.Next()
-		if !sleepUntil(ctx, call.NotBefore) {
-			return
+		if call.NotBefore.After(time.Now()) {
+			if !sleepUntil(ctx, call.NotBefore) {
+				return
+			}
+			continue // another instance may have passed on fresh data meanwhile
 		}
 		sent := time.Now()
 		u, err := sh.call(ctx, k, call)
@@ -43,31 +47,82 @@
 			}
 			continue
 		}
+		sh.storeAnswered.Store(true)
 		if schedule.Succeeded(now, &u) {
 			sh.log.sourceRecovered(k)
 		}
 		sh.log.rejected(u.Rejected)
 		sh.handleEvent(gateway.SourceUpdated{Kind: k, Update: u, AsOf: call.AsOf(sent, now)})
 		sh.feed.notify()
+		if call.Read {
+			sh.awaitUpstream(ctx, now.Add(call.MaxUnconfirmed))
+		}
 	}
 }
 
+// awaitUpstream waits until it is known whether another instance passes the
+// store's data on to this one, but not beyond the given time. An instance that has
+// just read a source needs no watch of it in the meantime.
+func (sh *Shell) awaitUpstream(ctx context.Context, until time.Time) {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-sh.upstreamDecided:
+	}
+}
+
+// reliesOnOthers reports whether other instances of the data centre are the first
+// to call the store again after a failure.
+func (sh *Shell) reliesOnOthers() bool {
+	sh.upstreamMu.Lock()
+	defer sh.upstreamMu.Unlock()
+	return sh.upstream.ReliesOnOthers() && sh.followedInstance() != ""
+}
+
 // waitWhileFresh waits until the data of the source that other instances have passed
-// on is older than MaxRelayedAge. It returns false when ctx has ended.
+// on is too old, or until there is no instance left to follow. It returns false when ctx has ended.
 func (sh *Shell) waitWhileFresh(ctx context.Context, k source.Kind) bool {
 	for {
+		timing := sh.reloadable.Load().timings[k]
+		maxAge := timing.MaxRelayedAge
+		if sh.reliesOnOthers() {
+			maxAge = timing.MaxRelayedAgeLate
+		}
 		sh.upstreamMu.Lock()
-		until := sh.upstream.FreshUntil(k, sh.reloadable.Load().timings[k].MaxRelayedAge)
+		until := sh.upstream.FreshUntil(k, maxAge)
 		sh.upstreamMu.Unlock()
 		if !until.After(time.Now()) {
 			return ctx.Err() == nil
 		}
-		if !sleepUntil(ctx, until) {
+		timer := time.NewTimer(time.Until(until))
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		case <-sh.upstreamLost[k]:
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
 			return false
 		}
 	}
 }
 
+// loseUpstream makes this instance call the store at once, since it has no instance
+// left to follow.
+func (sh *Shell) loseUpstream() {
+	sh.upstreamMu.Lock()
+	sh.upstream.ForgetAges()
+	sh.upstreamMu.Unlock()
+	for k := range sh.upstreamLost {
+		select {
+		case sh.upstreamLost[k] <- struct{}{}:
+		default: // the watch of the source has not taken the last notice yet
+		}
+	}
+}
+
 // followedInstance returns the name of the followed instance; empty when there
 // is none.
 func (sh *Shell) followedInstance() model.InstanceID {
--- a/internal/source/schedule.go
+++ b/internal/source/schedule.go
@@ -28,9 +28,11 @@
 	// pages. Slow responses of the store take 300 ms; 50 pages of them take 15 s.
 	ReadTimeout = 20 * time.Second
 	// firstRetryDelay is the pause after the first failed call. It doubles with
-	// each further failure up to maxRetryDelay.
-	firstRetryDelay = 100 * time.Millisecond
-	maxRetryDelay   = 400 * time.Millisecond
+	// each further failure up to maxRetryDelay, or maxRelayedRetryDelay at an
+	// instance that need not be the first to notice the store's return.
+	firstRetryDelay      = 100 * time.Millisecond
+	maxRetryDelay        = 400 * time.Millisecond
+	maxRelayedRetryDelay = 3200 * time.Millisecond
 )
 
 // Timing holds the durations for calls for one source.
@@ -43,6 +45,10 @@
 	// MaxRelayedAge is the maximum age of data passed on by another instance. An
 	// instance whose data is older calls the store itself.
 	MaxRelayedAge time.Duration
+	// MaxRelayedAgeLate is used in place of MaxRelayedAge by instances that rely on
+	// others to call first. It exceeds the age that data reaches when one watch of
+	// the caller times out, so that not all instances call the store then.
+	MaxRelayedAgeLate time.Duration
 }
 
 // NewTiming returns the durations for a source whose changes have to take effect
@@ -50,7 +56,8 @@
 func NewTiming(bound time.Duration) Timing {
 	wait := time.Duration(waitFraction * float64(bound))
 	pause := time.Duration(pauseFraction * float64(bound))
-	return Timing{Wait: wait, PauseAfterChange: pause, MaxRelayedAge: wait + timeoutMargin + pause/2}
+	early := wait + timeoutMargin + pause/2
+	return Timing{Wait: wait, PauseAfterChange: pause, MaxRelayedAge: early, MaxRelayedAgeLate: early + pause}
 }
 
 // Call is a call to the store: a read, or a watch from Since for up to Wait.
@@ -66,6 +73,9 @@
 	Timeout    time.Duration
 	// NotBefore is the earliest time for the call.
 	NotBefore time.Time
+	// MaxUnconfirmed is set for a read: the time for which its result needs no
+	// watch, as it is the age up to which data of a watch is used.
+	MaxUnconfirmed time.Duration
 }
 
 // AsOf returns the time as of which the result of a call is known to be current.
@@ -99,6 +109,8 @@
 	retryDelay time.Duration
 	// failing is set from a failed call to the next one that succeeds.
 	failing bool
+	// relayed is set while other instances pass the source on to this one.
+	relayed bool
 }
 
 // NewSchedule returns the schedule of a source that has not been read yet.
@@ -108,6 +120,12 @@
 // source's changes have to take effect.
 func (s *Schedule) SetTiming(t Timing) { s.timing = t }
 
+// SetRelayed sets whether other instances pass the source on to this one, some of
+// which call the store at short intervals while it does not answer. Only they need
+// to: calls by all instances would add to the load of a store that is already in
+// trouble.
+func (s *Schedule) SetRelayed(relayed bool) { s.relayed = relayed }
+
 // AdvanceTo records that the changes up to revision r have been received in
 // another way, for example from another instance. It ignores a revision that is
 // not higher than the schedule's own.
@@ -120,7 +138,7 @@
 // Next returns the call to make. It changes nothing, so it may be repeated.
 func (s *Schedule) Next() Call {
 	if !s.loaded {
-		return Call{Read: true, AllowStale: !s.compacted, Timeout: ReadTimeout, NotBefore: s.notBefore}
+		return Call{Read: true, AllowStale: !s.compacted, Timeout: ReadTimeout, NotBefore: s.notBefore, MaxUnconfirmed: s.timing.Wait}
 	}
 	return Call{Since: s.revision, Wait: s.timing.Wait, Timeout: s.timing.Wait + timeoutMargin, NotBefore: s.notBefore}
 }
@@ -154,7 +172,11 @@
 		s.notBefore = now
 		return false
 	}
-	s.retryDelay = min(max(2*s.retryDelay, firstRetryDelay), maxRetryDelay)
+	limit := maxRetryDelay
+	if s.relayed {
+		limit = maxRelayedRetryDelay
+	}
+	s.retryDelay = min(max(2*s.retryDelay, firstRetryDelay), limit)
 	s.notBefore = now.Add(s.retryDelay)
 	firstFailure, s.failing = !s.failing, true
 	return firstFailure
--- a/internal/source/schedule_test.go
+++ b/internal/source/schedule_test.go
@@ -115,3 +115,42 @@
 		s.Succeeded(now, &Update{Revision: 530})
 	}
 }
+
+// Guards against calls by all instances of a fleet when one watch of the instance
+// that calls for them times out: the next call succeeds before their data is too
+// old. The data is still in time for the source's bound.
+func TestOneTimedOutWatchMakesFewCall(t *testing.T) {
+	const callTime = 20 * time.Millisecond
+	for _, bound := range []time.Duration{3 * time.Second, 5 * time.Second, 6 * time.Second} {
+		timing := NewTiming(bound)
+		s := NewSchedule(timing)
+		s.Succeeded(start, read(530))
+		call := s.Next()
+		now := start.Add(call.Timeout)
+		s.Failed(now, ErrUnavailable)
+		age := s.Next().NotBefore.Add(callTime).Sub(start.Add(-maxResponseDelay))
+		if age >= timing.MaxRelayedAgeLate {
+			t.Errorf("bound %s: data reaches the age %s, others call at %s", bound, age, timing.MaxRelayedAgeLate)
+		}
+		if timing.MaxRelayedAgeLate+callTime > bound-100*time.Millisecond {
+			t.Errorf("bound %s: others call only at %s", bound, timing.MaxRelayedAgeLate)
+		}
+	}
+}
+
+// Guards against a load on an unavailable store that grows with the number of
+// instances: one that others precede retries less often.
+func TestRelayedSourceRetriesRarely(t *testing.T) {
+	calls := map[bool]int{}
+	for _, relayed := range []bool{false, true} {
+		s := NewSchedule(NewTiming(6 * time.Second))
+		s.SetRelayed(relayed)
+		for now := start; now.Before(start.Add(30 * time.Second)); now = s.Next().NotBefore {
+			s.Failed(now, ErrUnavailable)
+			calls[relayed]++
+		}
+	}
+	if calls[true] > 15 || calls[false] < 60 {
+		t.Errorf("%d calls in 30 s by an instance that relies on others, %d by the first; want at most 15 and at least 60", calls[true], calls[false])
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -77,9 +77,11 @@
 	// packet.
 	seedRetryInterval = 200 * time.Millisecond
 	// maxFallbacks bounds the candidates in other data centres, and those in the
-	// instance's own data centre that are not its ancestors in the tree. A data
-	// centre is seldom cut off from more than one other.
+	// instance's own data centre that are not its ancestors in the tree.
 	maxFallbacks = 4
+	// maxPerRemoteDataCentre bounds the candidates in one other data centre. When
+	// it is cut off, each of them costs a call that times out.
+	maxPerRemoteDataCentre = 2
 	// maxSeeds bounds the seeds, which are those of the settings and the
 	// instances that send requests to this one.
 	maxSeeds = 16
@@ -95,6 +97,9 @@
 type Selector struct {
 	self       Instance
 	candidates []candidate
+	// localRank is the number of instances of the own data centre that precede
+	// this one.
+	localRank int
 	// asOf is the time as of which the followed instance's data of each source
 	// was current.
 	asOf [source.NumKinds]time.Time
@@ -123,10 +128,11 @@
 			remote = append(remote, i)
 		}
 	}
+	s.localRank = len(local)
 	slices.SortFunc(local, compareInstances)
 	slices.SortFunc(remote, compareInstances)
 	s.candidates = s.candidates[:0]
-	for _, i := range append(ancestorsFirst(local), remote[:min(len(remote), maxFallbacks)]...) {
+	for _, i := range append(ancestorsFirst(local), remoteFallbacks(remote)...) {
 		s.candidates = append(s.candidates, candidate{Instance: i})
 	}
 }
@@ -150,6 +156,34 @@
 	return out
 }
 
+// remoteFallbacks returns the candidates of an instance among the sorted instances
+// of other data centres that precede it: the first one of each data centre, then the
+// second ones.
+func remoteFallbacks(preceding []Instance) []Instance {
+	var out []Instance
+	for round := range maxPerRemoteDataCentre {
+		seen := map[model.DataCentre]int{}
+		for _, i := range preceding {
+			if seen[i.DataCentre]++; seen[i.DataCentre] == round+1 && len(out) < maxFallbacks {
+				out = append(out, i)
+			}
+		}
+	}
+	return out
+}
+
+// Refresh replaces the candidates by those in a newer list of all registered
+// instances. It does nothing unless the instance is registered.
+func (s *Selector) Refresh(all []Instance) {
+	if s.Registered() {
+		s.Register(s.self, all)
+	}
+}
+
+// ForgetAges records that no instance is left to follow, so that the data which was
+// passed on no longer replaces calls to the store.
+func (s *Selector) ForgetAges() { s.asOf = [source.NumKinds]time.Time{} }
+
 // AddSeed adds a candidate at an address where an instance may be running. self is
 // the own address of this instance. AddSeed does nothing if this instance is
 // registered.
@@ -165,6 +199,15 @@
 // Registered reports whether the instance is registered.
 func (s *Selector) Registered() bool { return s.self.Place != 0 && s.self.Place != Unregistered }
 
+// leaders is the number of first instances of a data centre that call the store at
+// short intervals when data is overdue. One of them reaches the store unless it is
+// out for all or most instances.
+const leaders = 4
+
+// ReliesOnOthers reports whether enough instances of the data centre precede this
+// one to notice the return of a store that does not answer.
+func (s *Selector) ReliesOnOthers() bool { return s.Registered() && s.localRank >= leaders }
+
 // OwnPlace returns the place of this instance's registration.
 func (s *Selector) OwnPlace() Place { return s.self.Place }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -235,3 +235,80 @@
 		}
 	})
 }
+
+// Guards against candidates that are all in one other data centre: while it is cut
+// off, each of them costs a call that times out.
+func TestFallbacksInSeveralDataCentres(t *testing.T) {
+	var all []Instance
+	for place, dc := range []model.DataCentre{"sur", "sur", "sur", "este", "este", "oeste"} {
+		i := instance(fmt.Sprint(dc, place), Place(place+1))
+		i.DataCentre = dc
+		all = append(all, i)
+	}
+	var s Selector
+	s.Register(instance("n", 20), all)
+	var got []model.DataCentre
+	for {
+		i, ok := s.Next(start)
+		if !ok {
+			break
+		}
+		got = append(got, i.DataCentre)
+		s.RecordFailure(start, i)
+	}
+	if fmt.Sprint(got) != "[sur este oeste sur]" {
+		t.Errorf("candidates in %v", got)
+	}
+}
+
+// Guards against an instance that calls the store for ever: after all instances
+// have registered again, it knows the others only by earlier registrations, which
+// preceded its own.
+func TestRefreshFindsInstancesThatRegisteredAgain(t *testing.T) {
+	var s Selector
+	s.Register(instance("b", 9), []Instance{instance("a", 3)})
+	s.RecordAnswer(start, instance("a", 3), 12, [source.NumKinds]time.Duration{})
+	if _, ok := s.Next(start); ok {
+		t.Fatal("an instance that has registered later is still a candidate")
+	}
+	s.Refresh([]Instance{instance("a", 12), instance("b", 9), instance("c", 8)})
+	if i, ok := s.Next(start); !ok || i.Name != "c" {
+		t.Errorf("after the refresh: %+v, %t; want c", i, ok)
+	}
+	var unregistered Selector
+	unregistered.Refresh([]Instance{instance("a", 3)})
+	if _, ok := unregistered.Next(start); ok {
+		t.Error("an unregistered instance has candidates after a refresh")
+	}
+}
+
+// In each data centre a few instances are the first to call the store again.
+func TestReliesOnOthers(t *testing.T) {
+	var all []Instance
+	relying := 0
+	for p := Place(1); p <= 30; p++ {
+		i := instance(fmt.Sprint(p), p)
+		i.DataCentre = model.DataCentre(fmt.Sprint(p % 2))
+		var s Selector
+		s.Register(i, all)
+		if s.ReliesOnOthers() {
+			relying++
+		}
+		all = append(all, i)
+	}
+	if relying != 30-2*leaders {
+		t.Errorf("%d of 30 instances in 2 data centres rely on others", relying)
+	}
+}
+
+// Without an instance to follow, the data that was passed on does not keep the
+// instance from calling the store.
+func TestForgetAges(t *testing.T) {
+	var s Selector
+	s.Register(instance("b", 5), []Instance{instance("a", 3)})
+	s.RecordAnswer(start, instance("a", 3), 3, [source.NumKinds]time.Duration{})
+	s.ForgetAges()
+	if !s.FreshUntil(source.Registry, time.Hour).IsZero() {
+		t.Error("data still counts as passed on")
+	}
+}
