gateway: packets that arrive while an instance loads wait in the socket

Cause: a starting instance dropped the packets that arrived before it was loaded (log: verdict drop, reason not loaded). After a loss of all instances the fabric sends it packets at once, and a caller then waits 0.4 to 1.6 s before it repeats one.

Change: the packet workers read the socket only once the instance is loaded, at most 200 ms later, which is the callers' shortest interval.

TestPacketsWaitForLoad fails without the wait.

--- a/internal/gatewayshell/packets.go
+++ b/internal/gatewayshell/packets.go
@@ -13,9 +13,31 @@
 	"cuminshift/internal/gateway"
 )
 
+const (
+	// maxPacketHold is how long a starting instance leaves packets in the socket's
+	// buffer until it is loaded. A dropped packet costs its caller a retransmission
+	// interval, which has grown to 1.6 s when all instances were down. The hold is
+	// no longer than the callers' shortest interval, so that a packet and its
+	// retransmission are not taken from the buffer together.
+	maxPacketHold = 200 * time.Millisecond
+	// loadPollInterval is the time between two checks whether the instance is
+	// loaded.
+	loadPollInterval = 5 * time.Millisecond
+)
+
+// awaitLoaded waits until the instance is loaded, for sh.packetHold at most.
+func (sh *Shell) awaitLoaded(ctx context.Context) {
+	for until := time.Now().Add(sh.packetHold); !sh.core.Loaded() && time.Now().Before(until); {
+		if !sleepUntil(ctx, time.Now().Add(loadPollInterval)) {
+			return
+		}
+	}
+}
+
 // readPackets reads and handles packets until ctx ends. It runs in each packet
 // worker.
 func (sh *Shell) readPackets(ctx context.Context) error {
+	sh.awaitLoaded(ctx)
 	in, out := make([]byte, maxPacketBytes), make([]byte, 0, maxPacketBytes)
 	var s flow.Segment
 	for {
--- a/internal/gatewayshell/shell.go
+++ b/internal/gatewayshell/shell.go
@@ -92,6 +92,8 @@
 	counters   *counters
 	burn       *burnRecorder
 	probes     *prober
+	// packetHold is maxPacketHold; tests set another value.
+	packetHold time.Duration
 	// lastPacket is the time of the last packet, for the end of a planned stop.
 	lastPacket atomicTime
 	stopping   atomic.Bool
@@ -124,7 +126,7 @@
 // Run serves until ctx ends, then performs a planned stop.
 func Run(ctx context.Context, s *Settings, adapter Adapter, log *zap.Logger) error {
 	sh := &Shell{settings: s, adapter: adapter, log: newDecisionLog(log), counters: newCounters(), burn: newBurnRecorder(),
-		upstreamDecided: make(chan struct{})}
+		upstreamDecided: make(chan struct{}), packetHold: maxPacketHold}
 	sh.core = gateway.New(gateway.Config{
 		DataCentre:   s.DataCentre,
 		MaxStaleness: time.Duration(freshFraction * float64(s.Bounds[source.Configuration])),
