entry: end the flows of a server that was removed before the start

An instance knows the servers whose removal it has seen. After a restart it dropped the packets of an earlier removed server without a word for as long as callers sent them, since their token might belong to a newer configuration.

TestTokenOfServerRemovedBeforeStart fails without the change.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -134,6 +134,7 @@
 	// removedServers holds the servers that a newer configuration no longer
 	// contains, with the time of their removal.
 	removedServers map[model.ServerID]time.Time
+	unknownTokens  unknownTokenTable
 
 	// lastHeard is when the last batch of each instance arrived.
 	lastHeard map[model.InstanceID]time.Time
@@ -202,6 +203,7 @@
 		recentOpenings:    newOpeningTable(),
 		countedFlows:      map[model.FlowID]*countedFlow{},
 		removedServers:    map[model.ServerID]time.Time{},
+		unknownTokens:     unknownTokenTable{},
 		runningRequests:   map[requests.Key]*runningRequest{},
 		outbox:            map[model.InstanceID][]*pb.PeerMessage{},
 		lastHeard:         map[model.InstanceID]time.Time{},
--- a/internal/entry/flows.go
+++ b/internal/entry/flows.go
@@ -170,6 +170,7 @@
 			delete(c.removedServers, id)
 		}
 	}
+	c.unknownTokens.expire(now.Add(-configApplyLimit - c.cfg.FlowIdleTimeout))
 }
 
 // idleFlowScanInterval is the time between two scans for idle flows.
--- a/internal/entry/packets.go
+++ b/internal/entry/packets.go
@@ -222,9 +222,9 @@
 	case pending.packet.Token == 0:
 		c.refuse(now, pending, pb.Reason_REASON_UNKNOWN_FLOW)
 		return
-	case server == nil && c.removedServers[pending.packet.Token].IsZero():
+	case server == nil && c.removedServers[pending.packet.Token].IsZero() && !c.isRemovedBeforeStart(now, pending.packet.Token):
 		// The token names a server of a newer configuration than this instance
-		// holds.
+		// holds, or one that was removed before this instance started.
 		c.counts.add(countUnknownToken)
 		c.refuse(now, pending, pb.Reason_REASON_INSTANCE_NOT_READY)
 		return
@@ -250,6 +250,17 @@
 	}
 }
 
+// isRemovedBeforeStart reports whether an unknown token names a server that was
+// removed before this instance started. An instance that is cut off from the others
+// cannot tell, since it may lack a newer configuration for long.
+func (c *Core) isRemovedBeforeStart(now time.Time, id model.ServerID) bool {
+	if c.members.Fenced(now) {
+		delete(c.unknownTokens, id)
+		return false
+	}
+	return c.unknownTokens.expired(now, id)
+}
+
 func (c *Core) sendToServer(pending *pendingPacket, server *model.BackendServer) {
 	c.emit(SendToServer{Server: server.ID, Address: server.Address, Path: pathOf(pending.flow.Flow), Data: pending.data})
 }
--- a/internal/entry/token_test.go
+++ b/internal/entry/token_test.go
@@ -173,6 +173,27 @@
 	}
 }
 
+// An instance that started after a server was removed has no record of it. It ends
+// the server's flows once the token cannot belong to a newer configuration, instead
+// of dropping their packets for ever.
+func TestTokenOfServerRemovedBeforeStart(t *testing.T) {
+	s := newSingleInstance(t, model.PlanUse{}, "s2")
+	p := packet.Packet{Kind: pb.Kind_KIND_DATA, Token: model.NewServerID("campo", "s1")}
+	for waited := time.Duration(0); waited <= configApplyLimit; waited += 500 * time.Millisecond {
+		if to, refused := s.send(p); len(to) != 0 || refused != 0 {
+			t.Fatalf("after %s: sent %d, refused with %v, want a drop", waited, len(to), refused)
+		}
+		s.advance(500 * time.Millisecond)
+	}
+	if to, refused := s.send(p); len(to) != 0 || refused != pb.Reason_REASON_NO_SERVER {
+		t.Errorf("after %s: sent %d, refused with %v, want NO_SERVER", configApplyLimit, len(to), refused)
+	}
+	s.configure(2, model.PlanUse{}, "s1", "s2")
+	if to, _ := s.send(p); len(to) != 1 {
+		t.Error("packet of a server that was added is not forwarded")
+	}
+}
+
 // A token must not give access to a service that the caller's plan does not
 // allow, or to another service than that of the packet's address.
 func TestTokenGivesNoAccessToOtherServices(t *testing.T) {
