--- a/internal/lists/catalog.go
+++ b/internal/lists/catalog.go
@@ -68,7 +68,7 @@
 	address, _ := ParseAddress(e.GetAddress())
 	return &model.BackendServer{
 		ID: model.NewServerID(s.Name, e.GetName()), Name: e.GetName(), Service: s.ID, DataCentre: dc,
-		Address: address, Health: e.GetHealth(), Slots: int(e.GetSlots()), Connections: int(e.GetConnections()),
+		Address: address, Health: e.GetHealth(), Slots: int(e.GetSlots()),
 		ColdSlots: int(e.GetColdSlots()), ColdOpeningsPerSecond: int(e.GetColdOpeningsPerSecond()), Drain: e.GetDrain(),
 	}
 }
--- a/internal/model/catalog.go
+++ b/internal/model/catalog.go
@@ -66,8 +66,7 @@
 	// none.
 	Health string
 	// Slots is the number of concurrent requests that the server can handle.
-	Slots       int
-	Connections int
+	Slots int
 	// ColdSlots and ColdOpeningsPerSecond are the concurrent requests and the
 	// openings per second that the server can handle during a cold start.
 	ColdSlots             int
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -85,11 +85,6 @@
 	return !r.Draining && (r.Listed || now.Before(r.graceUntil))
 }
 
-// Gone reports whether the server has no entry and no grace period is running.
-func (r *Record) Gone(now time.Time) bool {
-	return !r.Listed && !now.Before(r.graceUntil)
-}
-
 // ChangeKind is the kind of a change of a record.
 type ChangeKind uint8
 
--- a/internal/requests/attempt.go
+++ b/internal/requests/attempt.go
@@ -54,8 +54,6 @@
 	// maybeSentElsewhere is set when another instance may have sent the request
 	// to a server.
 	maybeSentElsewhere bool
-	// reason is the reason of the last backoff.
-	reason pb.Reason
 
 	// grantID is the ID of the present grant request, or zero if there is none.
 	grantID uint64
@@ -250,7 +248,7 @@
 	if !r.retryAt.Before(r.Deadline) || !c.retryBudget(r.Service).withdraw() {
 		return c.finish(now, r, r.refuseWith(reason))
 	}
-	r.phase, r.reason = backingOff, reason
+	r.phase = backingOff
 	c.schedule(r)
 	return nil
 }
