--- a/internal/entry/flows.go
+++ b/internal/entry/flows.go
@@ -179,18 +179,28 @@
 // closeFlow ends a flow that its caller or its server closed. If another
 // instance may count the flow against a limit, the other instances are notified.
 func (c *Core) closeFlow(now time.Time, flow model.FlowID, use model.PlanUse) {
-	c.recentOpenings.remove(flow)
+	c.dropOpening(now, flow)
 	if _, countedHere := c.countedFlows[flow]; !countedHere && use.ConcurrentFlows > 0 {
 		c.notifyFlowEnded(flow)
 	}
 	c.releaseFlow(now, flow)
 }
 
+// dropOpening forgets a recent opening whose flow has ended. An opening that no server
+// has answered through this instance still has its place under a limit, which no
+// counted flow has taken over.
+func (c *Core) dropOpening(now time.Time, flow model.FlowID) {
+	if sent, ok := c.recentOpenings.get(flow); ok && sent.counted && !sent.answered {
+		c.postAll(c.limits.CloseFlow(now, sent.callerName, flow.Service))
+	}
+	c.recentOpenings.remove(flow)
+}
+
 // abortFlow ends a flow whose packets are no longer forwarded. cause is a free
 // text for the journal.
 func (c *Core) abortFlow(now time.Time, flow model.FlowID, cause string) {
 	c.journal.Add(now, "flow", "flow ended", cause)
-	c.recentOpenings.remove(flow)
+	c.dropOpening(now, flow)
 	c.releaseFlow(now, flow)
 }
 
--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -61,3 +61,17 @@
 		t.Errorf("%d flows count, want 1", n)
 	}
 }
+
+// Guards against counting a flow for ever that its caller closes before this instance
+// has seen the server's answer, which may take another way (fault matrix, seed 1,
+// limits, answer-under-way x [answers-late-and-crossed]).
+func TestFlowClosedBeforeAnswerIsNotCounted(t *testing.T) {
+	s := newSingleInstance(t, model.PlanUse{ConcurrentFlows: 1}, "s1")
+	_, token := s.open(packet.Packet{})
+	s.send(packet.Packet{Kind: pb.Kind_KIND_CLOSE, Token: token})
+	s.advance(time.Second)
+	if n := s.core.InUse(); n != 0 {
+		t.Errorf("%d flows count after the only one was closed", n)
+	}
+	s.open(packet.Packet{Caller: otherCallerAddress})
+}
