--- a/internal/entry/packets.go
+++ b/internal/entry/packets.go
@@ -258,7 +258,7 @@
 		delete(c.unknownTokens, id)
 		return false
 	}
-	return c.unknownTokens.expired(now, id)
+	return c.unknownTokens.observe(now, id)
 }
 
 func (c *Core) sendToServer(pending *pendingPacket, server *model.BackendServer) {
--- a/internal/entry/unknown_tokens.go
+++ b/internal/entry/unknown_tokens.go
@@ -20,9 +20,9 @@
 // within configApplyLimit.
 type unknownTokenTable map[model.ServerID]time.Time
 
-// expired records a packet with an unknown token, and reports whether the token was
+// observe records a packet with an unknown token. It reports whether the token was
 // first seen so long ago that its server must have been removed.
-func (u unknownTokenTable) expired(now time.Time, id model.ServerID) bool {
+func (u unknownTokenTable) observe(now time.Time, id model.ServerID) (removed bool) {
 	firstSeen, ok := u[id]
 	if !ok && len(u) < maxUnknownTokens {
 		u[id] = now
--- a/internal/gatewayshell/feedclient.go
+++ b/internal/gatewayshell/feedclient.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	// directoryTimeout bounds the calls to the directory of one operation: one for
-	// each 50 instances. Slow responses of the store take 300 ms.
+	// directoryTimeout bounds the calls to the directory of one operation, which
+	// reads the registrations page by page. Slow responses of the store take 300 ms.
 	directoryTimeout = 5 * time.Second
 	// readyPollInterval is the time between two checks whether the instance has
 	// read all sources and is registered.
--- a/internal/gatewayshell/watch.go
+++ b/internal/gatewayshell/watch.go
@@ -82,7 +82,8 @@
 }
 
 // waitWhileFresh waits until the data of the source that other instances have passed
-// on is too old, or until there is no instance left to follow. It returns false when ctx has ended.
+// on is too old, or until there is no instance left to follow. It returns false when
+// ctx has ended.
 func (sh *Shell) waitWhileFresh(ctx context.Context, k source.Kind) bool {
 	for {
 		timing := sh.reloadable.Load().timings[k]
