gateway: a data centre is given up after eight of its servers, not after all

Ruled out: more probes at once. They would take the link and the servers' slots, and the time would still grow with the servers.

Change: per data centre, eight servers found unreachable after the last answer of any of its servers to a caller or a probe make it lost for the decision whether the instance is ready. One answer ends that.

TestNotReadyAfterFewProbesOfManyServers plays the load and fails before.

--- a/internal/gateway/failure_test.go
+++ b/internal/gateway/failure_test.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
 
 	"cuminshift/internal/flow"
 	"cuminshift/internal/reach"
+	"cuminshift/internal/readiness"
+	"cuminshift/internal/registry"
 	"cuminshift/internal/routing"
 	"cuminshift/internal/source"
 	"cuminshift/internal/token"
@@ -212,6 +215,42 @@
 	}
 }
 
+// Guards against an instance that reports ready for seconds although its data centre
+// is withdrawn and cut off, until it has probed each of hundreds of servers of the
+// other data centres. It plays the load of such a data centre: some callers repeat
+// their packets, and the first probes stay unanswered.
+func TestNotReadyAfterFewProbesOfManyServers(t *testing.T) {
+	var servers []registry.Entry
+	for i := range 120 {
+		servers = append(servers, server(fmt.Sprintf("i-%d", i), sur))
+	}
+	inst := newTestInstance(t, append(servers, server("i-norte", norte))...)
+	inst.setWithdrawn(norte, true)
+	v := inst.openEstablished(1)
+	inst.advance(time.Second)
+	inst.sendRequest(1, v, 1)
+	inst.advance(200 * time.Millisecond)
+	inst.sendRequest(1, v, 1)
+	inst.advance(120 * time.Millisecond)
+	for i := range readiness.MinLostServers {
+		inst.core.serverStates[inst.core.servers.Record(fmt.Sprintf("i-%d", i))].reach.MarkSuspect(inst.now)
+		inst.handleEvent(ProbeDone{Server: fmt.Sprintf("i-%d", i), Result: reach.NoAnswer, ControlAnswered: false})
+	}
+	inst.advance(TickInterval)
+	inst.handleEvent(Tick{})
+	if inst.core.Ready() {
+		t.Fatalf("ready after %d of 120 servers of the only other data centre did not answer and none did", readiness.MinLostServers)
+	}
+	inst.handleEvent(ProbeDone{Server: "i-0", Result: reach.Answered})
+	for range 7 {
+		inst.advance(TickInterval)
+		inst.handleEvent(Tick{})
+	}
+	if !inst.core.Ready() {
+		t.Fatal("not ready though a server answers again")
+	}
+}
+
 // A service with one flow per request opens more flows than a service with long
 // flows. If its few servers are unreachable, an instance whose other callers
 // are served must stay ready.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -170,6 +170,10 @@
 	lastExpiry time.Time
 	stopping   bool
 	serving    readiness.Monitor
+	// lost holds the data centres that the instance does not reach, as of the last
+	// tick; evidence is scratch space for it.
+	lost     map[model.DataCentre]bool
+	evidence []readiness.ServerEvidence
 	// demand counts the recent requests for each service, with exponential
 	// decay.
 	demand map[string]float64
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -240,10 +240,14 @@
 
 func (c *Core) handleTick(now time.Time) []Action {
 	actions := c.applyServerChanges(now, c.servers.Tick(now))
+	unreachable := 0
 	for _, srv := range c.serverStates {
 		previousState := srv.reach.State()
 		probe := srv.reach.Tick(now, !c.serving.CanServe())
 		actions = append(actions, c.reportTransition(now, srv, previousState, probe, "suspicion timed out")...)
+		if srv.reach.State() == reach.Unreachable {
+			unreachable++
+		}
 	}
 	if now.Sub(c.lastExpiry) >= expiryInterval {
 		c.lastExpiry = now
@@ -253,6 +257,7 @@
 	}
 	c.decayDemand()
 	actions = append(actions, c.refreshRegistry(now)...)
+	c.updateLostDataCentres(now, unreachable)
 	return append(actions, c.updateServing(now)...)
 }
 
--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -40,17 +40,33 @@
 	return []Action{StateChange{Subject: string(c.cfg.DataCentre), Description: description, Cause: "retransmissions and probes"}}
 }
 
-// canReachService reports whether some server of the service may take new flows
-// and is not known to be unreachable.
+// updateLostDataCentres updates which data centres the instance does not reach.
+// unreachable is the number of unreachable servers.
+func (c *Core) updateLostDataCentres(now time.Time, unreachable int) {
+	if unreachable < readiness.MinLostServers {
+		c.lost = nil
+		return
+	}
+	evidence := c.evidence[:0]
+	for r, srv := range c.serverStates {
+		if r.AcceptsFlows(now) {
+			evidence = append(evidence, readiness.ServerEvidence{DataCentre: r.DataCentre, LastReached: srv.reach.LastReached(), UnreachableSince: srv.reach.UnreachableSince()})
+		}
+	}
+	c.evidence, c.lost = evidence, readiness.LostDataCentres(evidence)
+}
+
+// canReachService reports whether some server of the service may take new flows,
+// is not known to be unreachable and is not in a lost data centre.
 func (c *Core) canReachService(now time.Time, service string) bool {
 	servers := c.services[service]
 	return servers != nil && (slices.ContainsFunc(servers.local, func(srv *serverState) bool { return c.isUsable(now, srv) }) ||
 		slices.ContainsFunc(servers.remote, func(srv *serverState) bool { return c.isUsable(now, srv) }))
 }
 
-// isUsable reports whether the server may take new flows and is not known to be
-// unreachable.
+// isUsable reports whether the server may take new flows, is not known to be
+// unreachable and is not in a lost data centre.
 func (c *Core) isUsable(now time.Time, srv *serverState) bool {
 	state := srv.reach.State()
-	return srv.record.AcceptsFlows(now) && !c.withdrawn[srv.record.DataCentre] && state != reach.Unreachable && state != reach.Replaced
+	return srv.record.AcceptsFlows(now) && !c.withdrawn[srv.record.DataCentre] && !c.lost[srv.record.DataCentre] && state != reach.Unreachable && state != reach.Replaced
 }
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -88,6 +88,8 @@
 	state State
 	// lastProgress is the time of the last progress of any flow at the server.
 	lastProgress time.Time
+	// lastAnswer is the time of the last answer to a probe.
+	lastAnswer time.Time
 	// stateSince is the time at which the current state was entered.
 	stateSince  time.Time
 	retransmits int
@@ -119,6 +121,24 @@
 // none. Answers to probes do not count.
 func (d *Detector) LastProgress() time.Time { return d.lastProgress }
 
+// LastReached returns the time of the last progress or answer to a probe; zero if
+// there was none.
+func (d *Detector) LastReached() time.Time {
+	if d.lastAnswer.After(d.lastProgress) {
+		return d.lastAnswer
+	}
+	return d.lastProgress
+}
+
+// UnreachableSince returns the time at which the server became unreachable; zero if
+// it is not.
+func (d *Detector) UnreachableSince() time.Time {
+	if d.state != Unreachable {
+		return time.Time{}
+	}
+	return d.stateSince
+}
+
 // RecordProgress records that the server answered a caller, which makes it
 // reachable.
 func (d *Detector) RecordProgress(now time.Time) {
@@ -178,6 +198,7 @@
 }
 
 func (d *Detector) probeAnswered(now time.Time) {
+	d.lastAnswer = now
 	d.confirmedDown, d.unansweredProbes = false, 0
 	switch d.state {
 	case Suspect:
