gateway: log the store's era and updates that are left aside

The logs of the restored store could not tell its hypotheses apart: an update that an instance received and left aside gave no line, nor did an answer whose revision precedes the one watched from. Both are logged now, with the era that the store states in each answer (metric store_era). No decision changes.

--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -62,6 +62,8 @@
 	}
 	if c.recordIfNewer(e.Kind, &e.Update) {
 		actions = c.applyUpdate(now, e.Kind, &e.Update)
+	} else if !e.Update.Empty() && e.Update.Revision < c.revisions[e.Kind] {
+		actions = append(actions, c.updateIgnored(now, e.Kind, &e.Update))
 	}
 	if e.Kind == source.Registry && e.Update.Full {
 		actions = append(actions, c.resolveUnknownFlows(now, e.AsOf)...)
@@ -81,6 +83,15 @@
 	return true
 }
 
+// updateIgnored reports an update that is not applied because of its revision.
+func (c *Core) updateIgnored(now time.Time, k source.Kind, u *source.Update) Action {
+	cause := fmt.Sprintf("revision %d of era %d, applied up to %d", u.Revision, u.Era, c.revisions[k])
+	if u.Configuration != nil {
+		cause += fmt.Sprintf("; configuration %d", u.Configuration.Version)
+	}
+	return StateChange{Subject: k.String(), Description: "update ignored", Cause: cause, Age: c.age(now, k)}
+}
+
 func (c *Core) applyUpdate(now time.Time, k source.Kind, u *source.Update) []Action {
 	switch k {
 	case source.Configuration:
--- a/internal/gatewayshell/counters.go
+++ b/internal/gatewayshell/counters.go
@@ -28,6 +28,7 @@
 	// following is 1 while this instance is registered and follows another one.
 	following              metrics.Gauge
 	logDropped             metrics.Gauge
+	storeEra               metrics.Gauge
 	feedSent, feedReceived metrics.Gauge
 
 	// feedUpdateSent is the size of the updates sent to followers, by source, and
@@ -66,6 +67,7 @@
 		following:    metrics.GetOrRegisterGauge("following", r),
 		feedSent:     metrics.GetOrRegisterGauge("feed_bytes_sent", r),
 		feedReceived: metrics.GetOrRegisterGauge("feed_bytes_received", r),
+		storeEra:     metrics.GetOrRegisterGauge("store_era", r),
 		logDropped:   metrics.GetOrRegisterGauge("log_lines_dropped", r),
 		answerTime:   histogram("answer_time_us"),
 		openTime:     histogram("open_time_us"),
@@ -98,6 +100,7 @@
 	if sh.registered() && sh.followedInstance() != "" {
 		sh.counters.following.Update(1)
 	}
+	sh.counters.storeEra.Update(sh.storeEra.Load())
 	sh.counters.feedSent.Update(int64(sh.feedBytes.Sent.Load()))
 	sh.counters.feedReceived.Update(int64(sh.feedBytes.Received.Load()))
 	if sh.adapter.LogDropped != nil {
--- a/internal/gatewayshell/log.go
+++ b/internal/gatewayshell/log.go
@@ -28,6 +28,10 @@
 	logConfiguration   = "configuration"
 	logRetransmitAfter = "repeat_after_ms"
 	logInstance        = "instance"
+	logEra             = "era"
+	logPreviousEra     = "previous_era"
+	logRevision        = "revision"
+	logSince           = "since"
 )
 
 const (
@@ -110,6 +114,13 @@
 	l.log.Info("store: calls for source succeed again", zap.Stringer(logSource, k))
 }
 
+// storeEra logs an answer of another era than the previous one, or one whose
+// revision precedes the one watched from.
+func (l *decisionLog) storeEra(k source.Kind, previous source.Era, u *source.Update, since source.Revision) {
+	l.log.Info("store: era or revision of answer", zap.Stringer(logSource, k), zap.Int64(logPreviousEra, int64(previous)),
+		zap.Int64(logEra, int64(u.Era)), zap.Int64(logRevision, int64(u.Revision)), zap.Int64(logSince, int64(since)))
+}
+
 // followedInstance logs a change of the followed instance; an empty name means
 // that none is followed.
 func (l *decisionLog) followedInstance(name model.InstanceID) {
--- a/internal/gatewayshell/watch.go
+++ b/internal/gatewayshell/watch.go
@@ -52,6 +52,7 @@
 			sh.log.sourceRecovered(k)
 		}
 		sh.log.rejected(u.Rejected)
+		sh.noteEra(k, &u, call.Since)
 		sh.handleEvent(gateway.SourceUpdated{Kind: k, Update: u, AsOf: call.AsOf(sent, now)})
 		sh.feed.notify()
 		if call.Read {
@@ -60,6 +61,15 @@
 	}
 }
 
+// noteEra reports an answer of another era than the last one, and an answer whose
+// revision precedes the one watched from.
+func (sh *Shell) noteEra(k source.Kind, u *source.Update, since source.Revision) {
+	previous := source.Era(sh.storeEra.Swap(int64(u.Era)))
+	if previous != u.Era || u.Revision < since {
+		sh.log.storeEra(k, previous, u, since)
+	}
+}
+
 // awaitUpstream waits until it is known whether another instance passes the
 // store's data on to this one, but not beyond the given time. An instance that has
 // just read a source needs no watch of it in the meantime.
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -38,8 +38,14 @@
 // configuration.
 type Revision int64
 
+// Era counts how often the store has been restored from a copy. Its revisions go
+// back each time and are given out again. 0 when the store states none.
+type Era int64
+
 // Update is the result of one call for a source.
 type Update struct {
+	// Era is the era of the store that answered.
+	Era Era
 	// Full is set when the update holds the complete source instead of changes.
 	Full bool
 	// Revision is the store's revision up to which the update holds the changes.
