--- a/internal/gatewayshell/shell_test.go
+++ b/internal/gatewayshell/shell_test.go
@@ -91,7 +91,8 @@
 	s.serve(s.store, s.address(1, storePort))
 	s.configure(1, campoAddress)
 	for i := range 2 {
-		s.addServer(i)
+		id := s.addServer(i).ID()
+		s.waitUntil(5*time.Second, "the server is registered", func() bool { return s.store.Contains("servers", id) })
 	}
 	var all []router.Instance
 	for i := range instances {
@@ -345,6 +346,46 @@
 	}
 }
 
+// opens reports whether a flow to an address is accepted.
+func (s *site) opens(address netip.AddrPort) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	f, err := s.host.Open(ctx, address)
+	if err == nil {
+		f.Close()
+	}
+	return err == nil
+}
+
+// Guards against a configuration that is never in force because the store's
+// revisions went back.
+func TestConfigurationAfterStoreRestoreTakesEffect(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 18, 2)
+	added := func(version int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.MustParseAddr("198.18.0.9"), uint16(version))
+	}
+	backup := s.store.Copy()
+	for version := 2; version <= 5; version++ {
+		s.configure(version, campoAddress, added(version))
+		s.waitUntil(3*time.Second, "the new route is in effect", func() bool { return s.opens(added(version)) })
+	}
+	s.store.SetMode(store.Reset, 0)
+	s.store.Restore(backup)
+	time.Sleep(500 * time.Millisecond)
+	s.store.SetMode(store.Up, 0)
+	s.configure(5, campoAddress, added(5))
+	s.configure(6, campoAddress, added(6))
+	s.waitUntil(3*time.Second, "the route added after the restoration is in effect at all instances", func() bool {
+		for range 4 {
+			if !s.opens(added(6)) || s.opens(added(5)) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // An instance that starts while the store is unavailable receives all data from
 // a seed.
 func TestStartFromSeed(t *testing.T) {
--- a/internal/standin/platform/store/store.go
+++ b/internal/standin/platform/store/store.go
@@ -71,7 +71,9 @@
 	staleKinds    map[string]map[string]*Object
 	staleRevision int64
 	revision      int64
-	history       []Event
+	// era is the number of restorations from a copy, plus 1.
+	era     int64
+	history []Event
 	// compactedRevision is the revision up to which the history has been
 	// dropped.
 	compactedRevision int64
@@ -86,7 +88,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{kinds: map[string]map[string]*Object{}, revision: 1, changed: make(chan struct{}), calls: map[string]int{}}
+	return &Store{kinds: map[string]map[string]*Object{}, revision: 1, era: 1, changed: make(chan struct{}), calls: map[string]int{}}
 }
 
 // SetMode sets the mode in which the store answers and the delay before each
@@ -107,19 +109,49 @@
 	s.notifyWatches()
 }
 
-// FreezeStale keeps the present state: lists that allow stale responses return it
-// from now on.
-func (s *Store) FreezeStale() {
+// Copy is the state of a store at some time.
+type Copy struct {
+	kinds    map[string]map[string]*Object
+	revision int64
+}
+
+// Copy returns a copy of the present state.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{kinds: cloneKinds(s.kinds), revision: s.revision}
+}
+
+// Restore replaces the state by a copy. Changes since the copy are lost, their
+// revisions are given out again, and the era rises. Waiting watches are cut off.
+func (s *Store) Restore(c Copy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.staleKinds, s.staleRevision = map[string]map[string]*Object{}, s.revision
-	for kind, objects := range s.kinds {
-		s.staleKinds[kind] = map[string]*Object{}
+	s.kinds, s.revision = cloneKinds(c.kinds), c.revision
+	s.history = slices.DeleteFunc(s.history, func(e Event) bool { return e.revision > c.revision })
+	s.compactedRevision = min(s.compactedRevision, c.revision)
+	s.era++
+	s.notifyWatches()
+}
+
+func cloneKinds(kinds map[string]map[string]*Object) map[string]map[string]*Object {
+	out := map[string]map[string]*Object{}
+	for kind, objects := range kinds {
+		out[kind] = map[string]*Object{}
 		for name, o := range objects {
-			kept := *o
-			s.staleKinds[kind][name] = &kept
+			clone := *o
+			out[kind][name] = &clone
 		}
 	}
+	return out
+}
+
+// FreezeStale keeps the present state: lists that allow stale responses return it
+// from now on.
+func (s *Store) FreezeStale() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.staleKinds, s.staleRevision = cloneKinds(s.kinds), s.revision
 }
 
 // Calls returns the number of calls by method and kind; a key is "GET config" or,
@@ -134,6 +166,13 @@
 	return out
 }
 
+// Contains reports whether the store has the object.
+func (s *Store) Contains(kind, name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.kinds[kind][name] != nil
+}
+
 // Put writes an object regardless of its revision, as the platform itself does.
 func (s *Store) Put(kind, name string, spec any) {
 	raw, err := json.Marshal(spec)
@@ -201,6 +240,7 @@
 	}
 	s.calls[key]++
 	mode, delay := s.mode, s.delay
+	s.stateEra(w)
 	s.mu.Unlock()
 	time.Sleep(delay)
 	if !applyMode(w, r, mode) {
@@ -241,6 +281,7 @@
 func (s *Store) handleList(w http.ResponseWriter, r *http.Request, kind string) {
 	after := r.URL.Query().Get("after")
 	s.mu.Lock()
+	s.stateEra(w)
 	kinds, revision := s.kinds, s.revision
 	if s.staleKinds != nil && r.URL.Query().Has("allow_stale") {
 		kinds, revision = s.staleKinds, s.staleRevision
@@ -264,6 +305,7 @@
 func (s *Store) handleGet(w http.ResponseWriter, kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w)
 	if o := s.kinds[kind][name]; o != nil {
 		writeJSON(w, http.StatusOK, o)
 		return
@@ -281,11 +323,19 @@
 	}
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
+	s.mu.Lock()
+	s.stateEra(w)
+	firstEra := s.era
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		events, gone := s.eventsSince(kind, since)
-		revision, changed, mode := s.revision, s.changed, s.mode
+		era, revision, changed, mode := s.era, s.revision, s.changed, s.mode
 		s.mu.Unlock()
+		if era != firstEra {
+			applyMode(w, r, Reset)
+			return
+		}
 		if mode != Up {
 			applyMode(w, r, mode)
 			return
@@ -310,9 +360,9 @@
 }
 
 // eventsSince returns the events of a kind after a revision; gone is true when
-// some of them have been dropped.
+// some of them have been dropped or the store has no such revision.
 func (s *Store) eventsSince(kind string, revision int64) (events []Event, gone bool) {
-	if revision < s.compactedRevision {
+	if revision < s.compactedRevision || revision > s.revision {
 		return nil, true
 	}
 	for _, e := range s.history {
@@ -335,6 +385,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w)
 	current := s.kinds[kind][name]
 	switch {
 	case r.Method == http.MethodPost && current != nil,
@@ -350,6 +401,7 @@
 func (s *Store) handleRemove(w http.ResponseWriter, r *http.Request, kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w)
 	current := s.kinds[kind][name]
 	if revision := r.URL.Query().Get("revision"); current != nil && revision != "" && revision != strconv.FormatInt(current.Meta.Revision, 10) {
 		writeJSON(w, http.StatusConflict, current)
@@ -360,6 +412,11 @@
 	}
 }
 
+// stateEra sets the header with the era. mu must be held.
+func (s *Store) stateEra(w http.ResponseWriter) {
+	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+}
+
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
