registry: a restored copy does not undo what a server wrote later

Callers: after a restoration, new flows go to servers that had reported to drain in the lost seconds, until their next heartbeat; servers that registered in the lost seconds refuse new flows at once; the flows of a server that restarted in them are reset as if it had restarted again.

Cause: the copy's list was taken as the present one, and each entry as newer than the one held because the store's position was. An entry that is missing counted as departed, unless an outage of 500 ms had been noticed before.

Change: entries carry the server's own count of them (seq_no) and start time. In the first list of a restored store, an entry that the server wrote before the one held is left aside; without counts, a server of the same start does not take back that it drains. Entries missing from the copy lapse and have LapseGrace to come back, as after an outage.

It works because the writer's count orders its entries whatever happens to the store. Within an era the store's order stays decisive, so that a wrong count cannot block later entries. A server that left without draining and is in the copy counts as present until the store removes its entry: it cannot be told from one that had only lapsed; silence is noticed as ever.

--- a/internal/feed/codec.go
+++ b/internal/feed/codec.go
@@ -67,7 +67,7 @@
 	}
 	return &pb.FeedServer{
 		Name: e.Name, Fence: e.Fence, Service: e.Service, DataCentre: string(e.DataCentre), Address: e.Address.String(),
-		Slots: uint32(e.Slots), Draining: e.Draining, ColdMs: uint32(e.ColdRemaining.Milliseconds()), Incarnation: e.Incarnation,
+		Slots: uint32(e.Slots), Draining: e.Draining, ColdMs: uint32(e.ColdRemaining.Milliseconds()), Incarnation: e.Incarnation, Sequence: e.Sequence,
 	}
 }
 
@@ -152,6 +152,6 @@
 	}
 	return registry.Entry{
 		Name: m.Name, Fence: m.Fence, Service: m.Service, DataCentre: model.DataCentre(m.DataCentre), Address: address,
-		Slots: int(m.Slots), Draining: m.Draining, ColdRemaining: time.Duration(m.ColdMs) * time.Millisecond, Incarnation: m.Incarnation,
+		Slots: int(m.Slots), Draining: m.Draining, ColdRemaining: time.Duration(m.ColdMs) * time.Millisecond, Incarnation: m.Incarnation, Sequence: m.Sequence,
 	}, nil
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -54,7 +54,7 @@
 
 func TestUpdatesRoundTrip(t *testing.T) {
 	entry := registry.Entry{Name: "i-7", Fence: 7, Service: "campo", DataCentre: "norte", Address: address(9), Slots: 3,
-		Draining: true, ColdRemaining: 1500 * time.Millisecond, Incarnation: 1700000000123}
+		Draining: true, ColdRemaining: 1500 * time.Millisecond, Incarnation: 1700000000123, Sequence: 41}
 	updates := map[source.Kind]source.Update{
 		source.Configuration: {Full: true, Position: at(5), Configuration: configuration(3, 4, 2)},
 		source.Registry:      {Position: at(9), Servers: []source.ServerChange{{Entry: entry}, {Entry: registry.Entry{Name: "i-8"}, Removed: true}}},
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -67,8 +67,13 @@
 	if e.Kind == source.Registry {
 		c.servers.CallSucceeded(now)
 	}
+	previous := c.positions[e.Kind]
 	if c.recordIfNewer(e.Kind, &e.Update) {
-		actions = append(actions, c.applyUpdate(now, e.Kind, &e.Update)...)
+		restored := !previous.IsZero() && previous.Era < e.Update.Position.Era
+		if restored {
+			actions = append(actions, c.sourceRestored(now, e.Kind, previous))
+		}
+		actions = append(actions, c.applyUpdate(now, e.Kind, &e.Update, restored)...)
 	} else if e.Update.Position.Before(c.positions[e.Kind]) {
 		actions = append(actions, c.updateIgnored(now, e.Kind, &e.Update)...)
 	}
@@ -107,10 +112,21 @@
 	return []Action{StateChange{Subject: k.String(), Description: "update ignored", Cause: cause, Age: c.age(now, k)}}
 }
 
-func (c *Core) applyUpdate(now time.Time, k source.Kind, u *source.Update) []Action {
+// sourceRestored reports that the store was restored from a copy.
+func (c *Core) sourceRestored(now time.Time, k source.Kind, previous source.Position) Action {
+	if k == source.Registry {
+		c.servers.Restored(now)
+	}
+	return StateChange{Subject: k.String(), Description: "store restored from a copy",
+		Cause: fmt.Sprintf("%s after %s", c.positions[k], previous), Age: c.age(now, k)}
+}
+
+// applyUpdate applies an update. restored is set if it is the first one of a
+// restored store: it may then hold earlier states than the applied ones.
+func (c *Core) applyUpdate(now time.Time, k source.Kind, u *source.Update, restored bool) []Action {
 	switch k {
 	case source.Registry:
-		return c.applyRegistryUpdate(now, u)
+		return c.applyRegistryUpdate(now, u, restored)
 	case source.Withdrawals:
 		return c.applyWithdrawals(now, u)
 	}
@@ -150,7 +166,11 @@
 
 // applyRegistryUpdate applies changes of the registry; a full update also
 // removes the entries that it does not contain.
-func (c *Core) applyRegistryUpdate(now time.Time, u *source.Update) []Action {
+func (c *Core) applyRegistryUpdate(now time.Time, u *source.Update, restored bool) []Action {
+	put := c.servers.Put
+	if restored {
+		put = c.servers.PutCopy
+	}
 	firstLoad := !c.servers.Loaded()
 	var changes []registry.Change
 	listed := make(map[string]bool, len(u.Servers))
@@ -161,7 +181,7 @@
 			continue
 		}
 		listed[change.Entry.Name] = true
-		changes = append(changes, c.servers.Put(now, change.Entry)...)
+		changes = append(changes, put(now, change.Entry)...)
 	}
 	if u.Full {
 		changes = append(changes, c.servers.KeepOnly(now, listed)...)
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"cuminshift/internal/registry"
 	"cuminshift/internal/routing"
 	"cuminshift/internal/source"
 )
@@ -88,3 +89,56 @@
 		t.Errorf("version %d is in force; version 9 was accepted", c.Version)
 	}
 }
+
+// Guards against new flows at a server that drains: the copy is of before the drain,
+// and the server writes it again only with its next heartbeat.
+func TestDrainIsKeptWhenCopyIsOlder(t *testing.T) {
+	drains, stays := server("i-1", norte), server("i-2", norte)
+	drains.Sequence, stays.Sequence = 3, 3
+	inst := newTestInstance(t, drains, stays)
+	drains.Draining, drains.Sequence = true, 4
+	inst.setServers(drains, stays)
+	drains.Draining, drains.Sequence = false, 3
+	inst.restore()
+	inst.setServers(drains, stays)
+	for port := range uint16(40) {
+		if v := inst.open(3000 + port); v.Server == nil || v.Server.Name != "i-2" {
+			t.Fatalf("opening: %+v; want it at the server that does not drain", v)
+		}
+	}
+}
+
+// Guards against resets of flows and refused openings because a server that registered
+// after the copy was made is missing from it.
+func TestServerMissingFromCopyIsKeptUntilItRegistersAgain(t *testing.T) {
+	inst := newTestInstance(t)
+	inst.setServers(server("i-9", norte))
+	inst.restore()
+	inst.setServers()
+	if v := inst.open(3000); v.Kind != Forward {
+		t.Errorf("opening while the server registers again: %+v", v)
+	}
+	inst.advance(registry.LapseGrace + TickInterval)
+	inst.handleEvent(Tick{})
+	if v := inst.open(3001); v.Kind == Forward {
+		t.Error("the server counts as present although it has not registered again")
+	}
+}
+
+// Guards against resets of the flows of a server that restarted after the copy was
+// made, as if it had restarted once more.
+func TestCopyWithEarlierIncarnationResetsNoFlows(t *testing.T) {
+	earlier, later := server("i-1", norte), server("i-1", norte)
+	earlier.Incarnation, later.Incarnation = 5, 6
+	inst := newTestInstance(t, earlier)
+	inst.setServers(later)
+	inst.open(3000)
+	inst.restore()
+	inst.actions = nil
+	inst.setServers(earlier)
+	for _, a := range inst.actions {
+		if r, ok := a.(ResetFlow); ok {
+			t.Errorf("flow reset: %+v", r)
+		}
+	}
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -61,6 +61,20 @@
 	// Incarnation is the server's start time in Unix milliseconds; it tells
 	// whether the server has restarted.
 	Incarnation int64
+	// Sequence rises with each entry that an incarnation writes; 0 when unknown.
+	Sequence int64
+}
+
+// writtenBefore reports whether the server wrote the entry before the other one. A
+// server never takes back that it drains, which decides when the sequence is unknown.
+func (e *Entry) writtenBefore(other *Entry) bool {
+	switch {
+	case e.Incarnation != other.Incarnation:
+		return e.Incarnation < other.Incarnation
+	case e.Sequence != 0 && other.Sequence != 0:
+		return e.Sequence < other.Sequence
+	}
+	return other.Draining && !e.Draining
 }
 
 // Record is a server together with its presence in the registry.
@@ -181,6 +195,20 @@
 	}
 }
 
+// Restored records that the registry was restored from a copy. Entries written since
+// the copy are missing until their servers write them again, as after an outage.
+func (g *Registry) Restored(now time.Time) { g.outageStart, g.lastOutageEnd = time.Time{}, now }
+
+// PutCopy adds or updates an entry of a restored copy. The copy may hold what the
+// server wrote before the entry that this instance has; that one is then kept.
+func (g *Registry) PutCopy(now time.Time, e Entry) []Change {
+	if r := g.records[e.Name]; r != nil && e.writtenBefore(&r.Entry) {
+		e = r.Entry
+		e.ColdRemaining = max(0, r.ColdUntil.Sub(now))
+	}
+	return g.Put(now, e)
+}
+
 // KeepOnly applies the names of a full list: it removes the entries of servers
 // that are not among them.
 func (g *Registry) KeepOnly(now time.Time, listed map[string]bool) []Change {
@@ -217,12 +245,12 @@
 	delete(g.unlisted, e.Name)
 	r.ColdUntil = now.Add(e.ColdRemaining)
 	r.RemovedAt, r.graceUntil = time.Time{}, time.Time{}
-	before.ColdRemaining = e.ColdRemaining
+	before.ColdRemaining, before.Sequence = e.ColdRemaining, e.Sequence
 	switch {
 	case e.Incarnation != before.Incarnation:
 		return append(changes, Change{Restarted, r})
 	case listed && before == e:
-		// Only the remaining cold start changed.
+		// Only the remaining cold start or the sequence changed.
 		return changes
 	}
 	return append(changes, Change{Updated, r})
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -11,7 +11,9 @@
 
 // TestRegistry replays the entries, outages and lapses in testdata. Commands:
 //
-//	put at=MS name=N [draining] [incarnation=N]
+//	put at=MS name=N [draining] [incarnation=N] [sequence=N]
+//	put-copy at=MS name=N [draining] [incarnation=N] [sequence=N]
+//	restored at=MS
 //	remove at=MS name=N
 //	list at=MS names=(N,...)
 //	call-failed at=MS
@@ -27,7 +29,10 @@
 			d.ScanArgs(t, "at", &ms)
 			now := time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond)
 			switch d.Cmd {
-			case "put":
+			case "restored":
+				g.Restored(now)
+				return ""
+			case "put", "put-copy":
 				var e Entry
 				d.ScanArgs(t, "name", &e.Name)
 				e.Service, e.Slots = "campo", 3
@@ -35,6 +40,12 @@
 				if d.HasArg("incarnation") {
 					d.ScanArgs(t, "incarnation", &e.Incarnation)
 				}
+				if d.HasArg("sequence") {
+					d.ScanArgs(t, "sequence", &e.Sequence)
+				}
+				if d.Cmd == "put-copy" {
+					return format(g.PutCopy(now, e))
+				}
 				entries[e.Name] = e
 				return format(g.Put(now, e))
 			case "remove":
