withdrawal: keep what operators withdrew or returned after a restored copy was made

Callers: after a restoration, a data centre that operators had withdrawn in the lost seconds gets packets again until they write it again, and one that they had returned is taken out.

Cause: the first complete list of the restored store was applied as the present state, although it may be older than the one held.

Evidence: TestWithdrawnDataCentreGetsNoFlowsAfterRestore fails on the commit before.

Change: package withdrawal holds the set. What the store contradicts is marked in the feed, so that a follower keeps it for the same time.

It works because only the first list of an era can be older than what is held; later changes are applied at once.

--- a/internal/feed/codec.go
+++ b/internal/feed/codec.go
@@ -25,7 +25,7 @@
 		m.Servers = append(m.Servers, EncodeServer(&u.Servers[i].Entry, u.Servers[i].Removed))
 	}
 	for _, c := range u.DataCentres {
-		m.DataCentres = append(m.DataCentres, &pb.FeedDataCentre{DataCentre: string(c.DataCentre), Withdrawn: c.Withdrawn})
+		m.DataCentres = append(m.DataCentres, &pb.FeedDataCentre{DataCentre: string(c.DataCentre), Withdrawn: c.Withdrawn, Contradicted: c.Contradicted})
 	}
 	return m
 }
@@ -98,7 +98,7 @@
 		u.Servers = append(u.Servers, source.ServerChange{Entry: e, Removed: s.Removed})
 	}
 	for _, c := range m.DataCentres {
-		u.DataCentres = append(u.DataCentres, source.DataCentreChange{DataCentre: model.DataCentre(c.DataCentre), Withdrawn: c.Withdrawn})
+		u.DataCentres = append(u.DataCentres, source.DataCentreChange{DataCentre: model.DataCentre(c.DataCentre), Withdrawn: c.Withdrawn, Contradicted: c.Contradicted})
 	}
 	return k, u, nil
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -58,7 +58,7 @@
 	updates := map[source.Kind]source.Update{
 		source.Configuration: {Full: true, Position: at(5), Configuration: configuration(3, 4, 2)},
 		source.Registry:      {Position: at(9), Servers: []source.ServerChange{{Entry: entry}, {Entry: registry.Entry{Name: "i-8"}, Removed: true}}},
-		source.Withdrawals:   {Position: at(4), DataCentres: []source.DataCentreChange{{DataCentre: "sur", Withdrawn: true}}},
+		source.Withdrawals:   {Position: at(4), DataCentres: []source.DataCentreChange{{DataCentre: "sur", Withdrawn: true, Contradicted: true}}},
 	}
 	for k, u := range updates {
 		gotKind, got, err := roundTrip(t, Encode(k, &u, nil), nil)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"cuminshift/internal/selection"
 	"cuminshift/internal/source"
 	"cuminshift/internal/token"
+	"cuminshift/internal/withdrawal"
 )
 
 // Config holds the settings with which an instance starts.
@@ -155,10 +156,7 @@
 	routes routing.Table
 	// servers is this instance's copy of the platform's registry.
 	servers   *registry.Registry
-	withdrawn map[model.DataCentre]bool
-	// returnedAt holds the time at which each data centre last came back into
-	// service.
-	returnedAt map[model.DataCentre]time.Time
+	withdrawn *withdrawal.Set
 	// confirmedAt holds, for each source, the time as of which the applied
 	// state is known to be current.
 	confirmedAt [source.NumKinds]time.Time
@@ -201,8 +199,7 @@
 		cfg:          cfg,
 		servers:      registry.New(),
 		demand:       map[string]float64{},
-		withdrawn:    map[model.DataCentre]bool{},
-		returnedAt:   map[model.DataCentre]time.Time{},
+		withdrawn:    withdrawal.New(),
 		serverStates: map[*registry.Record]*serverState{},
 		services:     map[string]*serviceServers{},
 		tokens:       token.NewIndex[*serverState](),
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -2,15 +2,14 @@
 
 import (
 	"fmt"
-	"maps"
 	"slices"
 	"time"
 
-	"cuminshift/internal/model"
 	"cuminshift/internal/reach"
 	"cuminshift/internal/registry"
 	"cuminshift/internal/routing"
 	"cuminshift/internal/source"
+	"cuminshift/internal/withdrawal"
 )
 
 // TickInterval is the time between two Ticks, a fraction of the 200 ms after
@@ -128,7 +127,7 @@
 	case source.Registry:
 		return c.applyRegistryUpdate(now, u, restored)
 	case source.Withdrawals:
-		return c.applyWithdrawals(now, u)
+		return c.applyWithdrawals(now, u, restored)
 	}
 	return nil
 }
@@ -245,44 +244,34 @@
 
 // applyWithdrawals applies changes of the set of withdrawn data centres; a full
 // update also returns to service those that it does not contain.
-func (c *Core) applyWithdrawals(now time.Time, u *source.Update) []Action {
+func (c *Core) applyWithdrawals(now time.Time, u *source.Update, restored bool) []Action {
+	switch {
+	case !u.Full:
+		return c.withdrawalActions(now, c.withdrawn.Apply(now, u.DataCentres))
+	case restored:
+		return c.withdrawalActions(now, c.withdrawn.ReplaceByCopy(now, u.DataCentres))
+	}
+	return c.withdrawalActions(now, c.withdrawn.Replace(now, u.DataCentres))
+}
+
+func (c *Core) withdrawalActions(now time.Time, changes []withdrawal.Change) []Action {
 	var actions []Action
-	listed := make(map[model.DataCentre]bool, len(u.DataCentres))
-	for _, change := range u.DataCentres {
-		listed[change.DataCentre] = change.Withdrawn
-		actions = append(actions, c.setWithdrawn(now, change)...)
-	}
-	if !u.Full {
-		return actions
-	}
-	for _, dc := range slices.Sorted(maps.Keys(c.withdrawn)) {
-		if !listed[dc] {
-			actions = append(actions, c.setWithdrawn(now, source.DataCentreChange{DataCentre: dc})...)
+	for _, change := range changes {
+		a := StateChange{Subject: string(change.DataCentre), Description: "data centre back in service", Cause: "operator", Age: c.age(now, source.Withdrawals)}
+		if change.Withdrawn {
+			a.Description = "data centre withdrawn"
+		}
+		if change.Expired {
+			a.Cause = "restored store, not written again by the operator"
 		}
+		actions = append(actions, a)
 	}
 	return actions
 }
 
-// setWithdrawn withdraws a data centre from service or returns it to service.
-func (c *Core) setWithdrawn(now time.Time, change source.DataCentreChange) []Action {
-	if c.withdrawn[change.DataCentre] == change.Withdrawn {
-		return nil
-	}
-	if change.Withdrawn {
-		c.withdrawn[change.DataCentre] = true
-		return []Action{c.withdrawalChange(now, change.DataCentre, "data centre withdrawn")}
-	}
-	delete(c.withdrawn, change.DataCentre)
-	c.returnedAt[change.DataCentre] = now
-	return []Action{c.withdrawalChange(now, change.DataCentre, "data centre back in service")}
-}
-
-func (c *Core) withdrawalChange(now time.Time, dc model.DataCentre, description string) Action {
-	return StateChange{Subject: string(dc), Description: description, Cause: "operator", Age: c.age(now, source.Withdrawals)}
-}
-
 func (c *Core) handleTick(now time.Time) []Action {
 	actions := c.applyServerChanges(now, c.servers.Tick(now))
+	actions = append(actions, c.withdrawalActions(now, c.withdrawn.Tick(now))...)
 	unreachable := 0
 	for _, srv := range c.serverStates {
 		previousState := srv.reach.State()
--- a/internal/gateway/readiness.go
+++ b/internal/gateway/readiness.go
@@ -68,5 +68,5 @@
 // unreachable and is not in a lost data centre.
 func (c *Core) isUsable(now time.Time, srv *serverState) bool {
 	state := srv.reach.State()
-	return srv.record.AcceptsFlows(now) && !c.withdrawn[srv.record.DataCentre] && !c.lost[srv.record.DataCentre] && state != reach.Unreachable && state != reach.Replaced
+	return srv.record.AcceptsFlows(now) && !c.withdrawn.Withdrawn(srv.record.DataCentre) && !c.lost[srv.record.DataCentre] && state != reach.Unreachable && state != reach.Replaced
 }
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -142,3 +142,18 @@
 		}
 	}
 }
+
+// Guards against packets to a withdrawn data centre, when the copy is of before its
+// withdrawal.
+func TestWithdrawnDataCentreGetsNoFlowsAfterRestore(t *testing.T) {
+	inst := newTestInstance(t, server("i-1", norte), server("i-2", sur))
+	inst.setWithdrawn(norte, true)
+	inst.restore()
+	inst.handleEvent(SourceUpdated{Kind: source.Withdrawals, AsOf: inst.now, Update: source.Update{Full: true, Position: inst.position()}})
+	inst.setServers(server("i-1", norte), server("i-2", sur))
+	for port := range uint16(20) {
+		if v := inst.open(3000 + port); v.Server == nil || v.Server.Name != "i-2" {
+			t.Fatalf("opening: %+v; want it in the data centre in service", v)
+		}
+	}
+}
--- a/internal/gateway/server_selection.go
+++ b/internal/gateway/server_selection.go
@@ -17,7 +17,7 @@
 // since the opening.
 func (c *Core) keepsServer(now time.Time, f *trackedFlow, route *routing.Route) bool {
 	r := f.serverState.record
-	return r.AcceptsFlows(now) && !c.withdrawn[r.DataCentre] && route.Includes(r.Service) && f.serverState.reach.LastProgress().After(f.OpeningAt)
+	return r.AcceptsFlows(now) && !c.withdrawn.Withdrawn(r.DataCentre) && route.Includes(r.Service) && f.serverState.reach.LastProgress().After(f.OpeningAt)
 }
 
 // chooseServer returns the server for a new flow, or nil. The service selected
@@ -81,7 +81,7 @@
 // addCandidate adds a server to the candidates if it takes new flows.
 func (c *Core) addCandidate(params *openingParams, srv *serverState) {
 	r := srv.record
-	if !r.AcceptsFlows(params.now) || c.withdrawn[r.DataCentre] {
+	if !r.AcceptsFlows(params.now) || c.withdrawn.Withdrawn(r.DataCentre) {
 		return
 	}
 	state := srv.reach.State()
--- a/internal/gateway/server_state.go
+++ b/internal/gateway/server_state.go
@@ -131,7 +131,7 @@
 	if now.Before(r.ColdUntil) {
 		return true
 	}
-	returned, ok := c.returnedAt[r.DataCentre]
+	returned, ok := c.withdrawn.ReturnedAt(r.DataCentre)
 	return ok && now.Sub(returned) < returnColdPeriod
 }
 
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -106,9 +106,7 @@
 			u.Servers = append(u.Servers, source.ServerChange{Entry: e})
 		}
 	case source.Withdrawals:
-		for dc := range c.withdrawn {
-			u.DataCentres = append(u.DataCentres, source.DataCentreChange{DataCentre: dc, Withdrawn: true})
-		}
+		u.DataCentres = c.withdrawn.List()
 	}
 	return u
 }
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -99,6 +99,9 @@
 type DataCentreChange struct {
 	DataCentre model.DataCentre
 	Withdrawn  bool
+	// Contradicted is set when this was accepted before the store was restored from
+	// a copy that says the opposite.
+	Contradicted bool
 }
 
 // Rejection is an object that could not be decoded. Name identifies the object and
