feed: tell an instance that started on a restored copy what the copy lost

Callers: an instance that starts on the copy sends new flows to servers that others know to drain, and packets to a data centre that others know to be withdrawn, until servers and operators write that again.

Cause: what an instance keeps against the copy belongs to no position in the store's history, so that the feed, which passes on changes since a position, never tells it.

Ruled out: to pass on the complete state once more, which takes 0.4 MB for 3,000 servers and may be older than what the follower has.

An entry of a server is taken if the server wrote it later, a data centre's state unless operators changed it since. A request states the number of such changes, so that a followed instance that has just started asks its follower.

--- a/internal/feed/codec.go
+++ b/internal/feed/codec.go
@@ -24,12 +24,28 @@
 	for i := range u.Servers {
 		m.Servers = append(m.Servers, EncodeServer(&u.Servers[i].Entry, u.Servers[i].Removed))
 	}
-	for _, c := range u.DataCentres {
-		m.DataCentres = append(m.DataCentres, &pb.FeedDataCentre{DataCentre: string(c.DataCentre), Withdrawn: c.Withdrawn, Contradicted: c.Contradicted})
-	}
+	m.DataCentres = EncodeDataCentres(u.DataCentres)
 	return m
 }
 
+// EncodeDataCentres returns the messages of changes of data centres.
+func EncodeDataCentres(changes []source.DataCentreChange) []*pb.FeedDataCentre {
+	var out []*pb.FeedDataCentre
+	for _, c := range changes {
+		out = append(out, &pb.FeedDataCentre{DataCentre: string(c.DataCentre), Withdrawn: c.Withdrawn, Contradicted: c.Contradicted})
+	}
+	return out
+}
+
+// DecodeDataCentres returns the changes of messages.
+func DecodeDataCentres(messages []*pb.FeedDataCentre) []source.DataCentreChange {
+	var out []source.DataCentreChange
+	for _, m := range messages {
+		out = append(out, source.DataCentreChange{DataCentre: model.DataCentre(m.DataCentre), Withdrawn: m.Withdrawn, Contradicted: m.Contradicted})
+	}
+	return out
+}
+
 func encodeConfiguration(c, base *routing.Configuration) *pb.FeedConfiguration {
 	m := &pb.FeedConfiguration{Version: c.Version, IdleTimeoutMs: uint32(c.IdleTimeout.Milliseconds())}
 	for _, s := range c.Services {
@@ -97,9 +113,7 @@
 		}
 		u.Servers = append(u.Servers, source.ServerChange{Entry: e, Removed: s.Removed})
 	}
-	for _, c := range m.DataCentres {
-		u.DataCentres = append(u.DataCentres, source.DataCentreChange{DataCentre: model.DataCentre(c.DataCentre), Withdrawn: c.Withdrawn, Contradicted: c.Contradicted})
-	}
+	u.DataCentres = DecodeDataCentres(m.DataCentres)
 	return k, u, nil
 }
 
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -36,6 +36,13 @@
 	// although they have no entry in the registry; they may have departed before
 	// this instance started.
 	DepartedServers struct{ Entries []registry.Entry }
+	// LostChanges reports what another instance knows and a restored store has lost:
+	// the latest entries of servers and states of data centres. An instance that
+	// starts on the copy learns them in this way.
+	LostChanges struct {
+		Servers     []registry.Entry
+		DataCentres []source.DataCentreChange
+	}
 	// FleetSize reports the number of instances that share the openings at cold
 	// servers, and this instance's rank among them.
 	FleetSize struct{ Instances, Rank int }
@@ -56,6 +63,7 @@
 func (CallFailed) event()      {}
 func (RegistryOutage) event()  {}
 func (DepartedServers) event() {}
+func (LostChanges) event()     {}
 func (FleetSize) event()       {}
 func (ProbeDone) event()       {}
 func (Tick) event()            {}
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -39,6 +39,8 @@
 		c.servers.AdoptOutage(e.Start, e.LastEnd)
 	case DepartedServers:
 		return c.addDeparted(now, e.Entries)
+	case LostChanges:
+		return c.applyLostChanges(now, e)
 	case FleetSize:
 		c.cfg.Instances, c.cfg.Rank = e.Instances, e.Rank
 	case ProbeDone:
@@ -163,6 +165,16 @@
 	return actions
 }
 
+// applyLostChanges applies what another instance knows and a restored store has lost.
+func (c *Core) applyLostChanges(now time.Time, e LostChanges) []Action {
+	var changes []registry.Change
+	for _, entry := range e.Servers {
+		changes = append(changes, c.servers.PutLost(now, entry)...)
+	}
+	actions := c.applyServerChanges(now, changes)
+	return append(actions, c.withdrawalActions(now, c.withdrawn.ApplyLost(now, e.DataCentres))...)
+}
+
 // applyRegistryUpdate applies changes of the registry; a full update also
 // removes the entries that it does not contain.
 func (c *Core) applyRegistryUpdate(now time.Time, u *source.Update, restored bool) []Action {
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -157,3 +157,43 @@
 		}
 	}
 }
+
+// Guards against an instance that starts on the copy and uses servers and data centres
+// that others know to drain or to be withdrawn.
+func TestInstanceStartedOnCopyLearnsLostChanges(t *testing.T) {
+	drains, stays := server("i-1", norte), server("i-2", norte)
+	drains.Sequence, stays.Sequence = 3, 3
+	knows := newTestInstance(t, drains, stays, server("i-3", sur))
+	later := drains
+	later.Draining, later.Sequence = true, 4
+	knows.setServers(later, stays, server("i-3", sur))
+	knows.setWithdrawn(sur, true)
+	knows.restore()
+	knows.setServers(drains, stays, server("i-3", sur))
+	knows.handleEvent(SourceUpdated{Kind: source.Withdrawals, AsOf: knows.now, Update: source.Update{Full: true, Position: knows.position()}})
+
+	started := newTestInstance(t, drains, stays, server("i-3", sur))
+	started.handleEvent(knows.core.LostChanges())
+	for port := range uint16(40) {
+		if v := started.open(3000 + port); v.Server == nil || v.Server.Name != "i-2" {
+			t.Fatalf("opening: %+v; want it at the only server in service", v)
+		}
+	}
+	started.advance(registry.LostRetention)
+	started.handleEvent(Tick{})
+	if lost := started.core.LostChanges(); len(lost.Servers)+len(lost.DataCentres) > 0 {
+		t.Errorf("still passed on after %s: %+v", registry.LostRetention, lost)
+	}
+}
+
+// Guards against a change that another instance passes on after an operator has changed
+// the data centre again.
+func TestLostChangeDoesNotReplaceLaterOne(t *testing.T) {
+	inst := newTestInstance(t, server("i-1", norte))
+	inst.setWithdrawn(norte, true)
+	inst.setWithdrawn(norte, false)
+	inst.handleEvent(LostChanges{DataCentres: []source.DataCentreChange{{DataCentre: norte, Withdrawn: true, Contradicted: true}}})
+	if v := inst.open(3000); v.Kind != Forward {
+		t.Errorf("%+v", v)
+	}
+}
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -119,6 +119,14 @@
 	return c.servers.Unlisted()
 }
 
+// LostChanges returns what a restored store has lost, as far as this instance knows
+// and nobody has written it again.
+func (c *Core) LostChanges() LostChanges {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return LostChanges{Servers: c.servers.Lost(), DataCentres: c.withdrawn.Lost()}
+}
+
 // addDeparted adds servers that departed before this instance started.
 func (c *Core) addDeparted(now time.Time, entries []registry.Entry) []Action {
 	var changes []registry.Change
--- a/internal/gatewayshell/feedclient.go
+++ b/internal/gatewayshell/feedclient.go
@@ -117,13 +117,12 @@
 // register registers the instance in the directory once it has read all sources,
 // so that it has something to pass on. It retries until it succeeds or ctx ends.
 func (sh *Shell) register(ctx context.Context) {
-	self := upstream.Instance{Name: sh.settings.Instance, DataCentre: sh.settings.DataCentre, Address: sh.peerAddress(), Bandwidth: sh.settings.Bandwidth}
 	for ctx.Err() == nil {
 		if !sh.servesFeed() {
 			sleepUntil(ctx, time.Now().Add(readyPollInterval))
 			continue
 		}
-		err := sh.registerOnce(ctx, self)
+		err := sh.registerOnce(ctx, sh.ownRegistration())
 		if err == nil {
 			return
 		}
@@ -139,8 +138,7 @@
 	if err != nil {
 		return err
 	}
-	all, rejected, err := sh.reloadable.Load().directory.Instances(ctx)
-	sh.log.rejected(rejected)
+	all, err := sh.registeredInstances(ctx)
 	if err != nil {
 		return err
 	}
@@ -153,6 +151,19 @@
 	return nil
 }
 
+// registeredInstances returns the instances in the directory.
+func (sh *Shell) registeredInstances(ctx context.Context) ([]upstream.Instance, error) {
+	all, rejected, err := sh.reloadable.Load().directory.Instances(ctx)
+	sh.log.rejected(rejected)
+	return all, err
+}
+
+// ownRegistration returns the registration of this instance, with its present place.
+func (sh *Shell) ownRegistration() upstream.Instance {
+	return upstream.Instance{Name: sh.settings.Instance, DataCentre: sh.settings.DataCentre, Address: sh.peerAddress(),
+		Bandwidth: sh.settings.Bandwidth, Place: sh.ownPlace()}
+}
+
 func (sh *Shell) decideUpstream() {
 	sh.upstreamDecidedOnce.Do(func() { close(sh.upstreamDecided) })
 }
@@ -174,8 +185,7 @@
 func (sh *Shell) countFleet(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
 	defer cancel()
-	all, rejected, err := sh.reloadable.Load().directory.Instances(ctx)
-	sh.log.rejected(rejected)
+	all, err := sh.registeredInstances(ctx)
 	if err != nil {
 		sh.log.warn("cannot count the registered instances", err)
 		return
@@ -234,7 +244,7 @@
 // newFeedRequest returns a request for what this instance does not know.
 func (sh *Shell) newFeedRequest() *pb.FeedRequest {
 	request := &pb.FeedRequest{Instance: string(sh.settings.Instance), Place: int64(sh.ownPlace()),
-		Address: sh.peerAddress().String(), Loaded: sh.core.Loaded(), ConfigurationVersion: sh.core.ConfigurationVersion()}
+		Address: sh.peerAddress().String(), Loaded: sh.core.Loaded(), ConfigurationVersion: sh.core.ConfigurationVersion(), LostChanges: uint32(sh.lostChanges())}
 	for _, p := range sh.core.Positions() {
 		request.Revisions, request.Eras = append(request.Revisions, int64(p.Revision)), append(request.Eras, int64(p.Era))
 	}
@@ -277,6 +287,7 @@
 	// means.
 	sh.handleEvent(gateway.RegistryOutage{Start: timeFromAgeMS(now, response.RegistryOutMs), LastEnd: timeFromAgeMS(now, response.RegistryReturnedMs)})
 	sh.applyFeedData(now, &data)
+	sh.applyLost(instance, response)
 	sh.applyDeparted(instance, response.Departed)
 	if response.Instances > 0 {
 		sh.setFleetSize(int(response.Instances), int(sh.rank.Load()))
@@ -342,6 +353,7 @@
 		return
 	}
 	sh.applyFeedData(now, &data)
+	sh.applyLost(follower, response)
 	sh.feed.notify()
 }
 
@@ -362,6 +374,28 @@
 }
 
 func (sh *Shell) applyDeparted(instance upstream.Instance, servers []*pb.FeedServer) {
+	if entries := sh.decodeServers(instance, servers); len(entries) > 0 {
+		sh.handleEvent(gateway.DepartedServers{Entries: entries})
+	}
+}
+
+// applyLost applies what the other instance knows and the restored store has lost.
+func (sh *Shell) applyLost(instance upstream.Instance, response *pb.FeedResponse) {
+	lost := gateway.LostChanges{Servers: sh.decodeServers(instance, response.LostServers), DataCentres: feed.DecodeDataCentres(response.LostDataCentres)}
+	if len(lost.Servers)+len(lost.DataCentres) > 0 {
+		sh.handleEvent(lost)
+	}
+}
+
+// lostChanges returns the number of changes that the store has lost and this instance
+// knows.
+func (sh *Shell) lostChanges() int {
+	lost := sh.core.LostChanges()
+	return len(lost.Servers) + len(lost.DataCentres)
+}
+
+// decodeServers returns the valid entries of messages.
+func (sh *Shell) decodeServers(instance upstream.Instance, servers []*pb.FeedServer) []registry.Entry {
 	var entries []registry.Entry
 	for _, s := range servers {
 		e, err := feed.DecodeServer(s)
@@ -371,7 +405,5 @@
 		}
 		entries = append(entries, e)
 	}
-	if len(entries) > 0 {
-		sh.handleEvent(gateway.DepartedServers{Entries: entries})
-	}
+	return entries
 }
--- a/internal/gatewayshell/feedserver.go
+++ b/internal/gatewayshell/feedserver.go
@@ -137,6 +137,11 @@
 			response.Updates = append(response.Updates, message)
 		}
 	}
+	lost := f.shell.core.LostChanges()
+	for i := range lost.Servers {
+		response.LostServers = append(response.LostServers, feed.EncodeServer(&lost.Servers[i], false))
+	}
+	response.LostDataCentres = feed.EncodeDataCentres(lost.DataCentres)
 	if request.Departed {
 		for _, e := range f.shell.core.Departed() {
 			response.Departed = append(response.Departed, feed.EncodeServer(&e, false))
@@ -197,11 +202,11 @@
 	f.shell.upstream.AddSeed(f.shell.peerAddress(), address)
 }
 
-// learnFromRequester requests the configuration of an instance that has a newer one.
-// An instance that started on a restored copy of the store may be followed by others
-// that were there before.
+// learnFromRequester requests what the requesting instance knows if it has a newer
+// configuration or knows of more changes that the store has lost. An instance that
+// started on a restored copy may be followed by others that were there before.
 func (f *Feed) learnFromRequester(request *pb.FeedRequest) {
-	if request.ConfigurationVersion <= f.shell.core.ConfigurationVersion() {
+	if request.ConfigurationVersion <= f.shell.core.ConfigurationVersion() && int(request.LostChanges) <= f.shell.lostChanges() {
 		return
 	}
 	address, err := netip.ParseAddrPort(request.Address)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -37,6 +37,9 @@
 	// DepartedRetention is how long packets are still forwarded to a departed
 	// server: the platform's longest flow lifetime.
 	DepartedRetention = 60 * time.Second
+	// LostRetention is how long other instances are told of an entry that a restored
+	// copy lost. Servers write their entries again within about two seconds.
+	LostRetention = 10 * time.Second
 )
 
 // Entry is what a backend server publishes about itself.
@@ -142,11 +145,14 @@
 	outageStart, lastOutageEnd time.Time
 	// loadedAt is the time of the first full list.
 	loadedAt time.Time
+	// lost holds the servers of which a restored copy has an earlier entry than the
+	// one known here, and the time until which others are told.
+	lost map[string]time.Time
 }
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{records: map[string]*Record{}, unlisted: map[string]*Record{}}
+	return &Registry{records: map[string]*Record{}, unlisted: map[string]*Record{}, lost: map[string]time.Time{}}
 }
 
 // Loaded reports whether a full list has been received.
@@ -202,11 +208,39 @@
 // PutCopy adds or updates an entry of a restored copy. The copy may hold what the
 // server wrote before the entry that this instance has; that one is then kept.
 func (g *Registry) PutCopy(now time.Time, e Entry) []Change {
-	if r := g.records[e.Name]; r != nil && e.writtenBefore(&r.Entry) {
-		e = r.Entry
-		e.ColdRemaining = max(0, r.ColdUntil.Sub(now))
+	r := g.records[e.Name]
+	if r == nil || !e.writtenBefore(&r.Entry) {
+		return g.Put(now, e)
+	}
+	kept := r.Entry
+	kept.ColdRemaining = max(0, r.ColdUntil.Sub(now))
+	changes := g.Put(now, kept)
+	g.lost[e.Name] = now.Add(LostRetention)
+	return changes
+}
+
+// PutLost takes over an entry that a restored copy lost and another instance knows,
+// if it is later than the one known here.
+func (g *Registry) PutLost(now time.Time, e Entry) []Change {
+	r := g.records[e.Name]
+	if r == nil || !r.Entry.writtenBefore(&e) {
+		return nil
+	}
+	changes := g.Put(now, e)
+	g.lost[e.Name] = now.Add(LostRetention)
+	return changes
+}
+
+// Lost returns the entries that a restored copy lost and that have not been written
+// again.
+func (g *Registry) Lost() []Entry {
+	var out []Entry
+	for _, name := range slices.Sorted(maps.Keys(g.lost)) {
+		if r := g.records[name]; r != nil {
+			out = append(out, r.Entry)
+		}
 	}
-	return g.Put(now, e)
+	return out
 }
 
 // KeepOnly applies the names of a full list: it removes the entries of servers
@@ -225,10 +259,16 @@
 }
 
 // Put adds or updates an entry.
-func (g *Registry) Put(now time.Time, e Entry) []Change { return g.put(now, e, nil) }
+func (g *Registry) Put(now time.Time, e Entry) []Change {
+	delete(g.lost, e.Name)
+	return g.put(now, e, nil)
+}
 
 // Remove removes an entry.
-func (g *Registry) Remove(now time.Time, name string) []Change { return g.remove(now, name, nil) }
+func (g *Registry) Remove(now time.Time, name string) []Change {
+	delete(g.lost, name)
+	return g.remove(now, name, nil)
+}
 
 func (g *Registry) put(now time.Time, e Entry, changes []Change) []Change {
 	r := g.records[e.Name]
@@ -309,6 +349,7 @@
 // ago, and reports as departed the lapsed servers that have not registered again
 // by the end of their grace period.
 func (g *Registry) Tick(now time.Time) []Change {
+	maps.DeleteFunc(g.lost, func(_ string, until time.Time) bool { return !now.Before(until) })
 	var changes []Change
 	for _, name := range sortedKeys(g.unlisted) {
 		r := g.unlisted[name]
--- a/internal/withdrawal/withdrawal.go
+++ b/internal/withdrawal/withdrawal.go
@@ -43,11 +43,14 @@
 	// contradicted holds the data centres of which a restored copy says the
 	// opposite, and until when the copy is not believed.
 	contradicted map[model.DataCentre]time.Time
+	// changed holds the data centres that were changed since the last complete list.
+	changed map[model.DataCentre]bool
 }
 
 // New returns a set in which all data centres are in service.
 func New() *Set {
-	return &Set{withdrawn: map[model.DataCentre]bool{}, returnedAt: map[model.DataCentre]time.Time{}, contradicted: map[model.DataCentre]time.Time{}}
+	return &Set{withdrawn: map[model.DataCentre]bool{}, returnedAt: map[model.DataCentre]time.Time{}, contradicted: map[model.DataCentre]time.Time{},
+		changed: map[model.DataCentre]bool{}}
 }
 
 // Withdrawn reports whether a data centre is out of service.
@@ -75,10 +78,29 @@
 	var out []Change
 	for _, c := range changes {
 		out = s.apply(now, c, out)
+		s.changed[c.DataCentre] = true
 	}
 	return out
 }
 
+// ApplyLost takes over changes that a restored copy lost and another instance knows,
+// except for data centres that operators have changed since.
+func (s *Set) ApplyLost(now time.Time, changes []source.DataCentreChange) []Change {
+	var out []Change
+	for _, c := range changes {
+		if _, contradicted := s.contradicted[c.DataCentre]; !contradicted && !s.changed[c.DataCentre] && c.Withdrawn != s.withdrawn[c.DataCentre] {
+			out = s.apply(now, source.DataCentreChange{DataCentre: c.DataCentre, Withdrawn: c.Withdrawn, Contradicted: true}, out)
+		}
+	}
+	return out
+}
+
+// Lost returns the changes that a restored copy lost and that have not been written
+// again.
+func (s *Set) Lost() []source.DataCentreChange {
+	return slices.DeleteFunc(s.List(), func(c source.DataCentreChange) bool { return !c.Contradicted })
+}
+
 // Replace applies a complete list of the store. Data centres that are not in it are
 // in service.
 func (s *Set) Replace(now time.Time, list []source.DataCentreChange) []Change {
@@ -92,6 +114,7 @@
 }
 
 func (s *Set) replace(now time.Time, list []source.DataCentreChange, isCopy bool) []Change {
+	clear(s.changed)
 	listed := map[model.DataCentre]source.DataCentreChange{}
 	for _, c := range list {
 		listed[c.DataCentre] = c
