gatewayshell: all sources notice a restoration with the first answer that shows it

A watch from a revision that the restored store has waits for its whole time before it returns anything, and its era is seen only then.

Ruled out: that the stand-in keeps watches of the era before.

Change: the era of any answer, also of one that another instance passes on, ends the watches and the pauses of sources that are known up to an earlier era; these are read at once.

--- a/internal/gatewayshell/feedclient.go
+++ b/internal/gatewayshell/feedclient.go
@@ -329,6 +329,7 @@
 func (sh *Shell) applyFeedData(now time.Time, data *feedData) {
 	for k := range source.Kind(source.NumKinds) {
 		sh.handleEvent(gateway.SourceUpdated{Kind: k, Update: data.updates[k], AsOf: now.Add(-data.ages[k])})
+		sh.era.observe(data.updates[k].Position.Era)
 	}
 }
 
--- a/internal/gatewayshell/restore_test.go
+++ b/internal/gatewayshell/restore_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"cuminshift/internal/standin/platform/client"
+	"cuminshift/internal/standin/platform/operator"
 	"cuminshift/internal/standin/platform/store"
 )
 
@@ -98,3 +100,33 @@
 	s.restartInstance(0, func() { s.store.Restore(backup) })
 	s.waitUntil(5*time.Second, "the restarted instance uses version 5", func() bool { return s.configurationVersion(0) == 5 })
 }
+
+// Guards against packets to a withdrawn data centre by an instance that starts on a
+// copy of before its withdrawal.
+func TestInstanceStartedOnRestoredCopyLearnsWithdrawal(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 21, 1)
+	backup := s.store.Copy()
+	operator.Evacuate(s.store, "norte")
+	s.waitUntil(3*time.Second, "the data centre is withdrawn", func() bool { return !s.opens(campoAddress) })
+	s.store.Restore(backup)
+	s.startInstance(1)
+	s.waitUntil(3*time.Second, "the new instance follows the first", func() bool { return s.metric(1, "following") == 1 })
+	direct, err := client.NewHost(s.address(151, packetPort), s.address(21, packetPort))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer direct.Close()
+	opens := func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		_, err := direct.Open(ctx, campoAddress)
+		return err == nil
+	}
+	s.waitUntil(3*time.Second, "the new instance knows of the withdrawal", func() bool { return !opens() })
+	for range 10 {
+		if opens() {
+			t.Fatal("the new instance sends a flow to the withdrawn data centre")
+		}
+	}
+}
--- a/internal/gatewayshell/shell.go
+++ b/internal/gatewayshell/shell.go
@@ -101,6 +101,8 @@
 	// has succeeded.
 	storeFailed, storeAnswered atomic.Bool
 
+	era *eraMonitor
+
 	// fleetSize is the number of registered instances, rank the position of this
 	// one among them in the order of their registrations, from 0.
 	fleetSize, rank atomic.Int32
@@ -126,7 +128,7 @@
 // Run serves until ctx ends, then performs a planned stop.
 func Run(ctx context.Context, s *Settings, adapter Adapter, log *zap.Logger) error {
 	sh := &Shell{settings: s, adapter: adapter, log: newDecisionLog(log), counters: newCounters(), burn: newBurnRecorder(),
-		upstreamDecided: make(chan struct{}), packetHold: maxPacketHold}
+		upstreamDecided: make(chan struct{}), packetHold: maxPacketHold, era: newEraMonitor()}
 	sh.core = gateway.New(gateway.Config{
 		DataCentre:   s.DataCentre,
 		MaxStaleness: time.Duration(freshFraction * float64(s.Bounds[source.Configuration])),
--- a/internal/gatewayshell/watch.go
+++ b/internal/gatewayshell/watch.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"cuminshift/internal/gateway"
 	"cuminshift/internal/model"
 	"cuminshift/internal/source"
@@ -21,14 +23,19 @@
 		schedule.SetRelayed(sh.reliesOnOthers())
 		schedule.AdvanceTo(sh.core.Positions()[k])
 		call := schedule.Next()
+		if !call.Read && call.Since.Era < sh.era.current() {
+			sh.log.readingAgain(k, source.ErrRestored)
+			schedule.Failed(time.Now(), source.ErrRestored)
+			continue
+		}
 		if call.NotBefore.After(time.Now()) {
-			if !sleepUntil(ctx, call.NotBefore) {
+			if !sh.sleepWithinEra(ctx, call) {
 				return
 			}
 			continue // another instance may have passed on fresh data meanwhile
 		}
 		sent := time.Now()
-		u, err := sh.call(ctx, k, call)
+		u, err := sh.callWithinEra(ctx, k, call)
 		now := time.Now()
 		if err != nil {
 			if ctx.Err() != nil {
@@ -54,12 +61,28 @@
 		sh.log.rejected(u.Rejected)
 		sh.handleEvent(gateway.SourceUpdated{Kind: k, Update: u, AsOf: call.AsOf(sent, now)})
 		sh.feed.notify()
+		sh.era.observe(u.Position.Era)
 		if call.Read {
 			sh.awaitUpstream(ctx, now.Add(call.MaxUnconfirmed))
 		}
 	}
 }
 
+// callWithinEra makes a call. A watch fails with ErrRestored as soon as the store turns
+// out to have been restored: the store may answer it at the end of its wait only.
+func (sh *Shell) callWithinEra(ctx context.Context, k source.Kind, call source.Call) (source.Update, error) {
+	if call.Read {
+		return sh.call(ctx, k, call)
+	}
+	watchCtx, cancel := sh.era.withinEra(ctx, call.Since.Era)
+	defer cancel()
+	u, err := sh.call(watchCtx, k, call)
+	if errors.Is(context.Cause(watchCtx), source.ErrRestored) {
+		err = source.ErrRestored
+	}
+	return u, err
+}
+
 // awaitUpstream waits until it is known whether another instance passes the
 // store's data on to this one, but not beyond the given time. An instance that has
 // just read a source needs no watch of it in the meantime.
@@ -174,6 +197,18 @@
 	return u, err
 }
 
+// sleepWithinEra sleeps until a call may be made, or until the store turns out to have
+// been restored. It returns false when ctx has ended.
+func (sh *Shell) sleepWithinEra(ctx context.Context, call source.Call) bool {
+	if call.Read {
+		return sleepUntil(ctx, call.NotBefore)
+	}
+	eraCtx, cancel := sh.era.withinEra(ctx, call.Since.Era)
+	defer cancel()
+	sleepUntil(eraCtx, call.NotBefore)
+	return ctx.Err() == nil
+}
+
 // sleepUntil sleeps until t. It returns false when ctx has ended.
 func sleepUntil(ctx context.Context, t time.Time) bool {
 	d := time.Until(t)
