gatewayshell: register again when a restored store has lost the registration

Instances that start after a restoration do not find those whose registration was lost: more instances call the store, and an instance that starts without the newest state has nobody to learn it from.

Cause: an instance registers once, at its start, and never looks again.

Change: with each later era an instance lists the registrations, once, spread over 10 ms for each instance of the fleet; it registers again if its own is missing or another one, and orders the instances by their present places. Until then places of two eras are compared: the worst case is that two instances call the store, and there are still no cycles, since both sides of a call compare the places that both state.

--- a/internal/gatewayshell/feedclient.go
+++ b/internal/gatewayshell/feedclient.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"time"
@@ -33,6 +34,9 @@
 	// firstFleetCountDelay is the time before the first count. All instances of a
 	// new fleet start within 0.3 s.
 	firstFleetCountDelay = 2 * time.Second
+	// renewalInterval is the mean time between the renewals of two instances after a
+	// restoration of the store, which all of them notice at the same time.
+	renewalInterval = 10 * time.Millisecond
 	// noUpstreamPause is the pause when there is no instance to follow.
 	noUpstreamPause = time.Second
 )
@@ -158,6 +162,65 @@
 	return all, err
 }
 
+// renewRegistrations renews the registration after each restoration of the store, until
+// ctx ends.
+func (sh *Shell) renewRegistrations(ctx context.Context) {
+	for previous := unknownEra; ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-sh.era.after(previous):
+		}
+		first := previous == unknownEra
+		if previous = sh.era.current(); !first {
+			sh.renewRegistration(ctx)
+		}
+	}
+}
+
+// renewRegistration registers the instance again if a restored store has lost its
+// registration, and learns which other ones are left. It retries until it succeeds
+// or ctx ends. The calls of a large fleet are spread over time.
+func (sh *Shell) renewRegistration(ctx context.Context) {
+	spread := time.Duration(sh.fleetSize.Load()) * renewalInterval
+	if !sleepUntil(ctx, time.Now().Add(rand.N(spread+1))) {
+		return
+	}
+	for ctx.Err() == nil {
+		if !sh.registered() {
+			sleepUntil(ctx, time.Now().Add(readyPollInterval))
+			continue
+		}
+		err := sh.renewOnce(ctx)
+		if err == nil {
+			return
+		}
+		sh.log.warn("cannot check the registration of the instance, retrying", err)
+		sleepUntil(ctx, time.Now().Add(registerRetryInterval))
+	}
+}
+
+func (sh *Shell) renewOnce(ctx context.Context) error {
+	listCtx, cancel := context.WithTimeout(ctx, directoryTimeout)
+	defer cancel()
+	all, err := sh.registeredInstances(listCtx)
+	if err != nil {
+		return err
+	}
+	self := sh.ownRegistration()
+	for _, i := range all {
+		if i.Name == self.Name && i.Place == self.Place {
+			sh.upstreamMu.Lock()
+			sh.upstream.Refresh(all)
+			sh.upstreamMu.Unlock()
+			sh.setFleetSize(len(all), rank(self, all))
+			return nil
+		}
+	}
+	sh.log.registrationLost()
+	return sh.registerOnce(ctx, self)
+}
+
 // ownRegistration returns the registration of this instance, with its present place.
 func (sh *Shell) ownRegistration() upstream.Instance {
 	return upstream.Instance{Name: sh.settings.Instance, DataCentre: sh.settings.DataCentre, Address: sh.peerAddress(),
--- a/internal/gatewayshell/log.go
+++ b/internal/gatewayshell/log.go
@@ -115,6 +115,10 @@
 	l.log.Info("store: source is read again", zap.Stringer(logSource, k), errorField(err))
 }
 
+func (l *decisionLog) registrationLost() {
+	l.log.Warn("feed: restored store has lost the registration of this instance, registering again")
+}
+
 // followedInstance logs a change of the followed instance; an empty name means
 // that none is followed.
 func (l *decisionLog) followedInstance(name model.InstanceID) {
--- a/internal/gatewayshell/restore_test.go
+++ b/internal/gatewayshell/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -130,3 +131,21 @@
 		}
 	}
 }
+
+// Guards against an instance that nobody follows or finds any more because the restored
+// store has lost its registration.
+func TestLostRegistrationIsRenewed(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 22, 1)
+	backup := s.store.Copy()
+	registered := func(i int) bool {
+		return s.store.Contains("cuminshift-instances", fmt.Sprint("norte-", i))
+	}
+	s.waitUntil(3*time.Second, "the instance is registered", func() bool { return registered(0) })
+	s.startInstance(1)
+	s.waitUntil(3*time.Second, "the second instance follows the first", func() bool { return registered(1) && s.metric(1, "following") == 1 })
+	s.store.Restore(backup)
+	s.waitUntil(5*time.Second, "both instances are registered again and one follows the other", func() bool {
+		return registered(0) && registered(1) && s.metric(0, "following")+s.metric(1, "following") == 1
+	})
+}
--- a/internal/gatewayshell/shell.go
+++ b/internal/gatewayshell/shell.go
@@ -171,6 +171,7 @@
 	group.Go(func() error { sh.reloadSettings(serveCtx); return nil })
 	group.Go(func() error { return sh.serveFeed(serveCtx) })
 	group.Go(func() error { sh.followUpstream(serveCtx); return nil })
+	group.Go(func() error { sh.renewRegistrations(serveCtx); return nil })
 	group.Go(func() error { return sh.serveReady(serveCtx, ready) })
 	sh.log.started(sh.settings)
 
