registry: entries are replaced as a whole while packets are forwarded by them

Callers: none seen. A packet may be sent to an address that is half of one entry and half of the next.

Cause: a verdict points to the server's record, which the next update of the registry writes while the shell reads address and number from it, without the lock.

Evidence: go test -race ./internal/gatewayshell reports it at registry.put and Shell.handlePacket in each run on the commit before; not with this.

Change: a record points to an entry that is never changed, and a verdict holds that entry.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,7 +58,7 @@
 type Verdict struct {
 	Kind VerdictKind
 	// Server and Token are set for Forward.
-	Server *registry.Record
+	Server *registry.Entry
 	Token  token.Token
 	// Ack is the caller's acknowledgement number, set for Reset. The caller
 	// accepts a reset only with this sequence number.
--- a/internal/gateway/load_test.go
+++ b/internal/gateway/load_test.go
@@ -37,7 +37,7 @@
 	other := flow.Key{CallerIP: 0x0a090909, CallerPort: 7, ServiceIP: key(1).ServiceIP, ServicePort: key(1).ServicePort}
 	inst.handlePacket(&flow.Segment{Key: other, Opening: true})
 	f := inst.core.flows[other]
-	inst.core.suspects = append(inst.core.suspects[:0], inst.core.serverStates[first])
+	inst.core.suspects = append(inst.core.suspects[:0], inst.core.serverStates[inst.core.servers.Record(first.Name)])
 	f.OpeningAt = inst.now
 	inst.handlePacket(&flow.Segment{Key: other, Opening: true, RetransmitCount: 1})
 	if len(inst.core.suspects) != 0 {
--- a/internal/gateway/packets.go
+++ b/internal/gateway/packets.go
@@ -184,7 +184,7 @@
 // forward completes a verdict that forwards the packet to the flow's server.
 func (c *Core) forward(f *trackedFlow, v Verdict) Verdict {
 	v.Kind = Forward
-	v.Server = f.serverState.record
+	v.Server = f.serverState.record.Entry
 	v.Service = v.Server.Service
 	v.Token = c.tokens.TokenFor(f.serverState.record.Name)
 	return v
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -82,7 +82,9 @@
 
 // Record is a server together with its presence in the registry.
 type Record struct {
-	Entry
+	// Entry is replaced as a whole, never changed: packets are forwarded by an entry
+	// while the next one arrives.
+	*Entry
 	// Listed is set while the registry has an entry for the server.
 	Listed bool
 	// ColdUntil is the end of the cold start.
@@ -209,10 +211,10 @@
 // server wrote before the entry that this instance has; that one is then kept.
 func (g *Registry) PutCopy(now time.Time, e Entry) []Change {
 	r := g.records[e.Name]
-	if r == nil || !e.writtenBefore(&r.Entry) {
+	if r == nil || !e.writtenBefore(r.Entry) {
 		return g.Put(now, e)
 	}
-	kept := r.Entry
+	kept := *r.Entry
 	kept.ColdRemaining = max(0, r.ColdUntil.Sub(now))
 	changes := g.Put(now, kept)
 	g.lost[e.Name] = now.Add(LostRetention)
@@ -237,7 +239,7 @@
 	var out []Entry
 	for _, name := range slices.Sorted(maps.Keys(g.lost)) {
 		if r := g.records[name]; r != nil {
-			out = append(out, r.Entry)
+			out = append(out, *r.Entry)
 		}
 	}
 	return out
@@ -273,15 +275,15 @@
 func (g *Registry) put(now time.Time, e Entry, changes []Change) []Change {
 	r := g.records[e.Name]
 	if r == nil {
-		r = &Record{Entry: e, Listed: true, ColdUntil: now.Add(e.ColdRemaining)}
+		r = &Record{Entry: &e, Listed: true, ColdUntil: now.Add(e.ColdRemaining)}
 		g.records[e.Name] = r
 		return append(changes, Change{Added, r})
 	}
-	if r.Listed && r.Entry == e {
+	if r.Listed && *r.Entry == e {
 		return changes
 	}
-	before, listed := r.Entry, r.Listed
-	r.Entry, r.Listed = e, true
+	before, listed := *r.Entry, r.Listed
+	r.Entry, r.Listed = &e, true
 	delete(g.unlisted, e.Name)
 	r.ColdUntil = now.Add(e.ColdRemaining)
 	r.RemovedAt, r.graceUntil = time.Time{}, time.Time{}
@@ -316,7 +318,7 @@
 	if g.records[e.Name] != nil {
 		return nil
 	}
-	r := &Record{Entry: e, RemovedAt: now}
+	r := &Record{Entry: &e, RemovedAt: now}
 	g.records[e.Name], g.unlisted[e.Name] = r, r
 	return []Change{{Remembered, r}}
 }
@@ -327,7 +329,7 @@
 	var out []Entry
 	for _, name := range g.sortedNames() {
 		if r := g.records[name]; r.Listed {
-			e := r.Entry
+			e := *r.Entry
 			e.ColdRemaining = max(0, r.ColdUntil.Sub(now))
 			out = append(out, e)
 		}
@@ -340,7 +342,7 @@
 func (g *Registry) Unlisted() []Entry {
 	var out []Entry
 	for _, name := range sortedKeys(g.unlisted) {
-		out = append(out, g.unlisted[name].Entry)
+		out = append(out, *g.unlisted[name].Entry)
 	}
 	return out
 }
