config: write an accepted version again that the object store has lost

Operators (own interface): after the object store has returned from an older copy, every edit fails as based on a stale read, for as long as any instance holds the newer version; and once all instances have restarted, accepted edits are gone.

An editor takes an older root for a stale read, and nobody writes the version that the instances hold. A watch from an object version that is given out again shows nothing.

The cells' editors now know their instance's version, as those of the program do.

Change: an instance that reads a root older than its version writes the missing shards and the root, on condition that the root's object is as read: after a stale read the condition fails and nothing happens. After a failed watch the root is read at once; a root is passed on even if its object's version is known. The matrix checks at the end that the store has all accepted edits.

--- a/internal/config/replica.go
+++ b/internal/config/replica.go
@@ -145,6 +145,34 @@
 	return r.stageRoot(now, root)
 }
 
+// Rewrite is what has to be written so that the store holds the current version again.
+// The shards are written first, then the root on condition that its object has the
+// version as of which it was read.
+type Rewrite struct {
+	// Version is the version of the configuration.
+	Version uint64
+	Shards  []*pb.Shard
+	Root    []byte
+}
+
+// RewriteFor returns what has to be written to a store that has lost the current
+// version, which is the case if the root in it is of an older one. A root that was
+// read stale looks the same; the condition on its object then fails. RewriteFor
+// returns nil if there is nothing to write.
+func (r *Replica) RewriteFor(value []byte) *Rewrite {
+	stored, err := DecodeRoot(value)
+	if err != nil || stored.GetVersion() >= r.current.Version {
+		return nil
+	}
+	root, err := encodeRoot(r.current.Root)
+	if err != nil {
+		r.lastErr = err
+		return nil
+	}
+	set := &ShardSet{Refs: r.current.Root.GetShards(), Shards: r.shards}
+	return &Rewrite{Version: r.current.Version, Shards: newShards(stored, set), Root: root}
+}
+
 // AddShards adds shards, by hash, that were read from the store. Shards that are not
 // missing or do not match their hash are ignored. The results are those of
 // HandleStoreRoot.
--- a/internal/config/replica_test.go
+++ b/internal/config/replica_test.go
@@ -284,3 +284,32 @@
 	data, _ := proto.Marshal(r.current.Root)
 	return data
 }
+
+// Guards against an accepted edit that reverts with the restart of all instances, and
+// against edits that fail for ever: the store has returned from an older copy.
+func TestLostVersionIsWrittenAgain(t *testing.T) {
+	s := storeWithSamples(t)
+	old := s.latest(RootKey).value
+	s.publishVersions(t, 1)
+	r := newTestReplica("a", nil)
+	s.loadInto(r, epoch)
+	if rewrite := r.RewriteFor(s.latest(RootKey).value); rewrite != nil {
+		t.Fatalf("rewrite of the version that the store has: %+v", rewrite)
+	}
+	rewrite := r.RewriteFor(old)
+	if rewrite == nil || rewrite.Version != 2 || len(rewrite.Shards) != 1 {
+		t.Fatalf("after an older copy: %+v; want version 2 with the one shard that the copy lacks", rewrite)
+	}
+	if rewrite := r.RewriteFor(nil); rewrite == nil || len(rewrite.Shards) != len(r.Current().Root.GetShards()) {
+		t.Fatalf("after an empty copy: %+v; want all shards", rewrite)
+	}
+	restored := newTestReplica("b", nil)
+	restored.HandleStoreRoot(epoch, rewrite.Root)
+	shards := map[string][]byte{}
+	for _, hash := range restored.MissingShards() {
+		shards[hash], _ = r.Shard(hash)
+	}
+	if changed, _ := restored.AddShards(epoch, shards); !changed || restored.Current().Version != 2 {
+		t.Errorf("an instance that starts on the rewritten store has version %d", restored.Current().Version)
+	}
+}
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -24,6 +24,7 @@
 package entry
 
 import (
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"net/netip"
@@ -261,6 +262,10 @@
 	case StoreRootRead:
 		changed, messages := c.replica.HandleStoreRoot(now, e.Value)
 		c.applyConfig(now, changed, messages, "read from the store")
+		if rewrite := c.replica.RewriteFor(e.Value); rewrite != nil {
+			c.journal.Add(now, "config", "store has lost the configuration, writing it again", fmt.Sprintf("version %d", rewrite.Version))
+			c.emit(RewriteStore{Rewrite: *rewrite, IfVersion: e.ObjectVersion})
+		}
 	case StoreShardsRead:
 		changed, messages := c.replica.AddShards(now, e.Shards)
 		c.applyConfig(now, changed, messages, "read from the store")
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"cuminshift/internal/config"
 	pb "cuminshift/internal/gen/cuminshift/v1"
 	"cuminshift/internal/model"
 )
@@ -37,9 +38,11 @@
 	Instances []*pb.ListedInstance
 }
 
-// StoreRootRead is the root object as read from the store.
+// StoreRootRead is the root object as read from the store, and its version there;
+// version 0 means that it does not exist.
 type StoreRootRead struct {
-	Value []byte
+	Value         []byte
+	ObjectVersion uint64
 }
 
 // StoreShardsRead contains shards that MissingShards named, by hash, as read
@@ -107,6 +110,13 @@
 	Path   int
 }
 
+// RewriteStore requests that a configuration be written that the store has lost.
+type RewriteStore struct {
+	config.Rewrite
+	// IfVersion is the object version on which the write of the root is conditional.
+	IfVersion uint64
+}
+
 // Stopped reports that a planned stop is complete.
 type Stopped struct{}
 
@@ -115,6 +125,7 @@
 func (Relay) isAction()        {}
 func (SendToPeer) isAction()   {}
 func (ReplacePath) isAction()  {}
+func (RewriteStore) isAction() {}
 func (Stopped) isAction()      {}
 
 // TickInterval is the time between two Tick events.
--- a/internal/faultmatrix/cells.go
+++ b/internal/faultmatrix/cells.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 
 	pb "cuminshift/internal/gen/cuminshift/v1"
@@ -90,6 +91,14 @@
 		s.store.answersToLose = 1
 		s.operator.submit(s.drainEdit(s.servers[serverAddr("ordenes", "a", 2)]))
 	}},
+	{"store-restored", false, func(s *sim, _ faultTarget) {
+		backup := maps.Clone(s.store.objects)
+		s.operator.submit(s.drainEdit(s.servers[serverAddr("ordenes", "a", 2)]))
+		s.after(3*time.Second, func() {
+			s.store.restore(backup)
+			s.operator.submit(s.drainEdit(s.servers[serverAddr("campo", "b", 2)]))
+		})
+	}},
 	{"two-operators", false, func(s *sim, _ faultTarget) {
 		s.operator.submit(s.drainEdit(s.servers[serverAddr("campo", "a", 2)]))
 		s.operator.submit(s.drainEdit(s.servers[serverAddr("campo", "b", 2)]))
--- a/internal/faultmatrix/entry_instance.go
+++ b/internal/faultmatrix/entry_instance.go
@@ -151,6 +151,8 @@
 			out = append(out, ToPeer{a.To, proto.Clone(a.Batch).(*pb.PeerBatch)})
 		case entry.ReplacePath:
 			out = append(out, ReplacePath{a.Server, a.Path})
+		case entry.RewriteStore:
+			out = append(out, inst.rewriteStore(a)...)
 		case entry.Stopped:
 			out = append(out, Stopped{})
 		}
@@ -193,6 +195,12 @@
 	return out
 }
 
+// StoredVersion implements Instance.
+func (inst *entryInstance) StoredVersion(object func(key string) []byte) (uint64, error) {
+	root, err := config.DecodeRoot(object(config.RootKey))
+	return root.GetVersion(), err
+}
+
 // callStore assigns a token to a store call and registers the handler of its reply.
 func (inst *entryInstance) callStore(c StoreCall, run func(time.Time, StoreReply) []any) StoreCall {
 	inst.lastToken++
@@ -205,14 +213,11 @@
 // read after storeBackoff.
 func (inst *entryInstance) handleRootRead(now time.Time, r StoreReply) []any {
 	if r.Err != nil {
+		inst.rootVersion = 0
 		inst.timers = append(inst.timers, timer{now.Add(storeBackoff), func(time.Time) []any { inst.readingRoot = false; return nil }})
 		return nil
 	}
-	if r.Version == 0 || r.Version == inst.rootVersion {
-		inst.readingRoot = false
-		return nil
-	}
-	out := inst.handleEvent(now, entry.StoreRootRead{Value: r.Value})
+	out := inst.handleEvent(now, entry.StoreRootRead{Value: r.Value, ObjectVersion: r.Version})
 	return append(out, inst.readShards(inst.core.MissingShards(), func(now time.Time, shards map[string][]byte, err error) []any {
 		inst.readingRoot = false
 		if err != nil {
@@ -256,7 +261,7 @@
 // startEdit starts an editor for an edit of the lists.
 func (inst *entryInstance) startEdit(now time.Time, e Edit) []any {
 	r := e.Request
-	editor := config.NewEditor(config.EditorConfig{Deadline: now.Add(editTimeout), Rand: inst.rng, LocalShard: inst.core.Shard, InForceVersion: inst.core.InForceVersion(now)},
+	editor := config.NewEditor(config.EditorConfig{Deadline: now.Add(editTimeout), Rand: inst.rng, LocalShard: inst.core.Shard, InForceVersion: inst.core.InForceVersion(now), LocalVersion: inst.core.Configuration().Version},
 		config.Edit{ID: r.GetEditId(), Operator: r.GetOperator(), Summary: r.GetSummary(), BaseVersion: r.GetBaseVersion(), Callers: r.GetCallers(), Plans: r.GetPlans(), Marks: r.GetMarks()})
 	return inst.performEditAction(now, e.Token, editor, editor.Start(now))
 }
@@ -338,6 +343,23 @@
 	return out
 }
 
+// rewriteStore writes a configuration that the store has lost. If it fails, the next
+// read of the root leads to the next attempt.
+func (inst *entryInstance) rewriteStore(a entry.RewriteStore) []any {
+	writeRoot := func(time.Time, config.Result) []any {
+		return []any{inst.callStore(StoreCall{Key: config.RootKey, Put: true, Value: a.Root, IfVersion: &a.IfVersion}, func(time.Time, StoreReply) []any { return nil })}
+	}
+	if len(a.Shards) == 0 {
+		return writeRoot(time.Time{}, nil)
+	}
+	return inst.writeShards(a.Shards, func(now time.Time, r config.Result) []any {
+		if _, failed := r.(config.StoreFailed); failed {
+			return nil
+		}
+		return writeRoot(now, r)
+	})
+}
+
 // instanceAddr returns the packet address of an instance.
 func instanceAddr(id model.InstanceID) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, id[0], id[1]}), 9101)
--- a/internal/faultmatrix/fakes.go
+++ b/internal/faultmatrix/fakes.go
@@ -1,12 +1,14 @@
 package faultmatrix
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"cuminshift/internal/config"
 	pb "cuminshift/internal/gen/cuminshift/v1"
 	"cuminshift/internal/model"
 	"cuminshift/internal/standin/wire"
@@ -60,6 +62,17 @@
 	store.completeWatches()
 }
 
+// restore replaces the objects by a copy. Watches that wait are cut off.
+func (store *fakeStore) restore(objects map[string]object) {
+	store.objects = maps.Clone(objects)
+	store.s.tracef("store: restored from a copy, root version %d", store.objects[config.RootKey].version)
+	for _, w := range slices.Clone(store.watches) {
+		w.done = true
+		store.answer(w.instance, w.incarnation, StoreReply{Token: w.call.Token, Err: errUnavailable}, time.Millisecond)
+	}
+	store.watches = nil
+}
+
 // completeWatches answers the watches whose object has a later version than the
 // call's After.
 func (store *fakeStore) completeWatches() {
--- a/internal/faultmatrix/instance.go
+++ b/internal/faultmatrix/instance.go
@@ -21,6 +21,9 @@
 	// returns its content.
 	Version() uint64
 	Lists() (*pb.PlanList, *pb.Marks)
+	// StoredVersion returns the configuration version that a store with the given
+	// objects holds.
+	StoredVersion(object func(key string) []byte) (uint64, error)
 	// Publishing reports whether the instance publishes the state of its data
 	// centre.
 	Publishing(now time.Time) bool
--- a/internal/faultmatrix/observer.go
+++ b/internal/faultmatrix/observer.go
@@ -313,11 +313,28 @@
 			o.checkInForce(e)
 		}
 	}
+	o.checkStored()
 	for _, key := range o.s.flowKeys {
 		o.checkFlowEnd(o.s.flows[key])
 	}
 }
 
+// checkStored reports an accepted edit that the store does not have (I10): it would
+// revert once all instances have restarted.
+func (o *observer) checkStored() {
+	object := func(key string) []byte { return o.s.store.objects[key].value }
+	stored, err := o.s.instances[o.s.instanceIDs[0]].impl.StoredVersion(object)
+	if err != nil {
+		o.report("I10", "root in the store: %v", err)
+		return
+	}
+	for _, e := range o.edits {
+		if o.olderThan(e.acceptedAt, configApplyLimit) && e.version > stored {
+			o.report("I10", "the store has version %d, without the accepted edit %s of version %d", stored, e.id, e.version)
+		}
+	}
+}
+
 // checkNothingInUse reports instances that count flows or requests as open although
 // all traffic has ended releaseLimit ago.
 func (o *observer) checkNothingInUse() {
--- a/internal/faultmatrix/reference_test.go
+++ b/internal/faultmatrix/reference_test.go
@@ -49,6 +49,12 @@
 }
 
 func (inst *referenceInstance) Version() uint64 { return inst.state.version }
+
+// StoredVersion implements Instance. What the reference instances store is their common
+// state.
+func (inst *referenceInstance) StoredVersion(func(string) []byte) (uint64, error) {
+	return inst.state.version, nil
+}
 func (inst *referenceInstance) Lists() (*pb.PlanList, *pb.Marks) {
 	return inst.state.plans, inst.state.marks
 }
--- a/internal/shell/clients.go
+++ b/internal/shell/clients.go
@@ -100,6 +100,8 @@
 		}
 		sh.clients.setStoreReachable(err == nil)
 		if err != nil {
+			// After an outage the store may be older than before.
+			seenVersion = 0
 			sleep(ctx, storeRetryInterval)
 			continue
 		}
@@ -115,10 +117,9 @@
 	if err != nil {
 		return seenVersion, err
 	}
-	if version == 0 || version == seenVersion {
-		return version, nil
-	}
-	sh.handle(entry.StoreRootRead{Value: value})
+	// An object version may have been given out again after the store was restored, so
+	// that the root is passed on even if its version is the one seen.
+	sh.handle(entry.StoreRootRead{Value: value, ObjectVersion: version})
 	shards := map[string][]byte{}
 	for _, hash := range sh.core.MissingShards() {
 		data, version, err := sh.clients.store.Get(ctx, config.ShardKey(hash))
@@ -135,6 +136,18 @@
 	return version, nil
 }
 
+// rewriteStore writes a configuration that the store has lost. If it fails, the next
+// read of the root leads to the next attempt.
+func (sh *Shell) rewriteStore(a entry.RewriteStore) {
+	ctx, cancel := context.WithTimeout(context.Background(), editTimeout)
+	defer cancel()
+	if err := storeclient.Rewrite(ctx, sh.clients.store, &a.Rewrite, a.IfVersion); err != nil {
+		sh.log.Info("config: lost configuration not written again", zap.Uint64(logVersion, a.Version), zap.String(logCause, err.Error()))
+		return
+	}
+	sh.log.Warn("config: store had lost the configuration, written again", zap.Uint64(logVersion, a.Version))
+}
+
 // checkStore reports whether the store answers a read. Status requests need
 // this because only readers know it from their watch.
 func (sh *Shell) checkStore(ctx context.Context) bool {
--- a/internal/shell/shell.go
+++ b/internal/shell/shell.go
@@ -209,6 +209,8 @@
 			sh.peers.send(a.To, a.Address, a.Batch)
 		case entry.ReplacePath:
 			sh.paths.replace(a.Server, a.Path)
+		case entry.RewriteStore:
+			go sh.rewriteStore(a)
 		case entry.Stopped:
 			sh.stopOnce.Do(func() { close(sh.stopped) })
 		}
--- a/internal/storeclient/edit.go
+++ b/internal/storeclient/edit.go
@@ -79,6 +79,16 @@
 	return config.Elapsed{}
 }
 
+// Rewrite writes a configuration that the store has lost, on condition that the object
+// of the root has the version ifVersion.
+func Rewrite(ctx context.Context, store Store, r *config.Rewrite, ifVersion uint64) error {
+	if failed, ok := writeShards(ctx, store, r.Shards).(config.StoreFailed); ok {
+		return failed.Err
+	}
+	_, err := store.Put(ctx, config.RootKey, r.Root, &ifVersion)
+	return err
+}
+
 func readShards(ctx context.Context, store Store, hashes []string) config.Result {
 	shards, err := GetShards(ctx, store, hashes)
 	if err != nil {
