--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -51,6 +51,7 @@
 	{"store slow", (*faultInjector).slowStore},
 	{"path to the store impaired", (*faultInjector).impairStorePath},
 	{"history of the store compacted", (*faultInjector).compactStore},
+	{"store restored from a copy", (*faultInjector).restoreStore},
 	{"packets to an instance lost", (*faultInjector).blackholeInstance},
 	{"server killed", (*faultInjector).killServer},
 	{"server drained", (*faultInjector).drainServer},
@@ -151,6 +152,33 @@
 
 func (r *faultInjector) compactStore(time.Duration) { r.fleet.store.Compact() }
 
+const (
+	// restoreOutage is how long the store is away before it returns from a copy.
+	restoreOutage = 500 * time.Millisecond
+	// rewriteDelay is the time from its return until operators have written their
+	// changes again and the entries of servers that have left are removed.
+	rewriteDelay = time.Second
+)
+
+// restoreStore lets the store return from a copy that is as old as the duration. What
+// instances had written there since is lost; operators write their changes again.
+func (r *faultInjector) restoreStore(duration time.Duration) {
+	s := r.fleet.store
+	backup := s.Copy()
+	r.obs.noteFault(time.Now().Add(duration + restoreOutage + rewriteDelay))
+	time.AfterFunc(duration, func() {
+		lost := s.Copy()
+		s.SetMode(store.Reset, 0)
+		s.Restore(backup)
+		time.AfterFunc(restoreOutage, func() { s.SetMode(store.Up, 0) })
+		time.AfterFunc(restoreOutage+rewriteDelay, func() {
+			for _, kind := range []string{"config", "evacuations", "servers"} {
+				s.Rewrite(kind, lost)
+			}
+		})
+	})
+}
+
 // pickServer returns a random serving server of service campo. It returns nil if
 // no more servers are serving than there are zones, because others must remain
 // in the server's zone.
--- a/internal/standin/platform/store/store.go
+++ b/internal/standin/platform/store/store.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -74,6 +75,8 @@
 	// era is the number of restorations from a copy, plus 1.
 	era     int64
 	history []Event
+	// changedInEra holds, by kind, the names of the objects changed in this era.
+	changedInEra map[string]map[string]bool
 	// compactedRevision is the revision up to which the history has been
 	// dropped.
 	compactedRevision int64
@@ -88,7 +91,7 @@
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{kinds: map[string]map[string]*Object{}, revision: 1, era: 1, changed: make(chan struct{}), calls: map[string]int{}}
+	return &Store{kinds: map[string]map[string]*Object{}, revision: 1, era: 1, changedInEra: map[string]map[string]bool{}, changed: make(chan struct{}), calls: map[string]int{}}
 }
 
 // SetMode sets the mode in which the store answers and the delay before each
@@ -131,9 +134,29 @@
 	s.history = slices.DeleteFunc(s.history, func(e Event) bool { return e.revision > c.revision })
 	s.compactedRevision = min(s.compactedRevision, c.revision)
 	s.era++
+	clear(s.changedInEra)
 	s.notifyWatches()
 }
 
+// Rewrite writes the objects of a kind again as they are in a copy, and deletes the
+// others, as the writers of what a restored store has lost do. It leaves alone what has
+// been changed since the restoration.
+func (s *Store) Rewrite(kind string, c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := maps.Clone(s.changedInEra[kind])
+	for _, name := range slices.Sorted(maps.Keys(s.kinds[kind])) {
+		if c.kinds[kind][name] == nil && !changed[name] {
+			s.delete(kind, name)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.kinds[kind])) {
+		if !changed[name] {
+			s.put(kind, name, c.kinds[kind][name].Spec)
+		}
+	}
+}
+
 func cloneKinds(kinds map[string]map[string]*Object) map[string]map[string]*Object {
 	out := map[string]map[string]*Object{}
 	for kind, objects := range kinds {
@@ -227,6 +250,10 @@
 
 func (s *Store) recordEvent(e Event) {
 	s.history = append(s.history, e)
+	if s.changedInEra[e.kind] == nil {
+		s.changedInEra[e.kind] = map[string]bool{}
+	}
+	s.changedInEra[e.kind][e.Object.Meta.Name] = true
 	s.notifyWatches()
 }
 
