Keep an accepted configuration in the restored store, beside the older one

Callers: an instance that starts on the copy and reaches no instance that has the newer configuration, in a data centre that is cut off from the others or after all others have restarted, serves by the older one until the operator writes the newer one again.

Cause: instances tell each other only. The store, which both may reach, has the older version, and nobody writes there what it has lost.

Evidence: TestStartOnRestoredCopyWithoutOtherInstances fails without this: the restarted instance stays at version 1.

Whoever reads or watches the object uses the newer of the two, without a further call. Operators' writes keep the upper hand, since their versions rise.

--- a/internal/feed/codec.go
+++ b/internal/feed/codec.go
@@ -19,7 +19,7 @@
 func Encode(k source.Kind, u *source.Update, base *routing.Configuration) *pb.FeedUpdate {
 	m := &pb.FeedUpdate{Kind: uint32(k), Full: u.Full, Era: int64(u.Position.Era), Revision: int64(u.Position.Revision)}
 	if u.Configuration != nil {
-		m.Configuration = encodeConfiguration(u.Configuration, base)
+		m.Configuration = EncodeConfiguration(u.Configuration, base)
 	}
 	for i := range u.Servers {
 		m.Servers = append(m.Servers, EncodeServer(&u.Servers[i].Entry, u.Servers[i].Removed))
@@ -46,7 +46,9 @@
 	return out
 }
 
-func encodeConfiguration(c, base *routing.Configuration) *pb.FeedConfiguration {
+// EncodeConfiguration returns the message of a configuration, as its differences from
+// base or, if base is nil, complete.
+func EncodeConfiguration(c, base *routing.Configuration) *pb.FeedConfiguration {
 	m := &pb.FeedConfiguration{Version: c.Version, IdleTimeoutMs: uint32(c.IdleTimeout.Milliseconds())}
 	for _, s := range c.Services {
 		m.Services = append(m.Services, &pb.FeedService{Name: s.Name, HealthPath: s.HealthPath, ColdOpenings: s.ColdOpenings})
@@ -100,7 +102,7 @@
 	}
 	u := source.Update{Full: m.Full, Position: source.Position{Era: source.Era(m.Era), Revision: source.Revision(m.Revision)}}
 	if m.Configuration != nil {
-		c, err := decodeConfiguration(m.Configuration, current)
+		c, err := DecodeConfiguration(m.Configuration, current)
 		if err != nil {
 			return 0, source.Update{}, err
 		}
@@ -117,7 +119,9 @@
 	return k, u, nil
 }
 
-func decodeConfiguration(m *pb.FeedConfiguration, current *routing.Configuration) (*routing.Configuration, error) {
+// DecodeConfiguration returns the configuration of a message. current is the one to
+// which differences are applied; it may be nil.
+func DecodeConfiguration(m *pb.FeedConfiguration, current *routing.Configuration) (*routing.Configuration, error) {
 	c := &routing.Configuration{
 		Version:     m.Version,
 		IdleTimeout: time.Duration(m.IdleTimeoutMs) * time.Millisecond,
--- a/internal/gatewayshell/log.go
+++ b/internal/gatewayshell/log.go
@@ -115,6 +115,10 @@
 	l.log.Info("store: source is read again", zap.Stringer(logSource, k), errorField(err))
 }
 
+func (l *decisionLog) configurationKept(version int64) {
+	l.log.Info("store: restored to an older configuration, the one in use is kept beside it", zap.Int64(logConfiguration, version))
+}
+
 func (l *decisionLog) registrationLost() {
 	l.log.Warn("feed: restored store has lost the registration of this instance, registering again")
 }
--- a/internal/gatewayshell/restore_test.go
+++ b/internal/gatewayshell/restore_test.go
@@ -149,3 +149,16 @@
 		return registered(0) && registered(1) && s.metric(0, "following")+s.metric(1, "following") == 1
 	})
 }
+
+// Guards against an older configuration at an instance that starts on a copy and reaches
+// no instance that has the newer one.
+func TestStartOnRestoredCopyWithoutOtherInstances(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, 23, 1)
+	backup := s.store.Copy()
+	s.addRoute(5)
+	s.store.Restore(backup)
+	s.waitUntil(5*time.Second, "the configuration in use is kept in the store", func() bool { return s.store.Calls()["PUT config"] == 1 })
+	s.restartInstance(0, func() {})
+	s.waitUntil(3*time.Second, "the restarted instance uses version 5", func() bool { return s.configurationVersion(0) == 5 })
+}
--- a/internal/gatewayshell/shell.go
+++ b/internal/gatewayshell/shell.go
@@ -102,6 +102,8 @@
 	storeFailed, storeAnswered atomic.Bool
 
 	era *eraMonitor
+	// keeping is set while a configuration that the store has lost is stored.
+	keeping atomic.Bool
 
 	// fleetSize is the number of registered instances, rank the position of this
 	// one among them in the order of their registrations, from 0.
--- a/internal/gatewayshell/watch.go
+++ b/internal/gatewayshell/watch.go
@@ -62,6 +62,9 @@
 		sh.handleEvent(gateway.SourceUpdated{Kind: k, Update: u, AsOf: call.AsOf(sent, now)})
 		sh.feed.notify()
 		sh.era.observe(u.Position.Era)
+		if k == source.Configuration {
+			sh.keepConfiguration(ctx, &u)
+		}
 		if call.Read {
 			sh.awaitUpstream(ctx, now.Add(call.MaxUnconfirmed))
 		}
--- a/internal/source/load_test.go
+++ b/internal/source/load_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cuminshift/internal/registry"
+	"cuminshift/internal/routing"
 )
 
 // fakeStore returns prepared updates and counts the calls.
@@ -32,6 +33,10 @@
 	return f.changes, f.watchErr
 }
 
+func (f *fakeStore) KeepConfiguration(context.Context, *routing.Configuration) (bool, error) {
+	return false, nil
+}
+
 func (f *fakeStore) Reconnect(Kind) {}
 
 func server(name string, removed bool) ServerChange {
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -119,6 +119,9 @@
 	ErrRestored = errors.New("store: restored from a copy, earlier revisions do not apply")
 	// ErrOutdated means that an answer is of an earlier era than one received before.
 	ErrOutdated = errors.New("store: answer from before the store was restored")
+	// ErrChanged means that a conditional write was rejected because the object has
+	// changed.
+	ErrChanged = errors.New("store: object has changed")
 	// ErrUnavailable means that the store rejected the call without processing
 	// it.
 	ErrUnavailable = errors.New("store: unavailable, call not processed")
@@ -137,6 +140,10 @@
 	// Watch returns the changes after a position as soon as there are any, or
 	// an empty update after wait. After ErrCompacted or ErrRestored a Read is needed.
 	Watch(ctx context.Context, k Kind, since Position, wait time.Duration) (Update, error)
+	// KeepConfiguration stores a configuration that was accepted beside an older one
+	// that the store was restored to, so that Read and Watch return the newer of the
+	// two. kept is false if the store has the version or a newer one.
+	KeepConfiguration(ctx context.Context, c *routing.Configuration) (kept bool, err error)
 	// Reconnect drops the source's open connections, since one of them may no
 	// longer deliver anything.
 	Reconnect(k Kind)
--- a/internal/standin/platform/store/store.go
+++ b/internal/standin/platform/store/store.go
@@ -18,6 +18,7 @@
 
 const (
 	pathPrefix = "/cuminshift/objects/"
+	eraHeader  = "Store-Era"
 	pageSize   = 50
 	maxBody    = 1 << 20
 )
@@ -67,15 +68,17 @@
 	mu sync.Mutex
 	// kinds holds the objects by kind and name.
 	kinds map[string]map[string]*Object
-	// staleKinds and staleRevision are the state that stale lists return; nil and 0
-	// for the present one.
+	// staleKinds, staleRevision and staleEra are the state that stale lists return; nil
+	// and 0 for the present one.
 	staleKinds    map[string]map[string]*Object
 	staleRevision int64
+	staleEra      int64
 	revision      int64
 	// era is the number of restorations from a copy, plus 1.
 	era     int64
 	history []Event
-	// changedInEra holds, by kind, the names of the objects changed in this era.
+	// changedInEra holds, by kind, the names of the objects whose spec was changed in
+	// this era.
 	changedInEra map[string]map[string]bool
 	// compactedRevision is the revision up to which the history has been
 	// dropped.
@@ -174,7 +177,7 @@
 func (s *Store) FreezeStale() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.staleKinds, s.staleRevision = cloneKinds(s.kinds), s.revision
+	s.staleKinds, s.staleRevision, s.staleEra = cloneKinds(s.kinds), s.revision, s.era
 }
 
 // Calls returns the number of calls by method and kind; a key is "GET config" or,
@@ -233,16 +236,34 @@
 		s.kinds[kind][name] = o
 	}
 	o.Spec, o.Meta.Revision = spec, s.revision
+	s.noteChanged(kind, name)
 	s.recordEvent(Event{Object: *o, kind: kind, revision: s.revision})
 	return o
 }
 
+func (s *Store) noteChanged(kind, name string) {
+	if s.changedInEra[kind] == nil {
+		s.changedInEra[kind] = map[string]bool{}
+	}
+	s.changedInEra[kind][name] = true
+}
+
+func (s *Store) putStatus(kind string, o *Object, status json.RawMessage) {
+	if string(o.Status) == string(status) {
+		return
+	}
+	s.revision++
+	o.Status, o.Meta.Revision = status, s.revision
+	s.recordEvent(Event{Object: *o, kind: kind, revision: s.revision})
+}
+
 func (s *Store) delete(kind, name string) bool {
 	o := s.kinds[kind][name]
 	if o == nil {
 		return false
 	}
 	delete(s.kinds[kind], name)
+	s.noteChanged(kind, name)
 	s.revision++
 	s.recordEvent(Event{Object: *o, Deleted: true, kind: kind, revision: s.revision})
 	return true
@@ -250,10 +271,6 @@
 
 func (s *Store) recordEvent(e Event) {
 	s.history = append(s.history, e)
-	if s.changedInEra[e.kind] == nil {
-		s.changedInEra[e.kind] = map[string]bool{}
-	}
-	s.changedInEra[e.kind][e.Object.Meta.Name] = true
 	s.notifyWatches()
 }
 
@@ -312,6 +329,7 @@
 	kinds, revision := s.kinds, s.revision
 	if s.staleKinds != nil && r.URL.Query().Has("allow_stale") {
 		kinds, revision = s.staleKinds, s.staleRevision
+		w.Header().Set(eraHeader, strconv.FormatInt(s.staleEra, 10))
 	}
 	var names []string
 	for name := range kinds[kind] {
@@ -413,6 +431,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stateEra(w)
+	name, ofStatus := strings.CutSuffix(name, "/status")
 	current := s.kinds[kind][name]
 	switch {
 	case r.Method == http.MethodPost && current != nil,
@@ -420,6 +439,9 @@
 		writeJSON(w, http.StatusConflict, current)
 	case r.Method == http.MethodPut && current == nil:
 		w.WriteHeader(http.StatusNotFound)
+	case ofStatus:
+		s.putStatus(kind, current, o.Status)
+		writeJSON(w, http.StatusOK, current)
 	default:
 		writeJSON(w, http.StatusOK, s.put(kind, name, o.Spec))
 	}
@@ -441,7 +463,7 @@
 
 // stateEra sets the header with the era. mu must be held.
 func (s *Store) stateEra(w http.ResponseWriter) {
-	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+	w.Header().Set(eraHeader, strconv.FormatInt(s.era, 10))
 }
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
