upstream: the number of instances does not fall right after a restoration

Callers: a server in cold start may get more openings than it bears after a restoration, since each instance takes a larger share.

Cause: instances share what a cold server takes by the number of registrations, and the restored store has lost some of them, until they are renewed. The number was taken from the list as it is.

Change: for 20 s after a restoration the number may only rise. Remaining: an instance that starts on the copy and follows none counts what is registered.

An answer of an earlier era than one seen before its call is a failure, with a pause: a store that states eras out of order must not be read in a loop.

--- a/internal/gatewayshell/feedclient.go
+++ b/internal/gatewayshell/feedclient.go
@@ -173,6 +173,9 @@
 		}
 		first := previous == unknownEra
 		if previous = sh.era.current(); !first {
+			sh.fleetMu.Lock()
+			sh.fleet.StoreRestored(time.Now())
+			sh.fleetMu.Unlock()
 			sh.renewRegistration(ctx)
 		}
 	}
@@ -260,7 +263,11 @@
 	sh.feed.notify()
 }
 
-func (sh *Shell) setFleetSize(instances, rank int) {
+// setFleetSize records a count of the registered instances and the rank of this one.
+func (sh *Shell) setFleetSize(registered, rank int) {
+	sh.fleetMu.Lock()
+	instances := sh.fleet.Count(time.Now(), registered)
+	sh.fleetMu.Unlock()
 	sh.rank.Store(int32(rank))
 	if sh.fleetSize.Swap(int32(instances)) != int32(instances) {
 		sh.handleEvent(gateway.FleetSize{Instances: instances, Rank: rank})
--- a/internal/gatewayshell/shell.go
+++ b/internal/gatewayshell/shell.go
@@ -108,6 +108,9 @@
 	// fleetSize is the number of registered instances, rank the position of this
 	// one among them in the order of their registrations, from 0.
 	fleetSize, rank atomic.Int32
+	// fleetMu guards fleet. It is acquired last.
+	fleetMu sync.Mutex
+	fleet   upstream.FleetSize
 	feed            *Feed
 	feedBytes       rpcframe.ByteCounters
 	// upstreamMu guards upstream. It is acquired before the core's lock.
--- a/internal/gatewayshell/watch.go
+++ b/internal/gatewayshell/watch.go
@@ -183,6 +183,7 @@
 	defer cancel()
 	sh.counters.storeCalls.Inc(1)
 	store := sh.reloadable.Load().store
+	known := sh.era.current()
 	var u source.Update
 	var err error
 	switch {
@@ -193,8 +194,7 @@
 	default:
 		u, err = store.Watch(ctx, k, call.Since, call.Wait)
 	}
-	// Another instance may have passed on the source as of a later era meanwhile.
-	if err == nil && u.Position.Era < sh.core.Positions()[k].Era {
+	if err == nil && u.Position.Era < known {
 		err = source.ErrOutdated
 	}
 	return u, err
