feed: a configuration without other changes states its position

A response with a newer configuration and no other change was encoded with the zero position, of an era before the present one: the configuration was used, but the response confirmed nothing and gave a line 'update ignored'. Found by reading.

--- a/internal/gatewayshell/feedserver.go
+++ b/internal/gatewayshell/feedserver.go
@@ -131,6 +131,9 @@
 		if k == source.Configuration && statesEras(request) {
 			u.Configuration = f.shell.core.ConfigurationNewerThan(request.ConfigurationVersion)
 		}
+		if u.Position.IsZero() {
+			u.Position = positions[k]
+		}
 		if !u.Empty() {
 			message := feed.Encode(k, &u, f.baseConfiguration(request, &u, since))
 			f.countUpdate(k, message)
