registry: what the store lost is told only if it says something else, and never brings back an entry

An entry that another instance tells of was put even if the store has none for the server, which then counted as listed. Entries of a copy that differ from the ones held in their count only were told too.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -80,6 +80,14 @@
 	return other.Draining && !e.Draining
 }
 
+// saysSame reports whether two entries differ at most in what changes by itself: the
+// remaining cold start and the count of entries.
+func (e *Entry) saysSame(other *Entry) bool {
+	a, b := *e, *other
+	a.ColdRemaining, a.Sequence = b.ColdRemaining, b.Sequence
+	return a == b
+}
+
 // Record is a server together with its presence in the registry.
 type Record struct {
 	// Entry is replaced as a whole, never changed: packets are forwarded by an entry
@@ -217,7 +225,9 @@
 	kept := *r.Entry
 	kept.ColdRemaining = max(0, r.ColdUntil.Sub(now))
 	changes := g.Put(now, kept)
-	g.lost[e.Name] = now.Add(LostRetention)
+	if !e.saysSame(&kept) {
+		g.lost[e.Name] = now.Add(LostRetention)
+	}
 	return changes
 }
 
@@ -225,7 +235,7 @@
 // if it is later than the one known here.
 func (g *Registry) PutLost(now time.Time, e Entry) []Change {
 	r := g.records[e.Name]
-	if r == nil || !r.Entry.writtenBefore(&e) {
+	if r == nil || !r.Listed || !r.Entry.writtenBefore(&e) {
 		return nil
 	}
 	changes := g.Put(now, e)
@@ -238,7 +248,7 @@
 func (g *Registry) Lost() []Entry {
 	var out []Entry
 	for _, name := range slices.Sorted(maps.Keys(g.lost)) {
-		if r := g.records[name]; r != nil {
+		if r := g.records[name]; r != nil && r.Listed {
 			out = append(out, *r.Entry)
 		}
 	}
@@ -287,11 +297,10 @@
 	delete(g.unlisted, e.Name)
 	r.ColdUntil = now.Add(e.ColdRemaining)
 	r.RemovedAt, r.graceUntil = time.Time{}, time.Time{}
-	before.ColdRemaining, before.Sequence = e.ColdRemaining, e.Sequence
 	switch {
 	case e.Incarnation != before.Incarnation:
 		return append(changes, Change{Restarted, r})
-	case listed && before == e:
+	case listed && before.saysSame(&e):
 		// Only the remaining cold start or the sequence changed.
 		return changes
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -14,6 +14,8 @@
 //	put at=MS name=N [draining] [incarnation=N] [sequence=N]
 //	put-copy at=MS name=N [draining] [incarnation=N] [sequence=N]
 //	restored at=MS
+//	put-lost at=MS name=N sequence=N
+//	lost at=MS
 //	remove at=MS name=N
 //	list at=MS names=(N,...)
 //	call-failed at=MS
@@ -72,6 +74,18 @@
 			case "call-succeeded":
 				g.CallSucceeded(now)
 				return ""
+			case "put-lost":
+				var e Entry
+				d.ScanArgs(t, "name", &e.Name)
+				d.ScanArgs(t, "sequence", &e.Sequence)
+				e.Service, e.Slots, e.Draining = "campo", 3, true
+				return format(g.PutLost(now, e))
+			case "lost":
+				var out []string
+				for _, e := range g.Lost() {
+					out = append(out, e.Name)
+				}
+				return strings.Join(out, " ")
 			case "tick":
 				return format(g.Tick(now))
 			case "accepts-flows":
