--- a/internal/gatewayshell/shell.go
+++ b/internal/gatewayshell/shell.go
@@ -109,10 +109,10 @@
 	// one among them in the order of their registrations, from 0.
 	fleetSize, rank atomic.Int32
 	// fleetMu guards fleet. It is acquired last.
-	fleetMu sync.Mutex
-	fleet   upstream.FleetSize
-	feed            *Feed
-	feedBytes       rpcframe.ByteCounters
+	fleetMu   sync.Mutex
+	fleet     upstream.FleetSize
+	feed      *Feed
+	feedBytes rpcframe.ByteCounters
 	// upstreamMu guards upstream. It is acquired before the core's lock.
 	upstreamMu sync.Mutex
 	upstream   upstream.Selector
