--- a/internal/gatewayshell/feedclient.go
+++ b/internal/gatewayshell/feedclient.go
@@ -182,8 +182,7 @@
 }
 
 // renewRegistration registers the instance again if a restored store has lost its
-// registration, and learns which other ones are left. It retries until it succeeds
-// or ctx ends. The calls of a large fleet are spread over time.
+// registration or holds an earlier one. It retries until it succeeds or ctx ends. The calls of a large fleet are spread over time.
 func (sh *Shell) renewRegistration(ctx context.Context) {
 	spread := time.Duration(sh.fleetSize.Load()) * renewalInterval
 	if !sleepUntil(ctx, time.Now().Add(rand.N(spread+1))) {
@@ -204,21 +203,12 @@
 }
 
 func (sh *Shell) renewOnce(ctx context.Context) error {
-	listCtx, cancel := context.WithTimeout(ctx, directoryTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, directoryTimeout)
 	defer cancel()
-	all, err := sh.registeredInstances(listCtx)
-	if err != nil {
-		return err
-	}
 	self := sh.ownRegistration()
-	for _, i := range all {
-		if i.Name == self.Name && i.Place == self.Place {
-			sh.upstreamMu.Lock()
-			sh.upstream.Refresh(all)
-			sh.upstreamMu.Unlock()
-			sh.setFleetSize(len(all), rank(self, all))
-			return nil
-		}
+	place, err := sh.reloadable.Load().directory.Place(callCtx, self.Name)
+	if err != nil || place == self.Place {
+		return err
 	}
 	sh.log.registrationLost()
 	return sh.registerOnce(ctx, self)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -317,6 +317,8 @@
 type Directory interface {
 	// Register registers the instance and returns its place.
 	Register(ctx context.Context, i Instance) (Place, error)
+	// Place returns the place of an instance's registration, or 0 if there is none.
+	Place(ctx context.Context, name model.InstanceID) (Place, error)
 	// Instances returns all registered instances, and the registrations that
 	// cannot be decoded.
 	Instances(ctx context.Context) ([]Instance, []source.Rejection, error)
