gateway: a refused probe of a draining server resets no flows while it is registered

Cause: a release. The server drains, and some milliseconds before it ends it stops to accept connections. A caller's other flow made it suspect at that moment, the probe was refused, and a refused connection counts as proof that a server is gone.

Evidence: log of front-litoral-centro-1: draining 2.77 s, suspect 6.2675, probe refused 6.2680, resets 6.2680, last packet at the server 6.249, departed 6.384 s.

Change: while a draining server is registered, a refused connection counts as a missing answer and confirms nothing. The removal of its entry, 0.1 s later, leads to the next probe, as before. TestRefusedProbeOfDrainingServerResetsNothing fails without it.

--- a/internal/gateway/failure_test.go
+++ b/internal/gateway/failure_test.go
@@ -374,3 +374,25 @@
 		t.Errorf("%d probes after the departed server refused its probe", n)
 	}
 }
+
+// Guards against resets of flows that a leaving server still serves: it stops to accept
+// connections before it has ended.
+func TestRefusedProbeOfDrainingServerResetsNothing(t *testing.T) {
+	inst := newTestInstance(t, server("i-1", norte))
+	inst.openEstablished(1)
+	draining := server("i-1", norte)
+	draining.Draining = true
+	inst.setServers(draining)
+	inst.core.serverStates[inst.core.servers.Record("i-1")].reach.MarkSuspect(inst.now)
+	for range 5 {
+		inst.handleEvent(ProbeDone{Server: "i-1", Result: reach.ConnectionRefused, ControlAnswered: true})
+	}
+	if resets := inst.resets(); len(resets) > 0 {
+		t.Fatalf("resets %v while the server is registered", resets)
+	}
+	inst.setServers()
+	inst.handleEvent(ProbeDone{Server: "i-1", Result: reach.ConnectionRefused})
+	if resets := inst.resets(); len(resets) != 1 {
+		t.Errorf("%d resets after the server has left, want 1", len(resets))
+	}
+}
--- a/internal/gateway/reachability.go
+++ b/internal/gateway/reachability.go
@@ -69,7 +69,13 @@
 		return nil
 	}
 	previousState, wasConfirmedDown := srv.reach.State(), srv.reach.ConfirmedDown()
-	probe := srv.reach.ProbeDone(now, e.Result, e.ControlAnswered)
+	result, controlAnswered := e.Result, e.ControlAnswered
+	if result == reach.ConnectionRefused && srv.record.Listed && srv.record.Draining {
+		// A leaving server stops to accept connections before it has ended. The
+		// removal of its entry leads to the next probe.
+		result, controlAnswered = reach.NoAnswer, false
+	}
+	probe := srv.reach.ProbeDone(now, result, controlAnswered)
 	actions := c.reportTransition(now, srv, previousState, probe, "probe: "+e.Result.String())
 	// A server that was reachable is itself the target of a precautionary probe
 	// and starts no further ones.
