--- a/internal/gatewayshell/counters.go
+++ b/internal/gatewayshell/counters.go
@@ -28,7 +28,8 @@
 	// following is 1 while this instance is registered and follows another one.
 	following  metrics.Gauge
 	logDropped metrics.Gauge
-	storeEra   metrics.Gauge
+	// storeEra is the era as of which the configuration was last read.
+	storeEra metrics.Gauge
 	// configurationVersion is the version in force; 0 before the first.
 	configurationVersion   metrics.Gauge
 	feedSent, feedReceived metrics.Gauge
--- a/internal/gatewayshell/feedclient.go
+++ b/internal/gatewayshell/feedclient.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"time"
@@ -13,30 +12,20 @@
 	"cuminshift/internal/feed"
 	"cuminshift/internal/gateway"
 	pb "cuminshift/internal/gen/cuminshift/v1"
-	"cuminshift/internal/registry"
 	"cuminshift/internal/rpcframe"
-	"cuminshift/internal/source"
 	"cuminshift/internal/upstream"
 )
 
 const (
-	// directoryTimeout bounds the calls to the directory of one operation, which
-	// reads the registrations page by page. Slow responses of the store take 300 ms.
-	directoryTimeout = 5 * time.Second
 	// readyPollInterval is the time between two checks whether the instance has
 	// read all sources and is registered.
 	readyPollInterval = 20 * time.Millisecond
-	// registerRetryInterval is the pause after a failed registration.
-	registerRetryInterval = time.Second
 	// fleetCountInterval is the time between two counts of the registered
 	// instances by an instance that follows no other.
 	fleetCountInterval = 20 * time.Second
 	// firstFleetCountDelay is the time before the first count. All instances of a
 	// new fleet start within 0.3 s.
 	firstFleetCountDelay = 2 * time.Second
-	// renewalInterval is the mean time between the renewals of two instances after a
-	// restoration of the store, which all of them notice at the same time.
-	renewalInterval = 10 * time.Millisecond
 	// noUpstreamPause is the pause when there is no instance to follow.
 	noUpstreamPause = time.Second
 )
@@ -118,152 +107,10 @@
 	}
 }
 
-// register registers the instance in the directory once it has read all sources,
-// so that it has something to pass on. It retries until it succeeds or ctx ends.
-func (sh *Shell) register(ctx context.Context) {
-	for ctx.Err() == nil {
-		if !sh.servesFeed() {
-			sleepUntil(ctx, time.Now().Add(readyPollInterval))
-			continue
-		}
-		err := sh.registerOnce(ctx, sh.ownRegistration())
-		if err == nil {
-			return
-		}
-		sh.log.warn("cannot register the instance, retrying", err)
-		sleepUntil(ctx, time.Now().Add(registerRetryInterval))
-	}
-}
-
-func (sh *Shell) registerOnce(ctx context.Context, self upstream.Instance) error {
-	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
-	defer cancel()
-	place, err := sh.reloadable.Load().directory.Register(ctx, self)
-	if err != nil {
-		return err
-	}
-	all, err := sh.registeredInstances(ctx)
-	if err != nil {
-		return err
-	}
-	self.Place = place
-	sh.upstreamMu.Lock()
-	sh.upstream.Register(self, all)
-	sh.setFollowedInstance("") // a seed that was followed so far is not a candidate any more
-	sh.upstreamMu.Unlock()
-	sh.setFleetSize(len(all), rank(self, all))
-	return nil
-}
-
-// registeredInstances returns the instances in the directory.
-func (sh *Shell) registeredInstances(ctx context.Context) ([]upstream.Instance, error) {
-	all, rejected, err := sh.reloadable.Load().directory.Instances(ctx)
-	sh.log.rejected(rejected)
-	return all, err
-}
-
-// renewRegistrations renews the registration after each restoration of the store, until
-// ctx ends.
-func (sh *Shell) renewRegistrations(ctx context.Context) {
-	for previous := unknownEra; ; {
-		select {
-		case <-ctx.Done():
-			return
-		case <-sh.era.after(previous):
-		}
-		first := previous == unknownEra
-		if previous = sh.era.current(); !first {
-			sh.fleetMu.Lock()
-			sh.fleet.StoreRestored(time.Now())
-			sh.fleetMu.Unlock()
-			sh.renewRegistration(ctx)
-		}
-	}
-}
-
-// renewRegistration registers the instance again if a restored store has lost its
-// registration or holds an earlier one. It retries until it succeeds or ctx ends. The calls of a large fleet are spread over time.
-func (sh *Shell) renewRegistration(ctx context.Context) {
-	spread := time.Duration(sh.fleetSize.Load()) * renewalInterval
-	if !sleepUntil(ctx, time.Now().Add(rand.N(spread+1))) {
-		return
-	}
-	for ctx.Err() == nil {
-		if !sh.registered() {
-			sleepUntil(ctx, time.Now().Add(readyPollInterval))
-			continue
-		}
-		err := sh.renewOnce(ctx)
-		if err == nil {
-			return
-		}
-		sh.log.warn("cannot check the registration of the instance, retrying", err)
-		sleepUntil(ctx, time.Now().Add(registerRetryInterval))
-	}
-}
-
-func (sh *Shell) renewOnce(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, directoryTimeout)
-	defer cancel()
-	self := sh.ownRegistration()
-	place, err := sh.reloadable.Load().directory.Place(callCtx, self.Name)
-	if err != nil || place == self.Place {
-		return err
-	}
-	sh.log.registrationLost()
-	return sh.registerOnce(ctx, self)
-}
-
-// ownRegistration returns the registration of this instance, with its present place.
-func (sh *Shell) ownRegistration() upstream.Instance {
-	return upstream.Instance{Name: sh.settings.Instance, DataCentre: sh.settings.DataCentre, Address: sh.peerAddress(),
-		Bandwidth: sh.settings.Bandwidth, Place: sh.ownPlace()}
-}
-
 func (sh *Shell) decideUpstream() {
 	sh.upstreamDecidedOnce.Do(func() { close(sh.upstreamDecided) })
 }
 
-// rank returns the number of instances that registered before self.
-func rank(self upstream.Instance, all []upstream.Instance) int {
-	n := 0
-	for _, i := range all {
-		if i.Place < self.Place {
-			n++
-		}
-	}
-	return n
-}
-
-// countFleet updates the number of registered instances from the directory, and the
-// candidates to follow: after many instances have registered again at the same time,
-// one that knew only their earlier registrations has no candidate left.
-func (sh *Shell) countFleet(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
-	defer cancel()
-	all, err := sh.registeredInstances(ctx)
-	if err != nil {
-		sh.log.warn("cannot count the registered instances", err)
-		return
-	}
-	sh.upstreamMu.Lock()
-	sh.upstream.Refresh(all)
-	sh.upstreamMu.Unlock()
-	sh.setFleetSize(len(all), int(sh.rank.Load()))
-	sh.feed.notify()
-}
-
-// setFleetSize records a count of the registered instances and the rank of this one.
-func (sh *Shell) setFleetSize(registered, rank int) {
-	sh.fleetMu.Lock()
-	instances := sh.fleet.Count(time.Now(), registered)
-	sh.fleetMu.Unlock()
-	sh.rank.Store(int32(rank))
-	if sh.fleetSize.Swap(int32(instances)) != int32(instances) {
-		sh.handleEvent(gateway.FleetSize{Instances: instances, Rank: rank})
-	}
-}
-
 // pollUpstream makes one call to an instance, and follows it if it answers.
 func (sh *Shell) pollUpstream(ctx context.Context, client *rpcframe.Client, instance upstream.Instance) {
 	request := sh.newFeedRequest()
@@ -293,14 +140,6 @@
 	}
 }
 
-func (sh *Shell) removeRegistration(ctx context.Context, instance upstream.Instance) {
-	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
-	defer cancel()
-	if err := sh.reloadable.Load().directory.Remove(ctx, instance); err != nil {
-		sh.log.warn("cannot remove the registration of "+string(instance.Name), err)
-	}
-}
-
 // newFeedRequest returns a request for what this instance does not know.
 func (sh *Shell) newFeedRequest() *pb.FeedRequest {
 	request := &pb.FeedRequest{Instance: string(sh.settings.Instance), Place: int64(sh.ownPlace()),
@@ -355,44 +194,6 @@
 	sh.feed.notify()
 }
 
-// feedData is the data of a response: the changes of each source and their ages.
-type feedData struct {
-	updates [source.NumKinds]source.Update
-	ages    [source.NumKinds]time.Duration
-}
-
-// decodeResponse decodes the data of a response. With ErrBaseMismatch, the ages are
-// valid and the updates are not.
-func (sh *Shell) decodeResponse(response *pb.FeedResponse) (feedData, error) {
-	var data feedData
-	if len(response.AgesMs) != source.NumKinds {
-		return data, errors.Newf("feed: response has %d ages", len(response.AgesMs))
-	}
-	eras := sh.responseEras(response)
-	for k, p := range sh.core.Positions() {
-		data.updates[k].Position.Era = eras[k]
-		data.ages[k] = time.Duration(response.AgesMs[k]) * time.Millisecond
-		if eras[k] < p.Era {
-			data.ages[k] = outdatedAge
-		}
-	}
-	for _, m := range response.Updates {
-		k, u, err := feed.Decode(m, sh.core.Configuration())
-		if err != nil {
-			return data, err
-		}
-		data.updates[k] = u
-	}
-	return data, nil
-}
-
-func (sh *Shell) applyFeedData(now time.Time, data *feedData) {
-	for k := range source.Kind(source.NumKinds) {
-		sh.handleEvent(gateway.SourceUpdated{Kind: k, Update: data.updates[k], AsOf: now.Add(-data.ages[k])})
-		sh.era.observe(data.updates[k].Position.Era)
-	}
-}
-
 // learnFrom requests once what an instance knows that follows this one.
 func (sh *Shell) learnFrom(ctx context.Context, follower upstream.Instance) {
 	client := sh.newFeedClient()
@@ -417,54 +218,3 @@
 	sh.applyLost(follower, response)
 	sh.feed.notify()
 }
-
-// outdatedAge is the age of data from before the store was restored. It exceeds the
-// maximum age of passed-on data of any source, so that the store is called.
-const outdatedAge = time.Hour
-
-// responseEras returns the era up to which the answering instance knows each source.
-func (sh *Shell) responseEras(response *pb.FeedResponse) [source.NumKinds]source.Era {
-	var eras [source.NumKinds]source.Era
-	for k, p := range sh.core.Positions() {
-		eras[k] = p.Era
-		if len(response.Eras) == source.NumKinds {
-			eras[k] = source.Era(response.Eras[k])
-		}
-	}
-	return eras
-}
-
-func (sh *Shell) applyDeparted(instance upstream.Instance, servers []*pb.FeedServer) {
-	if entries := sh.decodeServers(instance, servers); len(entries) > 0 {
-		sh.handleEvent(gateway.DepartedServers{Entries: entries})
-	}
-}
-
-// applyLost applies what the other instance knows and the restored store has lost.
-func (sh *Shell) applyLost(instance upstream.Instance, response *pb.FeedResponse) {
-	lost := gateway.LostChanges{Servers: sh.decodeServers(instance, response.LostServers), DataCentres: feed.DecodeDataCentres(response.LostDataCentres)}
-	if len(lost.Servers)+len(lost.DataCentres) > 0 {
-		sh.handleEvent(lost)
-	}
-}
-
-// lostChanges returns the number of changes that the store has lost and this instance
-// knows.
-func (sh *Shell) lostChanges() int {
-	lost := sh.core.LostChanges()
-	return len(lost.Servers) + len(lost.DataCentres)
-}
-
-// decodeServers returns the valid entries of messages.
-func (sh *Shell) decodeServers(instance upstream.Instance, servers []*pb.FeedServer) []registry.Entry {
-	var entries []registry.Entry
-	for _, s := range servers {
-		e, err := feed.DecodeServer(s)
-		if err != nil {
-			sh.log.upstreamFailed(instance, err)
-			continue
-		}
-		entries = append(entries, e)
-	}
-	return entries
-}
--- a/internal/gatewayshell/shell.go
+++ b/internal/gatewayshell/shell.go
@@ -101,6 +101,7 @@
 	// has succeeded.
 	storeFailed, storeAnswered atomic.Bool
 
+	// era is the latest era of the store in any answer.
 	era *eraMonitor
 	// keeping is set while a configuration that the store has lost is stored.
 	keeping atomic.Bool
@@ -109,8 +110,9 @@
 	// one among them in the order of their registrations, from 0.
 	fleetSize, rank atomic.Int32
 	// fleetMu guards fleet. It is acquired last.
-	fleetMu   sync.Mutex
-	fleet     upstream.FleetSize
+	fleetMu sync.Mutex
+	fleet   upstream.FleetSize
+
 	feed      *Feed
 	feedBytes rpcframe.ByteCounters
 	// upstreamMu guards upstream. It is acquired before the core's lock.
