--- a/review/scenario/main.go
+++ b/review/scenario/main.go
@@ -34,7 +34,10 @@
 // cases are the scenarios by name. trouble is false for the run without the
 // disruption.
 var cases = map[string]func(s *site, rec *record, trouble bool) error{
-	"big-storm": bigStorm,
+	"big-storm":      bigStorm,
+	"shared-token":   sharedToken,
+	"reused-port":    reusedPort,
+	"restored-store": restoredStore,
 }
 
 func main() {
--- a/review/scenario/platform.go
+++ b/review/scenario/platform.go
@@ -264,6 +264,26 @@
 	_ = n.cmd.Process.Signal(s)
 }
 
+// awaitRestart waits until the present process has ended and another one is ready.
+func (n *node) awaitRestart(limit time.Duration) error {
+	n.mu.Lock()
+	done := n.done
+	n.mu.Unlock()
+	until := time.Now().Add(limit)
+	select {
+	case <-done:
+	case <-time.After(limit):
+		return fmt.Errorf("%s has not stopped within %s", n.name, limit)
+	}
+	for !n.ready() {
+		if time.Now().After(until) {
+			return fmt.Errorf("%s is not ready again within %s", n.name, limit)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return nil
+}
+
 func (n *node) stop() {
 	n.mu.Lock()
 	n.down = true
--- a/review/scenario/small.go
+++ b/review/scenario/small.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"net/netip"
 	"time"
 
 	"cuminshift/internal/standin/platform/client"
@@ -83,3 +85,16 @@
 	}
 	return out, nil
 }
+
+// requestOnNewFlow opens a flow, sends a request and closes the flow.
+func requestOnNewFlow(h *client.Host, service netip.AddrPort, id string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	f, err := h.Open(ctx, service)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	_, err = f.Request(ctx, id, 5, 200)
+	return err
+}
