--- a/review/scenario/reusedport.go
+++ b/review/scenario/reusedport.go
@@ -4,12 +4,17 @@
 	"fmt"
 	"net/netip"
 	"time"
-
-	"cuminshift/internal/standin/platform/server"
 )
 
-// drainBound is the time after which a leaving server gets no new flows (drain_ms).
-const drainBound = 3 * time.Second
+const (
+	// drainBound is the time after which a leaving server gets no new flows (drain_ms).
+	drainBound = 3 * time.Second
+	// reuseTime is the time after which the client uses the port again. It is shorter
+	// than idle_timeout_ms, 15 s.
+	reuseTime = 12 * time.Second
+	// drainTime is the time from the first flow to the server's drain.
+	drainTime = 6 * time.Second
+)
 
 // reusedPort opens a flow whose client gives up before the handshake is complete.
 // Later, when the flow's server has been leaving for longer than drainBound, the
@@ -19,7 +24,18 @@
 	if err := s.writeConfig(newConfig(newRoute(1, service, "campo-app"))); err != nil {
 		return err
 	}
-	if err := s.startSmall("campo-app", "ordenes"); err != nil {
+	zones := []string{"litoral-norte", "litoral-centro", "litoral-sur"}
+	servers := map[netip.AddrPort]*expiringServer{}
+	for z, zone := range zones {
+		for i := range 3 {
+			b, err := s.startExpiringServer(fmt.Sprintf("i-7f3a91%02x", 16*z+i), "campo-app", zone, z, i+1)
+			if err != nil {
+				return err
+			}
+			servers[b.address] = b
+		}
+	}
+	if err := s.startMachines(zones); err != nil {
 		return err
 	}
 	via, err := s.startRouter("litoral-norte", 0)
@@ -36,36 +52,30 @@
 	if err != nil {
 		return err
 	}
-	var leaving *server.Server
-	for _, b := range s.servers {
-		if b.Address() == answer.from {
-			leaving = b
-		}
-	}
+	begin := time.Now()
+	leaving := servers[answer.from]
 	if leaving == nil {
 		return fmt.Errorf("the opening was answered by %s, which is no server", answer.from)
 	}
-	rec.note("server %s accepts the flow %s; its client gives up", leaving.ID(), first.local)
-	time.Sleep(time.Second)
+	rec.note("server %s accepts the flow %s; its client gives up", leaving.id, first.local)
+	time.Sleep(drainTime)
 	if trouble {
-		leaving.Drain()
-		rec.note("the store acknowledges that server %s is draining", leaving.ID())
+		leaving.drain()
+		rec.note("the store acknowledges that server %s is draining", leaving.id)
 	}
 	ackAt := time.Now()
-	time.Sleep(drainBound + time.Second)
+	time.Sleep(time.Until(begin.Add(reuseTime)))
 	second := c.newFlow(20001, service)
-	sent := time.Now()
 	if err := second.open(); err != nil {
 		return err
 	}
+	o := second.request("new-flow", 3*time.Second)
+	rec.note("the request on the new flow is answered by %s", o.server)
+	second.close()
 	for _, o := range rec.openedBy(second.local) {
-		late := o.at.Sub(ackAt)
-		if trouble && o.server == leaving.ID() && o.at.After(sent) && late > drainBound {
+		if late := o.at.Sub(ackAt); trouble && o.server == leaving.id && late > drainBound {
 			rec.breaks("DRAIN: server %s takes a new flow %d ms after the acknowledgement that it is draining", o.server, late.Milliseconds())
 		}
 	}
-	o := second.request("new-flow", 3*time.Second)
-	rec.note("the request on the new flow is answered by %s", o.server)
-	second.close()
 	return nil
 }
--- a/review/scenario/sharedtoken.go
+++ b/review/scenario/sharedtoken.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"cuminshift/internal/standin/platform/router"
-	"cuminshift/internal/standin/platform/server"
 )
 
 const (
@@ -17,6 +16,8 @@
 	// maxTries is the number of flows that are opened until one reaches the server
 	// with the id servingID.
 	maxTries = 200
+	// calmPause is the client's pause without the trouble.
+	calmPause = 6 * time.Second
 	// joinTime is the time that a new server gets to be known to all machines.
 	joinTime = 2 * time.Second
 	// rotationTime is the time in which a router takes a ready machine into rotation.
@@ -71,6 +72,8 @@
 		if err := joinAndRestart(s, rec); err != nil {
 			return err
 		}
+	} else {
+		time.Sleep(calmPause)
 	}
 	rec.note("the client sends its next request after a pause of %d ms", time.Since(paused).Milliseconds())
 	o := f.request("after-pause", 3*time.Second)
@@ -136,5 +139,3 @@
 	}
 	return a.String()
 }
-
-var _ server.Observer = (*record)(nil)
