withdrawal: a restored store's list gives way only to a change that is known to be later

Cause: any difference between an instance's state and the copy counted as proof that the instance's state was the later one.

Change: the revision of the object that withdraws a data centre is kept. Against a copy, a data centre stays in service only if that very withdrawal is known to have ended. What is passed on holds the position of the operators' change and the time that is left; it replaces only an earlier state, and is not renewed. Lists that are passed on hold ends as well. The log says when a change was learned from another instance.

Tests: TestMissedEvacuationIsNotUndoneAfterRestore, TestFirstEvacuationAfterRestoreIsObeyed and TestLostChangeDoesNotReplaceLaterOne failed before (run on with the new fields, without their use) and pass now. Two tests of withdrawal and TestLostChangeDoesNotReplaceLaterOne stated their cases without revisions; they state them now and check as much as before.

--- a/internal/feed/codec.go
+++ b/internal/feed/codec.go
@@ -32,7 +32,9 @@
 func EncodeDataCentres(changes []source.DataCentreChange) []*pb.FeedDataCentre {
 	var out []*pb.FeedDataCentre
 	for _, c := range changes {
-		out = append(out, &pb.FeedDataCentre{DataCentre: string(c.DataCentre), Withdrawn: c.Withdrawn, Contradicted: c.Contradicted})
+		out = append(out, &pb.FeedDataCentre{DataCentre: string(c.DataCentre), Withdrawn: c.Withdrawn, Withdrawal: int64(c.Withdrawal),
+			ChangedEra: int64(c.ChangedAt.Era), ChangedRevision: int64(c.ChangedAt.Revision),
+			Contradicted: c.Contradicted, KeepMs: uint32(c.KeepFor.Milliseconds())})
 	}
 	return out
 }
@@ -41,7 +43,9 @@
 func DecodeDataCentres(messages []*pb.FeedDataCentre) []source.DataCentreChange {
 	var out []source.DataCentreChange
 	for _, m := range messages {
-		out = append(out, source.DataCentreChange{DataCentre: model.DataCentre(m.DataCentre), Withdrawn: m.Withdrawn, Contradicted: m.Contradicted})
+		out = append(out, source.DataCentreChange{DataCentre: model.DataCentre(m.DataCentre), Withdrawn: m.Withdrawn, Withdrawal: source.Revision(m.Withdrawal),
+			ChangedAt:    source.Position{Era: source.Era(m.ChangedEra), Revision: source.Revision(m.ChangedRevision)},
+			Contradicted: m.Contradicted, KeepFor: time.Duration(m.KeepMs) * time.Millisecond})
 	}
 	return out
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -76,7 +76,15 @@
 func (inst *testInstance) setWithdrawn(dc model.DataCentre, withdrawn bool) {
 	inst.revision++
 	inst.handleEvent(SourceUpdated{Kind: source.Withdrawals, AsOf: inst.now, Update: source.Update{Position: inst.position(),
-		DataCentres: []source.DataCentreChange{{DataCentre: dc, Withdrawn: withdrawn}}}})
+		DataCentres: []source.DataCentreChange{{DataCentre: dc, Withdrawn: withdrawn, Withdrawal: inst.revision}}}})
+}
+
+// listWithdrawn lists the data centres of which an object has withdrawn one, at the given
+// revision.
+func (inst *testInstance) listWithdrawn(dc model.DataCentre, r source.Revision) {
+	inst.revision = max(inst.revision, r)
+	inst.handleEvent(SourceUpdated{Kind: source.Withdrawals, AsOf: inst.now, Update: source.Update{Full: true, Position: inst.position(),
+		DataCentres: []source.DataCentreChange{{DataCentre: dc, Withdrawn: true, Withdrawal: r}}}})
 }
 
 // confirmSources confirms that the applied state of all sources is current.
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -259,23 +259,20 @@
 func (c *Core) applyWithdrawals(now time.Time, u *source.Update, restored bool) []Action {
 	switch {
 	case !u.Full:
-		return c.withdrawalActions(now, c.withdrawn.Apply(now, u.DataCentres))
+		return c.withdrawalActions(now, c.withdrawn.Apply(now, u.Position, u.DataCentres))
 	case restored:
-		return c.withdrawalActions(now, c.withdrawn.ReplaceByCopy(now, u.DataCentres))
+		return c.withdrawalActions(now, c.withdrawn.ReplaceByCopy(now, u.Position, u.DataCentres))
 	}
-	return c.withdrawalActions(now, c.withdrawn.Replace(now, u.DataCentres))
+	return c.withdrawalActions(now, c.withdrawn.Replace(now, u.Position, u.DataCentres))
 }
 
 func (c *Core) withdrawalActions(now time.Time, changes []withdrawal.Change) []Action {
 	var actions []Action
 	for _, change := range changes {
-		a := StateChange{Subject: string(change.DataCentre), Description: "data centre back in service", Cause: "operator", Age: c.age(now, source.Withdrawals)}
+		a := StateChange{Subject: string(change.DataCentre), Description: "data centre back in service", Cause: change.Cause.String(), Age: c.age(now, source.Withdrawals)}
 		if change.Withdrawn {
 			a.Description = "data centre withdrawn"
 		}
-		if change.Expired {
-			a.Cause = "restored store, not written again by the operator"
-		}
 		actions = append(actions, a)
 	}
 	return actions
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"cuminshift/internal/registry"
 	"cuminshift/internal/routing"
@@ -173,7 +174,7 @@
 	knows.handleEvent(SourceUpdated{Kind: source.Withdrawals, AsOf: knows.now, Update: source.Update{Full: true, Position: knows.position()}})
 
 	started := newTestInstance(t, drains, stays, server("i-3", sur))
-	started.handleEvent(knows.core.LostChanges())
+	started.handleEvent(knows.core.LostChanges(knows.now))
 	for port := range uint16(40) {
 		if v := started.open(3000 + port); v.Server == nil || v.Server.Name != "i-2" {
 			t.Fatalf("opening: %+v; want it at the only server in service", v)
@@ -181,7 +182,7 @@
 	}
 	started.advance(registry.LostRetention)
 	started.handleEvent(Tick{})
-	if lost := started.core.LostChanges(); len(lost.Servers)+len(lost.DataCentres) > 0 {
+	if lost := started.core.LostChanges(started.now); len(lost.Servers)+len(lost.DataCentres) > 0 {
 		t.Errorf("still passed on after %s: %+v", registry.LostRetention, lost)
 	}
 }
@@ -191,9 +192,57 @@
 func TestLostChangeDoesNotReplaceLaterOne(t *testing.T) {
 	inst := newTestInstance(t, server("i-1", norte))
 	inst.setWithdrawn(norte, true)
+	lost := source.DataCentreChange{DataCentre: norte, Withdrawn: true, Withdrawal: inst.revision, ChangedAt: inst.position(), Contradicted: true, KeepFor: time.Minute}
 	inst.setWithdrawn(norte, false)
-	inst.handleEvent(LostChanges{DataCentres: []source.DataCentreChange{{DataCentre: norte, Withdrawn: true, Contradicted: true}}})
+	inst.restore()
+	inst.handleEvent(SourceUpdated{Kind: source.Withdrawals, AsOf: inst.now, Update: source.Update{Full: true, Position: inst.position()}})
+	inst.handleEvent(LostChanges{DataCentres: []source.DataCentreChange{lost}})
 	if v := inst.open(3000); v.Kind != Forward {
 		t.Errorf("%+v", v)
 	}
 }
+
+// Guards against an evacuation that ends at all instances because one of them missed it:
+// that one reads it only from a restored store, and takes its own state for the later one.
+func TestMissedEvacuationIsNotUndoneAfterRestore(t *testing.T) {
+	const evacuatedAt = source.Revision(20)
+	servers := []registry.Entry{server("i-1", norte), server("i-2", sur)}
+	fleet := []*testInstance{newTestInstance(t, servers...), newTestInstance(t, servers...), newTestInstance(t, servers...)}
+	for i, inst := range fleet {
+		inst.handleEvent(SourceUpdated{Kind: source.Withdrawals, AsOf: inst.now, Update: source.Update{Full: true, Position: inst.position()}})
+		if missed := i == 0; !missed {
+			inst.revision = evacuatedAt - 1
+			inst.setWithdrawn(sur, true)
+		}
+		inst.restore()
+		inst.listWithdrawn(sur, evacuatedAt)
+	}
+	for range 100 {
+		for _, inst := range fleet {
+			inst.advance(TickInterval)
+			inst.handleEvent(Tick{})
+			for _, other := range fleet {
+				inst.handleEvent(other.core.LostChanges(inst.now))
+			}
+			if inst.core.withdrawn.Withdrawn(sur) {
+				continue
+			}
+			t.Fatalf("%s after the restoration, an instance opens flows in the evacuated data centre", inst.now.Sub(time.Unix(1000, 0)))
+		}
+	}
+}
+
+// Guards against an evacuation that is not obeyed because it is the first that a restored
+// store accepts: instances that know of no withdrawal take the store for outdated.
+func TestFirstEvacuationAfterRestoreIsObeyed(t *testing.T) {
+	inst := newTestInstance(t, server("i-1", norte), server("i-2", sur))
+	inst.setWithdrawn(sur, true)
+	inst.setWithdrawn(sur, false)
+	inst.restore()
+	inst.listWithdrawn(sur, 2)
+	for port := range uint16(20) {
+		if v := inst.open(3000 + port); v.Server == nil || v.Server.Name != "i-1" {
+			t.Fatalf("opening: %+v; want it in the data centre in service", v)
+		}
+	}
+}
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -106,7 +106,7 @@
 			u.Servers = append(u.Servers, source.ServerChange{Entry: e})
 		}
 	case source.Withdrawals:
-		u.DataCentres = c.withdrawn.List()
+		u.DataCentres = c.withdrawn.List(now)
 	}
 	return u
 }
@@ -121,10 +121,10 @@
 
 // LostChanges returns what a restored store has lost, as far as this instance knows
 // and nobody has written it again.
-func (c *Core) LostChanges() LostChanges {
+func (c *Core) LostChanges(now time.Time) LostChanges {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return LostChanges{Servers: c.servers.Lost(), DataCentres: c.withdrawn.Lost()}
+	return LostChanges{Servers: c.servers.Lost(), DataCentres: c.withdrawn.Lost(now)}
 }
 
 // addDeparted adds servers that departed before this instance started.
--- a/internal/gatewayshell/feeddata.go
+++ b/internal/gatewayshell/feeddata.go
@@ -85,7 +85,7 @@
 // lostChanges returns the number of changes that the store has lost and this instance
 // knows.
 func (sh *Shell) lostChanges() int {
-	lost := sh.core.LostChanges()
+	lost := sh.core.LostChanges(time.Now())
 	return len(lost.Servers) + len(lost.DataCentres)
 }
 
--- a/internal/gatewayshell/feedserver.go
+++ b/internal/gatewayshell/feedserver.go
@@ -140,7 +140,7 @@
 			response.Updates = append(response.Updates, message)
 		}
 	}
-	lost := f.shell.core.LostChanges()
+	lost := f.shell.core.LostChanges(now)
 	for i := range lost.Servers {
 		response.LostServers = append(response.LostServers, feed.EncodeServer(&lost.Servers[i], false))
 	}
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -99,9 +99,17 @@
 type DataCentreChange struct {
 	DataCentre model.DataCentre
 	Withdrawn  bool
+	// Withdrawal is the revision of the object that withdraws the data centre or, if
+	// the data centre is in service, that withdrew it last; 0 when unknown.
+	Withdrawal Revision
+	// ChangedAt is the position of the operators' change, set for changes that another
+	// instance passes on; zero when unknown. A change of the store is at the position
+	// of its update.
+	ChangedAt Position
 	// Contradicted is set when this was accepted before the store was restored from
-	// a copy that says the opposite.
+	// a copy that says the opposite. It is then kept for the time KeepFor.
 	Contradicted bool
+	KeepFor      time.Duration
 }
 
 // Rejection is an object that could not be decoded. Name identifies the object and
