token: a shared token is the server's that started first

Cause: while two servers shared a token, new packets got the second token of each, but a paused flow has the first one at both ends. An instance that has not seen the flow took the first server in its list whose service the route has; after a restart the list is in the order of names. Evidence: the restarted instance logs "server suspect i-, flow taken over" as the packet arrives; the entry of the flow's server was there throughout.

Change: a token is the server's that started first, by the start times in the registry, so that all instances decide alike. If these do not tell, the packet goes to the only server of the flow's route or is dropped (reason "ambiguous token", in place of "wrong service"), and is not reset after a read of the registry. A server whose tokens are all others' gets no flows. "server shares a token" is logged.

TestCollidingServersGetSecondToken required that both servers leave the shared token, which is the cause; TestTokenStaysWithServerThatStartedFirst replaces it, checks both orders and that each token names its server, and TestSharedTokenOfUnknownOrderNamesNoServer keeps the old demand for servers without start times.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -128,9 +128,9 @@
 	// UnknownToken: no known server has the token. The packet is dropped; the
 	// flow is reset once a read of the registry shows that the server is gone.
 	UnknownToken
-	// WrongService: the packet is dropped, because its token is shared by
-	// several servers and all of them belong to services outside the route.
-	WrongService
+	// AmbiguousToken: the packet is dropped, because its token is shared by several
+	// servers and it is not known whose it is.
+	AmbiguousToken
 	// ServerLost: the flow is reset, because its server has restarted, was
 	// replaced or is confirmed down.
 	ServerLost
@@ -144,7 +144,7 @@
 // String returns the name used in logs.
 func (r Reason) String() string {
 	return [...]string{"none", "not loaded", "not fresh", "no route", "route dropped", "no server", "no token",
-		"unknown token", "wrong service", "server lost", "repeated"}[r]
+		"unknown token", "ambiguous token", "server lost", "repeated"}[r]
 }
 
 // Core holds the state of one instance. Its methods may be called concurrently.
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"cuminshift/internal/reach"
 	"cuminshift/internal/registry"
 	"cuminshift/internal/routing"
 	"cuminshift/internal/source"
+	"cuminshift/internal/token"
 	"cuminshift/internal/withdrawal"
 )
 
@@ -214,8 +216,35 @@
 			draining++
 		}
 	}
-	return append(kept, StateChange{Subject: "registry", Description: "registry loaded",
+	kept = append(kept, StateChange{Subject: "registry", Description: "registry loaded",
 		Cause: fmt.Sprintf("%d servers, %d of them draining", len(c.serverStates), draining), Age: c.age(now, source.Registry)})
+	for r := range c.serverStates {
+		kept = append(kept, c.reportSharedTokens(now, r)...)
+	}
+	return kept
+}
+
+// reportSharedTokens reports which tokens a server shares with others and whose they are.
+func (c *Core) reportSharedTokens(now time.Time, r *registry.Record) []Action {
+	var actions []Action
+	for variant := range token.Variants {
+		t := token.ForServer(r.Name, variant)
+		shared := c.tokens.Shared(t)
+		if len(shared) < 2 {
+			continue
+		}
+		names := make([]string, len(shared))
+		for i, srv := range shared {
+			names[i] = srv.record.Name
+		}
+		owner := "unknown which of them started first"
+		if srv, ok := c.tokens.Owner(t); ok {
+			owner = srv.record.Name + " started first"
+		}
+		actions = append(actions, StateChange{Subject: r.Name, Description: "server shares a token",
+			Cause: fmt.Sprintf("token %08x of %s; %s", uint32(t), strings.Join(names, ", "), owner), Age: c.age(now, source.Registry)})
+	}
+	return actions
 }
 
 // applyServerChanges updates the state of the servers after changes of their
@@ -236,6 +265,9 @@
 		}
 		actions = append(actions, StateChange{Subject: r.Name, Description: "server " + change.Kind.String(),
 			Cause: fmt.Sprintf("service %s in %s at %s, draining %t", r.Service, r.DataCentre, r.Address, r.Draining), Age: c.age(now, source.Registry)})
+		if change.Kind == registry.Added {
+			actions = append(actions, c.reportSharedTokens(now, r)...)
+		}
 	}
 	if len(changes) > 0 {
 		c.indexServices()
@@ -243,10 +275,13 @@
 	return actions
 }
 
-// handleRestarted resets the flows of the server's earlier incarnation.
+// handleRestarted resets the flows of the server's earlier incarnation. The start time
+// also decides whose token it is if the server shares one.
 func (c *Core) handleRestarted(r *registry.Record) []Action {
 	srv := c.serverStates[r]
 	srv.reach = reach.Detector{}
+	c.tokens.Remove(r.Name, srv)
+	c.tokens.Add(r.Name, r.Incarnation, srv)
 	var actions []Action
 	for _, f := range srv.openFlows {
 		actions = append(actions, c.resetFlow(f, ServerLost))
--- a/internal/gateway/packets.go
+++ b/internal/gateway/packets.go
@@ -149,36 +149,47 @@
 }
 
 // resolveToken returns the server that a packet's token names, or nil and the
-// reason. Among servers that share the token, it returns one whose service the
-// flow's route includes.
+// reason.
 func (c *Core) resolveToken(s *flow.Segment) (*serverState, Reason) {
 	if s.Token == token.None {
 		return nil, NoToken
 	}
-	owners := c.tokens.Lookup(s.Token)
-	if len(owners) == 0 {
-		return nil, UnknownToken
+	if owner, ok := c.tokens.Owner(s.Token); ok {
+		return owner, ReasonNone
 	}
-	if len(owners) == 1 {
-		return owners[0], ReasonNone
+	shared := c.tokens.Shared(s.Token)
+	if len(shared) == 0 {
+		return nil, UnknownToken
 	}
-	route := c.routes.Current().Route(s.Key.Service())
-	for _, srv := range owners {
-		if route == nil || route.Includes(srv.record.Service) {
-			return srv, ReasonNone
+	return c.onlyServerOfRoute(s, shared)
+}
+
+// onlyServerOfRoute returns the one server that belongs to a service of the flow's route,
+// among servers that share the flow's token and whose order of start is not known. A
+// server that does not hold the flow would reset it, so none of several is chosen.
+func (c *Core) onlyServerOfRoute(s *flow.Segment, shared []*serverState) (*serverState, Reason) {
+	var only *serverState
+	if route := c.routes.Current().Route(s.Key.Service()); route != nil {
+		for _, srv := range shared {
+			switch {
+			case !route.Includes(srv.record.Service):
+			case only != nil:
+				return nil, AmbiguousToken
+			default:
+				only = srv
+			}
 		}
 	}
-	return nil, WrongService
+	if only == nil {
+		return nil, AmbiguousToken
+	}
+	return only, ReasonNone
 }
 
-// ownsToken reports whether the token is one of the server's.
+// ownsToken reports whether the token names the server.
 func (c *Core) ownsToken(t token.Token, srv *serverState) bool {
-	for _, owner := range c.tokens.Lookup(t) {
-		if owner == srv {
-			return true
-		}
-	}
-	return false
+	owner, ok := c.tokens.Owner(t)
+	return ok && owner == srv
 }
 
 // forward completes a verdict that forwards the packet to the flow's server.
@@ -186,7 +197,7 @@
 	v.Kind = Forward
 	v.Server = f.serverState.record.Entry
 	v.Service = v.Server.Service
-	v.Token = c.tokens.TokenFor(f.serverState.record.Name)
+	v.Token = c.tokens.TokenFor(f.serverState.record.Name, f.serverState)
 	return v
 }
 
--- a/internal/gateway/server_state.go
+++ b/internal/gateway/server_state.go
@@ -11,6 +11,7 @@
 	"cuminshift/internal/flow"
 	"cuminshift/internal/reach"
 	"cuminshift/internal/registry"
+	"cuminshift/internal/token"
 )
 
 // serverState is what the instance knows about one BackendServer beyond its
@@ -76,7 +77,7 @@
 func (c *Core) addServer(r *registry.Record) {
 	srv := newServerState(r)
 	c.serverStates[r] = srv
-	c.tokens.Add(r.Name, srv)
+	c.tokens.Add(r.Name, r.Incarnation, srv)
 }
 
 func (c *Core) removeServer(r *registry.Record) {
@@ -97,12 +98,13 @@
 	local, remote []*serverState
 }
 
-// indexServices rebuilds the lists of servers that may take new flows.
+// indexServices rebuilds the lists of servers that may take new flows. A server without
+// a token takes none: nothing would lead the later packets of its flows to it.
 func (c *Core) indexServices() {
 	clear(c.services)
 	for _, srv := range c.serverStates {
 		r := srv.record
-		if r.Draining || (!r.Listed && !r.InGrace()) {
+		if r.Draining || (!r.Listed && !r.InGrace()) || c.tokens.TokenFor(r.Name, srv) == token.None {
 			continue
 		}
 		servers := c.services[r.Service]
--- a/internal/gateway/unknown_token.go
+++ b/internal/gateway/unknown_token.go
@@ -73,7 +73,7 @@
 			continue
 		}
 		delete(c.unknownFlows.flows, key)
-		if srv, _ := c.resolveToken(&u.segment); srv == nil {
+		if _, reason := c.resolveToken(&u.segment); reason == UnknownToken {
 			actions = append(actions, ResetFlow{Flow: key, Ack: u.segment.Ack, Reason: UnknownToken})
 		}
 	}
--- a/internal/token/token.go
+++ b/internal/token/token.go
@@ -7,6 +7,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -18,10 +19,10 @@
 // server.
 const None Token = 0
 
-// Variants is the number of tokens per server. If another server has the same
-// first token, flows are opened under the next one. Among 82,000 servers about
-// 0.8 pairs share a token; a server that shares both of its tokens occurs in
-// one fleet of 60,000.
+// Variants is the number of tokens that a server may have. A server whose first token
+// is another one's uses the next. Among 82,000 servers about 0.8 pairs share a token; a
+// server whose tokens are all other ones' occurs in one fleet of 60,000, and gets no
+// flows.
 const Variants = 2
 
 // ForServer returns a token of the named server; variant counts from 0.
@@ -41,52 +42,99 @@
 
 // Index finds servers by token. S is the type with which the user of the index
 // represents a server.
+//
+// Of the servers that share a token, it is the one's that started first: a server that
+// joins later must not get the packets of flows that were opened under the token before.
+// Every instance decides so by the servers' start times alone, whatever it has seen of
+// them, and also if it has started after them.
 type Index[S comparable] struct {
-	owners map[Token][]S
+	holders map[Token][]holder[S]
+	// forServer is ForServer, replaced by tests in which tokens collide often.
+	forServer func(server string, variant int) Token
+}
+
+// holder is a server that may use a token.
+type holder[S comparable] struct {
+	server S
+	name   string
+	// started is the server's start time, 0 when unknown.
+	started int64
+}
+
+// precedes reports whether the server is known to have started before the other one.
+func (h *holder[S]) precedes(other *holder[S]) bool {
+	if h.started == 0 || other.started == 0 {
+		return false
+	}
+	return h.started < other.started || (h.started == other.started && h.name < other.name)
 }
 
 // NewIndex returns an empty index.
 func NewIndex[S comparable]() *Index[S] {
-	return &Index[S]{owners: map[Token][]S{}}
+	return &Index[S]{holders: map[Token][]holder[S]{}, forServer: ForServer}
 }
 
-// Add adds a server under all its tokens.
-func (x *Index[S]) Add(name string, server S) {
+// Add adds a server under all its tokens. started is its start time, by which the
+// servers are ordered, or 0 if it is unknown.
+func (x *Index[S]) Add(name string, started int64, server S) {
 	for v := range Variants {
-		t := ForServer(name, v)
-		x.owners[t] = append(x.owners[t], server)
+		t := x.forServer(name, v)
+		x.holders[t] = append(x.holders[t], holder[S]{server, name, started})
 	}
 }
 
 // Remove removes a server from under all its tokens.
 func (x *Index[S]) Remove(name string, server S) {
 	for v := range Variants {
-		t := ForServer(name, v)
-		kept := x.owners[t][:0]
-		for _, s := range x.owners[t] {
-			if s != server {
-				kept = append(kept, s)
-			}
-		}
+		t := x.forServer(name, v)
+		kept := slices.DeleteFunc(x.holders[t], func(h holder[S]) bool { return h.server == server })
 		if len(kept) == 0 {
-			delete(x.owners, t)
+			delete(x.holders, t)
 		} else {
-			x.owners[t] = kept
+			x.holders[t] = kept
+		}
+	}
+}
+
+// Shared returns the servers that may use a token: at most one unless tokens collide.
+func (x *Index[S]) Shared(t Token) []S {
+	var servers []S
+	for _, h := range x.holders[t] {
+		servers = append(servers, h.server)
+	}
+	return servers
+}
+
+// Owner returns the server whose token it is. ok is false if there is none, or if
+// several servers share the token and it is not known which one started first.
+func (x *Index[S]) Owner(t Token) (server S, ok bool) {
+	holders := x.holders[t]
+	for i := range holders {
+		if first(holders, i) {
+			return holders[i].server, true
 		}
 	}
+	return server, false
 }
 
-// Lookup returns the servers that a token may name: at most one unless tokens
-// collide.
-func (x *Index[S]) Lookup(t Token) []S { return x.owners[t] }
+// first reports whether a holder precedes all others.
+func first[S comparable](holders []holder[S], i int) bool {
+	for j := range holders {
+		if j != i && !holders[i].precedes(&holders[j]) {
+			return false
+		}
+	}
+	return true
+}
 
-// TokenFor returns the token under which a flow to the named server is to be
-// opened: the first one that names no other server in the index.
-func (x *Index[S]) TokenFor(name string) Token {
+// TokenFor returns the token under which flows to a server are opened, or None if all
+// its tokens are other servers'.
+func (x *Index[S]) TokenFor(name string, server S) Token {
 	for v := range Variants {
-		if t := ForServer(name, v); len(x.owners[t]) <= 1 {
+		t := x.forServer(name, v)
+		if owner, ok := x.Owner(t); ok && owner == server {
 			return t
 		}
 	}
-	return ForServer(name, 0)
+	return None
 }
--- a/internal/token/token_test.go
+++ b/internal/token/token_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 )
 
@@ -15,24 +16,99 @@
 	}
 }
 
-// Servers whose first tokens are equal get flows under their second tokens.
-func TestCollidingServersGetSecondToken(t *testing.T) {
+// Guards against packets of open flows that go to a server which joined later and shares
+// the token of theirs: the token stays the first one's, whichever of the two an instance
+// learns of first, and the other one gets its second token.
+func TestTokenStaysWithServerThatStartedFirst(t *testing.T) {
 	a, b := collidingNames(t)
-	x := NewIndex[string]()
-	x.Add(a, a)
-	if got := x.TokenFor(a); got != ForServer(a, 0) {
-		t.Fatalf("without a collision the token is %x, not the first one", got)
+	for _, names := range [][2]string{{a, b}, {b, a}} {
+		first, second := names[0], names[1]
+		alone := NewIndex[string]()
+		alone.Add(first, 100, first)
+		opened := alone.TokenFor(first, first)
+		if opened != ForServer(first, 0) {
+			t.Fatalf("without a collision the token is %x, not the first one", opened)
+		}
+		for _, learned := range [][]string{{first, second}, {second, first}} {
+			x := NewIndex[string]()
+			for _, name := range learned {
+				x.Add(name, map[string]int64{first: 100, second: 200}[name], name)
+			}
+			if owner, ok := x.Owner(opened); !ok || owner != first {
+				t.Errorf("learned %v: the token of flows at %s names %q", learned, first, owner)
+			}
+			for _, name := range names {
+				if owner, ok := x.Owner(x.TokenFor(name, name)); !ok || owner != name {
+					t.Errorf("learned %v: the token of %s names %q", learned, name, owner)
+				}
+			}
+			x.Remove(second, second)
+			if got := x.TokenFor(first, first); got != opened {
+				t.Errorf("after %s was removed, the token of %s is %x", second, first, got)
+			}
+		}
 	}
-	x.Add(b, b)
-	for _, name := range []string{a, b} {
-		owners := x.Lookup(x.TokenFor(name))
-		if len(owners) != 1 || owners[0] != name {
-			t.Errorf("token of %s names %v", name, owners)
+}
+
+// Guards against a guess: when it is not known which server started first, a shared token
+// names none of them, and both use their second one.
+func TestSharedTokenOfUnknownOrderNamesNoServer(t *testing.T) {
+	a, b := collidingNames(t)
+	for _, started := range [][2]int64{{0, 0}, {0, 200}, {100, 0}} {
+		x := NewIndex[string]()
+		x.Add(a, started[0], a)
+		x.Add(b, started[1], b)
+		if owner, ok := x.Owner(ForServer(a, 0)); ok {
+			t.Errorf("started %v: the shared token names %s", started, owner)
+		}
+		for _, name := range []string{a, b} {
+			if got := x.TokenFor(name, name); got != ForServer(name, 1) {
+				t.Errorf("started %v: the token of %s is %x, not its second one", started, name, got)
+			}
 		}
 	}
-	x.Remove(b, b)
-	if got := x.TokenFor(a); got != ForServer(a, 0) {
-		t.Errorf("after the other server was removed, the token is %x", got)
+}
+
+// Guards against flows that change their server when others join and leave: the token
+// under which a flow was opened names its server at any instance, as long as the server
+// is there. Tokens collide often here, and some servers have none of their own.
+func TestTokenOfOpenFlowNamesItsServer(t *testing.T) {
+	few := func(name string, variant int) Token { return ForServer(name, variant)%24 + 1 }
+	for seed := range uint64(200) {
+		r := rand.New(rand.NewPCG(seed, 3))
+		started := map[string]int64{}
+		opened := map[string]map[Token]bool{}
+		withoutToken := 0
+		for step := range int64(200) {
+			name := fmt.Sprint("i-", step)
+			started[name], opened[name] = step+1, map[Token]bool{}
+			for other := range started {
+				if other != name && r.IntN(12) == 0 {
+					delete(started, other)
+				}
+			}
+			// An instance that has just started learns of the servers in any order.
+			x := NewIndex[string]()
+			x.forServer = few
+			for other, at := range started {
+				x.Add(other, at, other)
+			}
+			for other := range started {
+				if t := x.TokenFor(other, other); t != None {
+					opened[other][t] = true
+				} else {
+					withoutToken++
+				}
+				for token := range opened[other] {
+					if owner, ok := x.Owner(token); !ok || owner != other {
+						t.Fatalf("seed %d, step %d: the token %x of a flow at %s names %q", seed, step, token, other, owner)
+					}
+				}
+			}
+		}
+		if withoutToken == 0 {
+			t.Errorf("seed %d: no server without a token", seed)
+		}
 	}
 }
 
@@ -67,13 +143,13 @@
 		tokens := make([]Token, n)
 		for i := range n {
 			name := fmt.Sprintf("i-%08x", i)
-			x.Add(name, i)
+			x.Add(name, int64(i+1), i)
 			tokens[i] = ForServer(name, 0)
 		}
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			b.ReportAllocs()
 			for i := range b.N {
-				x.Lookup(tokens[i%n])
+				x.Owner(tokens[i%n])
 			}
 		})
 	}
