--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -99,7 +99,9 @@
 		return false
 	}
 	c.positions[k] = u.Position
-	c.changeLog.Append(k, *u)
+	logged := *u
+	logged.Rejected = nil
+	c.changeLog.Append(k, logged)
 	return true
 }
 
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -119,6 +119,13 @@
 	return c.servers.Unlisted()
 }
 
+// ServerCount returns the number of servers with an entry in the registry.
+func (c *Core) ServerCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.servers.ListedCount()
+}
+
 // LostChanges returns what a restored store has lost, as far as this instance knows
 // and nobody has written it again.
 func (c *Core) LostChanges(now time.Time) LostChanges {
--- a/internal/gatewayshell/counters.go
+++ b/internal/gatewayshell/counters.go
@@ -24,7 +24,12 @@
 
 	packets, forwarded, resets, dropped, malformed                    metrics.Counter
 	socketErrors, probes, storeCalls, storeErrors, feedCalls, reloads metrics.Counter
-	flows                                                             metrics.Gauge
+	// flows is the number of tracked flows, and servers that of the servers with an
+	// entry in the registry.
+	flows, servers metrics.Gauge
+	// objectsRejected counts objects of the store that could not be decoded, each time
+	// that they were received.
+	objectsRejected metrics.Counter
 	// following is 1 while this instance is registered and follows another one.
 	following  metrics.Gauge
 	logDropped metrics.Gauge
@@ -67,6 +72,8 @@
 		feedCalls:            counter("feed_calls"),
 		reloads:              counter("settings_reloads"),
 		flows:                metrics.GetOrRegisterGauge("flows", r),
+		servers:              metrics.GetOrRegisterGauge("servers", r),
+		objectsRejected:      counter("store_objects_rejected"),
 		following:            metrics.GetOrRegisterGauge("following", r),
 		feedSent:             metrics.GetOrRegisterGauge("feed_bytes_sent", r),
 		feedReceived:         metrics.GetOrRegisterGauge("feed_bytes_received", r),
@@ -100,6 +107,7 @@
 
 func (sh *Shell) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	sh.counters.flows.Update(int64(sh.core.FlowCount()))
+	sh.counters.servers.Update(int64(sh.core.ServerCount()))
 	sh.counters.following.Update(0)
 	if sh.registered() && sh.followedInstance() != "" {
 		sh.counters.following.Update(1)
--- a/internal/gatewayshell/registration.go
+++ b/internal/gatewayshell/registration.go
@@ -60,7 +60,7 @@
 // registeredInstances returns the instances in the directory.
 func (sh *Shell) registeredInstances(ctx context.Context) ([]upstream.Instance, error) {
 	all, rejected, err := sh.reloadable.Load().directory.Instances(ctx)
-	sh.log.rejected(rejected)
+	sh.recordRejected(rejected)
 	return all, err
 }
 
--- a/internal/gatewayshell/watch.go
+++ b/internal/gatewayshell/watch.go
@@ -58,7 +58,7 @@
 		if schedule.Succeeded(now, &u) {
 			sh.log.sourceRecovered(k)
 		}
-		sh.log.rejected(u.Rejected)
+		sh.recordRejected(u.Rejected)
 		sh.handleEvent(gateway.SourceUpdated{Kind: k, Update: u, AsOf: call.AsOf(sent, now)})
 		sh.feed.notify()
 		sh.era.observe(u.Position.Era)
@@ -71,6 +71,12 @@
 	}
 }
 
+// recordRejected logs and counts objects that could not be decoded.
+func (sh *Shell) recordRejected(objects []source.Rejection) {
+	sh.counters.objectsRejected.Inc(int64(len(objects)))
+	sh.log.rejected(objects)
+}
+
 // callWithinEra makes a call. A watch fails with ErrRestored as soon as the store turns
 // out to have been restored: the store may answer it at the end of its wait only.
 func (sh *Shell) callWithinEra(ctx context.Context, k source.Kind, call source.Call) (source.Update, error) {
@@ -175,6 +181,7 @@
 		sh.log.warn("cannot read from the store: "+k.String(), err)
 		return
 	}
+	sh.recordRejected(u.Rejected)
 	sh.handleEvent(gateway.SourceUpdated{Kind: k, Update: u, AsOf: sent})
 }
 
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -346,6 +346,9 @@
 	return out
 }
 
+// ListedCount returns the number of current entries.
+func (g *Registry) ListedCount() int { return len(g.records) - len(g.unlisted) }
+
 // Unlisted returns the last entries of the lapsed and departed servers whose
 // records have not been deleted.
 func (g *Registry) Unlisted() []Entry {
--- a/internal/standin/platform/store/store.go
+++ b/internal/standin/platform/store/store.go
@@ -5,7 +5,9 @@
 package store
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"maps"
 	"net/http"
@@ -88,6 +90,9 @@
 	changed chan struct{}
 	mode    Mode
 	delay   time.Duration
+	// texts holds the specs of PutText; their objects have placeholders for them.
+	textsMu sync.Mutex
+	texts   []string
 	// calls counts the calls by method and kind, separated by a space.
 	calls map[string]int
 }
@@ -210,6 +215,18 @@
 	s.put(kind, name, raw)
 }
 
+// PutText writes an object whose spec is answered as the given text, which may be nested
+// deeper than the encoder allows.
+func (s *Store) PutText(kind, name, text string) {
+	s.textsMu.Lock()
+	s.texts = append(s.texts, text)
+	spec := placeholder(len(s.texts) - 1)
+	s.textsMu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(kind, name, json.RawMessage(spec))
+}
+
 // Delete removes an object.
 func (s *Store) Delete(kind, name string) {
 	s.mu.Lock()
@@ -344,7 +361,7 @@
 		items = append(items, *kinds[kind][name])
 	}
 	s.mu.Unlock()
-	writeJSON(w, http.StatusOK, map[string]any{"items": items, "more": more, "store_revision": revision})
+	s.writeJSON(w, http.StatusOK, map[string]any{"items": items, "more": more, "store_revision": revision})
 }
 
 func (s *Store) handleGet(w http.ResponseWriter, kind, name string) {
@@ -352,7 +369,7 @@
 	defer s.mu.Unlock()
 	s.stateEra(w)
 	if o := s.kinds[kind][name]; o != nil {
-		writeJSON(w, http.StatusOK, o)
+		s.writeJSON(w, http.StatusOK, o)
 		return
 	}
 	w.WriteHeader(http.StatusNotFound)
@@ -390,13 +407,13 @@
 			return
 		}
 		if len(events) > 0 {
-			writeJSON(w, http.StatusOK, map[string]any{"events": events, "store_revision": revision})
+			s.writeJSON(w, http.StatusOK, map[string]any{"events": events, "store_revision": revision})
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			writeJSON(w, http.StatusOK, map[string]any{"events": []Event{}, "store_revision": revision})
+			s.writeJSON(w, http.StatusOK, map[string]any{"events": []Event{}, "store_revision": revision})
 			return
 		case <-r.Context().Done():
 			return
@@ -436,14 +453,14 @@
 	switch {
 	case r.Method == http.MethodPost && current != nil,
 		current != nil && o.Meta.Revision != 0 && o.Meta.Revision != current.Meta.Revision:
-		writeJSON(w, http.StatusConflict, current)
+		s.writeJSON(w, http.StatusConflict, current)
 	case r.Method == http.MethodPut && current == nil:
 		w.WriteHeader(http.StatusNotFound)
 	case ofStatus:
 		s.putStatus(kind, current, o.Status)
-		writeJSON(w, http.StatusOK, current)
+		s.writeJSON(w, http.StatusOK, current)
 	default:
-		writeJSON(w, http.StatusOK, s.put(kind, name, o.Spec))
+		s.writeJSON(w, http.StatusOK, s.put(kind, name, o.Spec))
 	}
 }
 
@@ -453,7 +470,7 @@
 	s.stateEra(w)
 	current := s.kinds[kind][name]
 	if revision := r.URL.Query().Get("revision"); current != nil && revision != "" && revision != strconv.FormatInt(current.Meta.Revision, 10) {
-		writeJSON(w, http.StatusConflict, current)
+		s.writeJSON(w, http.StatusConflict, current)
 		return
 	}
 	if !s.delete(kind, name) {
@@ -466,9 +483,26 @@
 	w.Header().Set(eraHeader, strconv.FormatInt(s.era, 10))
 }
 
-func writeJSON(w http.ResponseWriter, status int, body any) {
+func (s *Store) writeJSON(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err) // body is of a type that cannot be encoded
+	}
 	// The client may have disconnected; it then gets no answer.
-	_ = json.NewEncoder(w).Encode(body)
+	_, _ = w.Write(s.insertTexts(data))
 }
+
+// insertTexts replaces the placeholders of PutText.
+func (s *Store) insertTexts(data []byte) []byte {
+	s.textsMu.Lock()
+	defer s.textsMu.Unlock()
+	for i, text := range s.texts {
+		data = bytes.ReplaceAll(data, []byte(placeholder(i)), []byte(text))
+	}
+	return data
+}
+
+// placeholder returns the JSON string that stands for a text of PutText.
+func placeholder(i int) string { return fmt.Sprintf(`"placeholder %d"`, i) }
