withdrawal: a state taken over with a list ends like at the instance that passed it on

Callers would have seen: a data centre that stays without flows for good at an instance which learned of the restoration from another one, if the operators do not write the lost withdrawal again. A list of an earlier build, which states no time, keeps it for the full one.

TestRelayedCopyIsBelievedAfterTime and TestListOfEarlierBuildKeepsWithdrawal failed before. TestFleetAfterRestorations plays relayed lists too.

--- a/internal/withdrawal/fleet_test.go
+++ b/internal/withdrawal/fleet_test.go
@@ -71,6 +71,22 @@
 	changes     int
 }
 
+// follow brings an instance up to date from the list of another one, if that one has read
+// more of the store.
+func (f *fleet) follow(i int) bool {
+	other := f.rand.IntN(len(f.instances))
+	s, followed := f.instances[i], f.instances[other]
+	if f.cut[other] || !s.position.Before(followed.position) {
+		return false
+	}
+	replace := s.Replace
+	if !s.position.IsZero() && s.position.Era < followed.position.Era {
+		replace = s.ReplaceByCopy
+	}
+	f.changes += len(replace(f.now, followed.position, followed.List(f.now)))
+	return true
+}
+
 // read brings an instance up to date from the store, as a watch or a read does.
 func (f *fleet) read(i int) {
 	s, h := f.instances[i], f.store
@@ -97,7 +113,9 @@
 			f.reachedAt[i] = f.now
 			continue
 		}
-		f.read(i)
+		if f.rand.IntN(3) > 0 || !f.follow(i) {
+			f.read(i)
+		}
 		f.changes += len(s.Tick(f.now))
 		if other := f.rand.IntN(len(f.instances)); !f.cut[other] {
 			f.changes += len(s.ApplyLost(f.now, f.instances[other].Lost(f.now)))
--- a/internal/withdrawal/withdrawal.go
+++ b/internal/withdrawal/withdrawal.go
@@ -78,13 +78,12 @@
 // contradicted reports whether the state is kept against a restored copy.
 func (st *state) contradicted() bool { return !st.keptUntil.IsZero() }
 
-// keep keeps the state against a restored copy for the time that applies to it.
-func (st *state) keep(now time.Time, inService, withdrawn time.Duration) {
+// keepTime returns how long the state is kept against a restored copy.
+func (st *state) keepTime() time.Duration {
 	if st.withdrawn {
-		st.keptUntil = now.Add(withdrawn)
-	} else {
-		st.keptUntil = now.Add(inService)
+		return keepWithdrawn
 	}
+	return keepInService
 }
 
 // agrees reports whether the data centre is listed as it is known, and if it is
@@ -184,6 +183,8 @@
 	for _, c := range s.complete(list) {
 		st := s.state(c.DataCentre)
 		switch {
+		case c.Contradicted && c.Withdrawn == st.withdrawn:
+			s.keep(now, c)
 		case c.Contradicted:
 			out = s.learn(now, c, out)
 		case st.contradicted() && st.mayBeLaterThan(c):
@@ -211,10 +212,12 @@
 	for _, c := range s.complete(list) {
 		st := s.state(c.DataCentre)
 		switch {
+		case c.Contradicted && c.Withdrawn == st.withdrawn:
+			s.keep(now, c)
 		case c.Contradicted:
 			out = s.learn(now, c, out)
 		case st.mayBeLaterThan(c):
-			st.keep(now, keepInService, keepWithdrawn)
+			st.keptUntil = now.Add(st.keepTime())
 		default:
 			out = s.set(now, c, Operator, out)
 		}
@@ -249,15 +252,30 @@
 		// Another withdrawal has ended than the one that is in force here.
 		return out
 	}
-	inService := min(c.KeepFor, s.eraReadAt.Add(keepInService).Sub(now))
-	if !c.Withdrawn && inService <= 0 {
+	if !c.Withdrawn && !now.Before(s.eraReadAt.Add(keepInService)) {
 		return out
 	}
 	out = s.set(now, c, Learned, out)
-	s.state(c.DataCentre).keep(now, inService, min(c.KeepFor, keepWithdrawn))
+	s.keep(now, c)
 	return out
 }
 
+// keep keeps the present state of a data centre against the copy, as another instance
+// does.
+func (s *Set) keep(now time.Time, c source.DataCentreChange) {
+	st := s.state(c.DataCentre)
+	st.keptUntil = now.Add(st.keepTime())
+	if c.ChangedAt.IsZero() {
+		return // an earlier build, which states no time
+	}
+	if until := now.Add(c.KeepFor); until.Before(st.keptUntil) {
+		st.keptUntil = until
+	}
+	if until := s.eraReadAt.Add(keepInService); !st.withdrawn && until.Before(st.keptUntil) {
+		st.keptUntil = until
+	}
+}
+
 // includes reports whether the state that this instance read in the era of a position
 // includes the changes up to it.
 func (s *Set) includes(p source.Position) bool {
--- a/internal/withdrawal/withdrawal_test.go
+++ b/internal/withdrawal/withdrawal_test.go
@@ -194,3 +194,35 @@
 		t.Error("in service at the instance that started on the copy")
 	}
 }
+
+// Guards against a data centre that stays out of service for good at an instance which
+// learns of the restoration from another one, and not from the store.
+func TestRelayedCopyIsBelievedAfterTime(t *testing.T) {
+	reader, follower := loaded(at(1, 2)), loaded(at(1, 2))
+	for _, s := range []*Set{reader, follower} {
+		s.Apply(start, at(1, 7), withdrawn(norte, 7))
+	}
+	reader.ReplaceByCopy(start, at(2, 5), nil)
+	later := start.Add(time.Second)
+	follower.ReplaceByCopy(later, at(2, 5), reader.List(later))
+	if follower.Tick(start.Add(keepWithdrawn - time.Millisecond)); !follower.Withdrawn(norte) {
+		t.Error("in service before the time")
+	}
+	if follower.Tick(start.Add(keepWithdrawn)); follower.Withdrawn(norte) {
+		t.Error("still withdrawn after the time")
+	}
+}
+
+// Guards against flows to a withdrawn data centre because an instance of an earlier build,
+// which states neither the position nor the time that is left, passes on the list.
+func TestListOfEarlierBuildKeepsWithdrawal(t *testing.T) {
+	s := loaded(at(1, 2))
+	s.Apply(start, at(1, 7), withdrawn(norte, 7))
+	s.ReplaceByCopy(start, at(2, 5), []source.DataCentreChange{{DataCentre: norte, Withdrawn: true, Contradicted: true}})
+	if s.Tick(start.Add(time.Second)); !s.Withdrawn(norte) {
+		t.Error("in service a second after the restoration")
+	}
+	if s.Tick(start.Add(keepWithdrawn)); s.Withdrawn(norte) {
+		t.Error("still withdrawn after the time")
+	}
+}
