withdrawal: an instance that starts on a contradicted list knows what it contradicts

Callers would have seen: flows to a withdrawn data centre, without end, from an instance that started on the list of one which kept the data centre in service against the copy. Cause: what the list contradicted was noted only for data centres that the instance knew already, so that the store was never believed. An instance follows only others of the present era in the test, as in the product.

--- a/internal/withdrawal/fleet_test.go
+++ b/internal/withdrawal/fleet_test.go
@@ -72,11 +72,11 @@
 }
 
 // follow brings an instance up to date from the list of another one, if that one has read
-// more of the store.
+// more of the present store.
 func (f *fleet) follow(i int) bool {
 	other := f.rand.IntN(len(f.instances))
 	s, followed := f.instances[i], f.instances[other]
-	if f.cut[other] || !s.position.Before(followed.position) {
+	if f.cut[other] || followed.position.Era < f.store.position.Era || !s.position.Before(followed.position) {
 		return false
 	}
 	replace := s.Replace
@@ -129,7 +129,11 @@
 func TestFleetAfterRestorations(t *testing.T) {
 	const stepTime = 100 * time.Millisecond
 	dcs := []model.DataCentre{norte, sur}
+	seeds := []uint64{15510} // an instance that started on the list of one that kept its own state
 	for seed := range uint64(300) {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		f := &fleet{rand: rand.New(rand.NewPCG(seed, 27)), now: start, store: &history{position: at(1, 1), withdrawn: map[model.DataCentre]source.Revision{}},
 			wanted: map[model.DataCentre]bool{}, wantedSince: map[model.DataCentre]time.Time{}}
 		const n = 5
--- a/internal/withdrawal/withdrawal.go
+++ b/internal/withdrawal/withdrawal.go
@@ -184,7 +184,7 @@
 		st := s.state(c.DataCentre)
 		switch {
 		case c.Contradicted && c.Withdrawn == st.withdrawn:
-			s.keep(now, c)
+			out = s.adopt(now, c, out)
 		case c.Contradicted:
 			out = s.learn(now, c, out)
 		case st.contradicted() && st.mayBeLaterThan(c):
@@ -213,7 +213,7 @@
 		st := s.state(c.DataCentre)
 		switch {
 		case c.Contradicted && c.Withdrawn == st.withdrawn:
-			s.keep(now, c)
+			out = s.adopt(now, c, out)
 		case c.Contradicted:
 			out = s.learn(now, c, out)
 		case st.mayBeLaterThan(c):
@@ -255,18 +255,16 @@
 	if !c.Withdrawn && !now.Before(s.eraReadAt.Add(keepInService)) {
 		return out
 	}
-	out = s.set(now, c, Learned, out)
-	s.keep(now, c)
-	return out
+	return s.adopt(now, c, out)
 }
 
-// keep keeps the present state of a data centre against the copy, as another instance
-// does.
-func (s *Set) keep(now time.Time, c source.DataCentreChange) {
-	st := s.state(c.DataCentre)
+// adopt takes over a state that another instance keeps against the copy.
+func (s *Set) adopt(now time.Time, c source.DataCentreChange, out []Change) []Change {
+	out = s.set(now, c, Learned, out)
+	st := s.states[c.DataCentre]
 	st.keptUntil = now.Add(st.keepTime())
 	if c.ChangedAt.IsZero() {
-		return // an earlier build, which states no time
+		return out // an earlier build, which states no time
 	}
 	if until := now.Add(c.KeepFor); until.Before(st.keptUntil) {
 		st.keptUntil = until
@@ -274,6 +272,7 @@
 	if until := s.eraReadAt.Add(keepInService); !st.withdrawn && until.Before(st.keptUntil) {
 		st.keptUntil = until
 	}
+	return out
 }
 
 // includes reports whether the state that this instance read in the era of a position
--- a/internal/withdrawal/withdrawal_test.go
+++ b/internal/withdrawal/withdrawal_test.go
@@ -213,6 +213,23 @@
 	}
 }
 
+// Guards against flows to a withdrawn data centre, without end, from an instance that starts
+// while another one, whose list it gets, keeps the data centre in service against the copy.
+func TestStartOnListOfContradictingInstanceEnds(t *testing.T) {
+	reader, started := loaded(at(1, 2)), New()
+	reader.Apply(start, at(1, 7), withdrawn(norte, 7))
+	reader.Apply(start, at(1, 9), returned(norte))
+	reader.ReplaceByCopy(start, at(2, 8), withdrawn(norte, 7))
+	later := start.Add(time.Second)
+	started.Replace(later, at(2, 8), reader.List(later))
+	if started.Withdrawn(norte) {
+		t.Fatal("withdrawn at once")
+	}
+	if started.Tick(start.Add(keepInService)); !started.Withdrawn(norte) {
+		t.Error("in service after the time, although the store has the withdrawal")
+	}
+}
+
 // Guards against flows to a withdrawn data centre because an instance of an earlier build,
 // which states neither the position nor the time that is left, passes on the list.
 func TestListOfEarlierBuildKeepsWithdrawal(t *testing.T) {
