gateway: an opening belongs to an earlier flow only while callers repeat it

An open flow was moved to another server, which resets it, when a repetition of its opening came late and its server had begun to drain (found on the way).

Cause: a first transmission for a flow in the table that was not seen to be accepted went to that flow's server unchecked; a repetition for an accepted one was placed anew when its server took no flows any more.

Change: a first transmission opens a new flow, placed by the present state; a repetition belongs to the flow in the table for 1.4 s, and goes to the server of an accepted one as it is.

--- a/internal/gateway/packets.go
+++ b/internal/gateway/packets.go
@@ -28,15 +28,7 @@
 	if route == nil {
 		return c.refuse(now, s, NoRoute, source.Configuration), nil
 	}
-	f := c.flows[s.Key]
-	if f != nil && f.Established && s.RetransmitCount == 0 {
-		// The caller reuses the port.
-		c.untrack(f)
-		f = nil
-	}
-	if f == nil {
-		f = &trackedFlow{key: s.Key}
-	}
+	f := c.flowOfOpening(now, s)
 	observation := f.Observe(now, s)
 	v := Verdict{NewOpening: true}
 	if observation.Retransmit {
@@ -46,7 +38,7 @@
 	c.suspects = c.suspects[:0]
 	var actions []Action
 	if previous != nil {
-		if !observation.Retransmit || c.keepsServer(now, f, route) {
+		if f.Established || c.keepsServer(now, f, route) {
 			return c.forward(f, v), c.applyObservation(now, previous, observation)
 		}
 		// The flow is detached so that it is not reset together with the
@@ -75,6 +67,30 @@
 	return c.forward(f, v), actions
 }
 
+// flowOfOpening returns the flow that a transmission of an opening belongs to. The first
+// transmission belongs to a new flow, also if its caller has used the port before: that
+// caller may have given up the earlier flow without a packet that shows it. So does a
+// retransmission after the time in which callers repeat openings.
+func (c *Core) flowOfOpening(now time.Time, s *flow.Segment) *trackedFlow {
+	f := c.flows[s.Key]
+	if f != nil && s.RetransmitCount > 0 && now.Sub(f.openedAround()) <= openingWindow {
+		return f
+	}
+	if f != nil {
+		c.untrack(f)
+	}
+	return &trackedFlow{key: s.Key}
+}
+
+// openedAround returns the time of the opening, or that of the last packet if another
+// instance forwarded the opening.
+func (f *trackedFlow) openedAround() time.Time {
+	if f.OpeningAt.IsZero() {
+		return f.LastSeen
+	}
+	return f.OpeningAt
+}
+
 // refuse returns a reset if the information behind the refusal is current, and
 // drops the packet silently if it may be outdated.
 func (c *Core) refuse(now time.Time, s *flow.Segment, reason Reason, kind source.Kind) Verdict {
--- a/internal/gateway/recent_flows.go
+++ b/internal/gateway/recent_flows.go
@@ -11,9 +11,10 @@
 	// maxRecentFlows is the number of flows remembered for each caller address
 	// and service.
 	maxRecentFlows = 4
-	// recentFlowWindow is how long an unanswered flow counts against its
-	// server: the time after which a caller stops trying to open a flow.
-	recentFlowWindow = 1400 * time.Millisecond
+	// openingWindow is the time after which a caller stops trying to open a flow.
+	openingWindow = 1400 * time.Millisecond
+	// recentFlowWindow is how long an unanswered flow counts against its server.
+	recentFlowWindow = openingWindow
 	// takenOverProgressWindow is how recently a server of another data centre
 	// must have answered a caller not to be probed when its flows are taken
 	// over.
