Receive SIGHUP from the start on; outlast errors of accept

Cause: SIGHUP was handled only after the settings had been read, and ends a process before; cuminshift-entry never handled it. rpcframe.Serve returned on any error of accept, such as a lack of descriptors, and the process ended.

Change: package hangup receives the signal when it is initialized; the gateway reloads by it, the entry process logs that it has no effect. Serve reports the error, waits 5 ms to 1 s and goes on; open connections are served meanwhile.

--- a/cmd/cuminshift-entry/main.go
+++ b/cmd/cuminshift-entry/main.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"cuminshift/internal/hangup"
 	"cuminshift/internal/settings"
 	"cuminshift/internal/shell"
 )
@@ -49,6 +50,11 @@
 		return exitFailure
 	}
 	defer log.Sync()
+	go func() {
+		for range hangup.Signals() {
+			log.Warn("entry: SIGHUP has no effect, settings are read at the start")
+		}
+	}()
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	if err := shell.Run(ctx, s, log); err != nil {
--- a/internal/gatewayshell/feedserver.go
+++ b/internal/gatewayshell/feedserver.go
@@ -264,5 +264,8 @@
 	if err != nil {
 		return err
 	}
-	return rpcframe.Serve(ctx, listener, sh.feed, sh.feedBytes.Wrap)
+	return rpcframe.Serve(ctx, listener, sh.feed, sh.feedBytes.Wrap, func(err error) {
+		sh.counters.socketErrors.Inc(1)
+		sh.log.warn("cannot accept a connection of another instance, retrying", err)
+	})
 }
--- a/internal/gatewayshell/reload.go
+++ b/internal/gatewayshell/reload.go
@@ -3,10 +3,9 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
+	"cuminshift/internal/hangup"
 	"cuminshift/internal/source"
 	"cuminshift/internal/upstream"
 )
@@ -42,9 +41,6 @@
 // reloadSettings reloads the settings on SIGHUP and when the file has changed,
 // until ctx ends.
 func (sh *Shell) reloadSettings(ctx context.Context) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	lastModTime := sh.settingsModTime()
@@ -52,7 +48,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-hangup.Signals():
 		case <-ticker.C:
 			if sh.settingsModTime().Equal(lastModTime) {
 				continue
--- a/internal/rpcframe/rpcframe.go
+++ b/internal/rpcframe/rpcframe.go
@@ -117,9 +117,18 @@
 	return n, err
 }
 
-// Serve serves the methods of the receiver on a listener until ctx ends. wrap,
-// if not nil, is applied to each connection.
-func Serve(ctx context.Context, listener net.Listener, receiver any, wrap func(net.Conn) net.Conn) error {
+const (
+	// firstAcceptDelay is the pause after the first error of accept. It doubles with
+	// each further one up to maxAcceptDelay.
+	firstAcceptDelay = 5 * time.Millisecond
+	maxAcceptDelay   = time.Second
+)
+
+// Serve serves the methods of the receiver on a listener until ctx ends or the listener
+// is closed. wrap, if not nil, is applied to each connection. Other errors of accept, such
+// as a lack of descriptors, pass: they are reported to acceptFailed, and open connections
+// are served meanwhile.
+func Serve(ctx context.Context, listener net.Listener, receiver any, wrap func(net.Conn) net.Conn, acceptFailed func(error)) error {
 	server := rpc.NewServer()
 	if err := server.Register(receiver); err != nil {
 		return errors.Wrap(err, "rpc: register")
@@ -130,14 +139,24 @@
 		listener.Close()
 		open.closeAll()
 	}()
+	var delay time.Duration
 	for {
 		conn, err := listener.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
+		switch {
+		case ctx.Err() != nil:
+			if err == nil {
+				conn.Close()
 			}
+			return nil
+		case errors.Is(err, net.ErrClosed):
 			return errors.Wrap(err, "rpc: accept")
+		case err != nil:
+			acceptFailed(errors.Wrap(err, "rpc: accept"))
+			delay = min(max(2*delay, firstAcceptDelay), maxAcceptDelay)
+			sleep(ctx, delay)
+			continue
 		}
+		delay = 0
 		open.add(conn)
 		go func() {
 			wrapped := conn
@@ -150,6 +169,16 @@
 	}
 }
 
+// sleep sleeps for a time, or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // openConns is the set of open connections, which are closed when ctx ends.
 type openConns struct {
 	mu    sync.Mutex
--- a/internal/shell/peers.go
+++ b/internal/shell/peers.go
@@ -46,8 +46,8 @@
 }
 
 // servePeers serves the Peer service on the listener until ctx ends.
-func servePeers(ctx context.Context, listener net.Listener, deliver func(*pb.PeerBatch), counters *rpcframe.ByteCounters) error {
-	return rpcframe.Serve(ctx, listener, &Peer{deliver}, counters.Wrap)
+func servePeers(ctx context.Context, listener net.Listener, deliver func(*pb.PeerBatch), counters *rpcframe.ByteCounters, acceptFailed func(error)) error {
+	return rpcframe.Serve(ctx, listener, &Peer{deliver}, counters.Wrap, acceptFailed)
 }
 
 // peerSet sends batches to peers, with one sender for each peer.
--- a/internal/shell/peers_test.go
+++ b/internal/shell/peers_test.go
@@ -27,7 +27,7 @@
 	}
 	delivered := make(chan *pb.PeerBatch, 1)
 	var received, sent rpcframe.ByteCounters
-	go servePeers(ctx, listener, func(b *pb.PeerBatch) { delivered <- b }, &received)
+	go servePeers(ctx, listener, func(b *pb.PeerBatch) { delivered <- b }, &received, func(err error) { t.Error(err) })
 	peers := newPeerSet(ctx, zap.NewNop(), &sent, func(ctx context.Context, address string) (net.Conn, error) {
 		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	})
--- a/internal/shell/shell.go
+++ b/internal/shell/shell.go
@@ -94,7 +94,11 @@
 	}
 
 	group, serveCtx := errgroup.WithContext(serveCtx)
-	group.Go(func() error { return servePeers(serveCtx, peerListener, sh.handlePeerBatch, &sh.controlBytes) })
+	group.Go(func() error {
+		return servePeers(serveCtx, peerListener, sh.handlePeerBatch, &sh.controlBytes, func(err error) {
+			sh.log.Warn("peer: cannot accept a connection, retrying", zap.Error(err))
+		})
+	})
 	for i := 0; i < sh.settings.Workers; i++ {
 		group.Go(func() error { sh.readCallerPackets(serveCtx); return nil })
 	}
