An answer over the limit is an error, and a watch with one is followed by a read

Cause: the client cut the answer to a watch at 4 MiB without an error, could not decode it and repeated the watch from the same revision, where the answer only grows.

The log of updates for followers is bounded by 8 MiB beside 256 updates. A decompressed configuration over its limit is an error.

--- a/internal/feed/compress.go
+++ b/internal/feed/compress.go
@@ -36,10 +36,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "feed: decompress configuration")
 	}
-	message, err := io.ReadAll(io.LimitReader(r, maxConfigurationBytes))
+	message, err := io.ReadAll(io.LimitReader(r, maxConfigurationBytes+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "feed: decompress configuration")
 	}
+	if len(message) > maxConfigurationBytes {
+		return nil, errors.Newf("feed: decompressed configuration exceeds %d bytes", maxConfigurationBytes)
+	}
 	m := &pb.FeedConfiguration{}
 	if err := proto.Unmarshal(message, m); err != nil {
 		return nil, errors.Wrap(err, "feed: decode configuration")
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/netip"
 	"reflect"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -131,6 +133,64 @@
 	}
 }
 
+// Guards against memory that grows with the size of the versions: an instance that others
+// follow kept 256 large ones.
+func TestLogIsBoundedByBytes(t *testing.T) {
+	const routes, versions = 5400, 60
+	var l Log
+	l.Append(source.Configuration, source.Update{Full: true, Position: at(1), Configuration: configuration(1, routes)})
+	before := heapAlloc()
+	for r := source.Revision(2); r <= versions; r++ {
+		l.Append(source.Configuration, source.Update{Position: at(r), Configuration: configuration(int64(r), routes)})
+	}
+	if grown := heapAlloc() - before; grown > 2*maxLogBytes {
+		t.Errorf("%d versions of %d routes take %d MB", versions, routes, grown>>20)
+	}
+	if u, ok := l.Since(source.Configuration, at(versions-3)); !ok || u.Configuration.Version != versions {
+		t.Errorf("the log lacks the last versions: %+v, %t", u.Position, ok)
+	}
+	if _, ok := l.Since(source.Configuration, at(2)); ok {
+		t.Error("the log holds the first version; want the complete state in its place")
+	}
+	huge := source.Update{Position: at(versions + 1), Configuration: configuration(versions+1, 50_000)}
+	l.Append(source.Configuration, huge)
+	if c := l.Configuration(huge.Position); c != huge.Configuration {
+		t.Error("the log lacks a version that exceeds its bound alone")
+	}
+	if u, ok := l.Since(source.Configuration, huge.Position); !ok || !u.Empty() {
+		t.Errorf("nothing new: %+v, %t", u, ok)
+	}
+	runtime.KeepAlive(&l)
+}
+
+func heapAlloc() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// Guards against a configuration of which the end is missing without an error.
+func TestDecompressedConfigurationIsBounded(t *testing.T) {
+	large := configuration(7, 50_000)
+	for _, route := range large.Routes {
+		route.Name = strings.Repeat("r", 100)
+	}
+	data, err := Compress(large)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c, err := Decompress(data); err == nil {
+		t.Errorf("%d routes of 50,000, without an error", len(c.Routes))
+	}
+	if data, err = Compress(configuration(7, 5400)); err != nil {
+		t.Fatal(err)
+	}
+	if c, err := Decompress(data); err != nil || len(c.Routes) != 5400 {
+		t.Error(err)
+	}
+}
+
 // Guards against differences between states of two eras: their revisions are given
 // out to different changes.
 func TestLogHasNoChangesSinceAnotherEra(t *testing.T) {
--- a/internal/feed/log.go
+++ b/internal/feed/log.go
@@ -8,9 +8,29 @@
 	"cuminshift/internal/source"
 )
 
-// maxLogUpdates bounds the updates of each source in the log. An instance that
-// lacks older updates receives the complete state.
-const maxLogUpdates = 256
+// maxLogUpdates and maxLogBytes bound the updates of each source in the log. An
+// instance that lacks older updates receives the complete state.
+const (
+	maxLogUpdates = 256
+	maxLogBytes   = 8 << 20
+)
+
+// Estimates of the memory that the parts of an update take. A configuration is counted
+// in full, although versions that were received as differences share their routes.
+const (
+	routeBytes  = 200
+	serverBytes = 320
+	updateBytes = 128
+)
+
+// sizeOf returns an estimate of the memory that an update takes.
+func sizeOf(u *source.Update) int {
+	size := updateBytes + serverBytes*(len(u.Servers)+len(u.DataCentres))
+	if u.Configuration != nil {
+		size += routeBytes * (len(u.Configuration.Routes) + len(u.Configuration.Services))
+	}
+	return size
+}
 
 // Log holds the latest updates of each source.
 type Log struct {
@@ -21,6 +41,8 @@
 	// base is the position before the first update in the log.
 	base    source.Position
 	updates []source.Update
+	// bytes is the sum of sizeOf over the updates.
+	bytes int
 	// baseConfiguration is the configuration at base.
 	baseConfiguration *routing.Configuration
 }
@@ -29,15 +51,28 @@
 func (l *Log) Append(k source.Kind, u source.Update) {
 	log := &l.sources[k]
 	if u.Full {
-		log.base, log.updates, log.baseConfiguration = u.Position, nil, u.Configuration
+		*log = sourceLog{base: u.Position, baseConfiguration: u.Configuration}
 		return
 	}
 	log.updates = append(log.updates, u)
-	if extra := len(log.updates) - maxLogUpdates; extra > 0 {
-		log.base = log.updates[extra-1].Position
-		log.baseConfiguration = configurationAt(log, log.base)
-		log.updates = append([]source.Update(nil), log.updates[extra:]...)
+	log.bytes += sizeOf(&u)
+	n, bytes := 0, log.bytes
+	for len(log.updates)-n > maxLogUpdates || (bytes > maxLogBytes && n < len(log.updates)) {
+		bytes -= sizeOf(&log.updates[n])
+		n++
+	}
+	log.dropOldest(n, log.bytes-bytes)
+}
+
+// dropOldest drops the first n updates, which take a number of bytes.
+func (log *sourceLog) dropOldest(n, bytes int) {
+	if n == 0 {
+		return
 	}
+	log.base = log.updates[n-1].Position
+	log.baseConfiguration = configurationAt(log, log.base)
+	log.updates = append([]source.Update(nil), log.updates[n:]...)
+	log.bytes -= bytes
 }
 
 // Since returns the changes after a position as one update, which is empty when
--- a/internal/gatewayshell/counters.go
+++ b/internal/gatewayshell/counters.go
@@ -30,6 +30,9 @@
 	// objectsRejected counts objects of the store that could not be decoded, each time
 	// that they were received.
 	objectsRejected metrics.Counter
+	// answersTooLarge counts the answers of watches that exceeded the limit of the
+	// store's client.
+	answersTooLarge metrics.Counter
 	// following is 1 while this instance is registered and follows another one.
 	following  metrics.Gauge
 	logDropped metrics.Gauge
@@ -74,6 +77,7 @@
 		flows:                metrics.GetOrRegisterGauge("flows", r),
 		servers:              metrics.GetOrRegisterGauge("servers", r),
 		objectsRejected:      counter("store_objects_rejected"),
+		answersTooLarge:      counter("store_answers_too_large"),
 		following:            metrics.GetOrRegisterGauge("following", r),
 		feedSent:             metrics.GetOrRegisterGauge("feed_bytes_sent", r),
 		feedReceived:         metrics.GetOrRegisterGauge("feed_bytes_received", r),
--- a/internal/gatewayshell/watch.go
+++ b/internal/gatewayshell/watch.go
@@ -43,6 +43,9 @@
 			}
 			sh.reloadable.Load().store.Reconnect(k)
 			sh.counters.storeErrors.Inc(1)
+			if errors.Is(err, source.ErrTooLarge) {
+				sh.counters.answersTooLarge.Inc(1)
+			}
 			sh.storeFailed.Store(true)
 			if schedule.Failed(now, err) {
 				sh.log.sourceFailing(k, err)
--- a/internal/source/schedule.go
+++ b/internal/source/schedule.go
@@ -182,6 +182,8 @@
 	return firstFailure
 }
 
-// NeedsRead reports whether the store answered, but without the changes since the
-// requested position, so that the source has to be read.
-func NeedsRead(err error) bool { return errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored) }
+// NeedsRead reports whether the store answered, but the changes since the requested
+// position are not to be had from it, so that the source has to be read.
+func NeedsRead(err error) bool {
+	return errors.Is(err, ErrCompacted) || errors.Is(err, ErrRestored) || errors.Is(err, ErrTooLarge)
+}
--- a/internal/source/schedule_test.go
+++ b/internal/source/schedule_test.go
@@ -53,6 +53,16 @@
 	}
 }
 
+// Guards against a watch that is repeated from where its answer is too large.
+func TestTooLargeAnswerLeadsToImmediateRead(t *testing.T) {
+	s := NewSchedule(NewTiming(3 * time.Second))
+	s.Succeeded(start, read(530))
+	s.Failed(start, errors.Wrap(ErrTooLarge, "watch"))
+	if call := s.Next(); !call.Read || call.AllowStale || call.NotBefore.After(start) {
+		t.Fatalf("after an answer that is too large: %+v", call)
+	}
+}
+
 func TestRetriesBackOff(t *testing.T) {
 	s := NewSchedule(NewTiming(3 * time.Second))
 	now, calls := start, 0
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -125,6 +125,9 @@
 	// ErrRestored means that the store was restored from a copy after the requested
 	// revision, or during a read of several pages.
 	ErrRestored = errors.New("store: restored from a copy, earlier revisions do not apply")
+	// ErrTooLarge means that the changes since the requested revision exceed what the
+	// client takes in one answer.
+	ErrTooLarge = errors.New("store: changes since the requested revision are too large")
 	// ErrOutdated means that an answer is of an earlier era than one received before.
 	ErrOutdated = errors.New("store: answer from before the store was restored")
 	// ErrChanged means that a conditional write was rejected because the object has
@@ -146,7 +149,8 @@
 	// rates. A Watch from the update's revision returns what it lacks.
 	ReadStale(ctx context.Context, k Kind) (Update, error)
 	// Watch returns the changes after a position as soon as there are any, or
-	// an empty update after wait. After ErrCompacted or ErrRestored a Read is needed.
+	// an empty update after wait. After ErrCompacted, ErrRestored or ErrTooLarge a Read
+	// is needed.
 	Watch(ctx context.Context, k Kind, since Position, wait time.Duration) (Update, error)
 	// KeepConfiguration stores a configuration that was accepted beside an older one
 	// that the store was restored to, so that Read and Watch return the newer of the
