--- a/internal/gateway/packets.go
+++ b/internal/gateway/packets.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"cuminshift/internal/flow"
@@ -108,7 +109,7 @@
 func (c *Core) handleFollowing(now time.Time, s *flow.Segment) (Verdict, []Action) {
 	f := c.flows[s.Key]
 	takenOver := false
-	if f == nil || f.serverState == nil || (!f.Established && s.Token != token.None && !c.ownsToken(s.Token, f.serverState)) {
+	if f == nil || f.serverState == nil || (!f.Established && s.Token != token.None && !c.mayName(s.Token, f.serverState)) {
 		owner, reason := c.resolveToken(s)
 		if owner == nil {
 			if reason == UnknownToken {
@@ -202,10 +203,13 @@
 	return only, ReasonNone
 }
 
-// ownsToken reports whether the token names the server.
-func (c *Core) ownsToken(t token.Token, srv *serverState) bool {
-	owner, ok := c.tokens.Owner(t)
-	return ok && owner == srv
+// mayName reports whether a token names the server, or may do so because it is not known
+// which of the servers that share it started first.
+func (c *Core) mayName(t token.Token, srv *serverState) bool {
+	if owner, ok := c.tokens.Owner(t); ok {
+		return owner == srv
+	}
+	return slices.Contains(c.tokens.Shared(t), srv)
 }
 
 // forward completes a verdict that forwards the packet to the flow's server.
--- a/internal/gateway/shared_token_test.go
+++ b/internal/gateway/shared_token_test.go
@@ -81,6 +81,18 @@
 	}
 }
 
+// Guards against a flow that is not answered while it opens, because a server with the same
+// token joins and the order of their starts is not known.
+func TestOpeningFlowStaysAtItsServerWhenTokenBecomesShared(t *testing.T) {
+	inst := newTestInstance(t, server(sharingA, norte))
+	opened := inst.open(1)
+	inst.setServers(server(sharingA, norte), server(sharingB, norte))
+	v := inst.handlePacket(&flow.Segment{Key: key(1), Seq: 1, Ack: 100, Token: opened.Token})
+	if v.Kind != Forward || v.Server.Name != sharingA {
+		t.Errorf("%s to %+v, %s", v.Kind, v.Server, v.Reason)
+	}
+}
+
 // Guards against the reset of a flow with an unknown token that turns out to be shared by
 // servers which have registered since.
 func TestFlowWithTokenThatIsSharedLaterIsNotReset(t *testing.T) {
--- a/platform/rawjson.go
+++ b/internal/rawjson/rawjson.go
@@ -1,4 +1,7 @@
-package platform
+// Package rawjson splits a JSON value into its parts by brackets and quotes alone.
+// encoding/json refuses a body as a whole if one value in it is nested too deeply or holds
+// bytes that are not allowed in JSON, whoever has written that value.
+package rawjson
 
 import (
 	"bytes"
@@ -7,20 +10,16 @@
 	"github.com/cockroachdb/errors"
 )
 
-// The functions below split a JSON value into its parts by brackets and quotes alone.
-// encoding/json refuses a body as a whole if one object in it is nested too deeply or
-// holds bytes that are not allowed in JSON, whoever has written that object.
+// ErrMalformed means that a value does not end, or is not of the expected type.
+var ErrMalformed = errors.New("malformed JSON")
 
-// errMalformed means that a value does not end, or is not of the expected type.
-var errMalformed = errors.New("malformed JSON")
-
-// rawFields returns the fields of an object.
-func rawFields(data []byte) (map[string]json.RawMessage, error) {
+// Fields returns the fields of an object.
+func Fields(data []byte) (map[string]json.RawMessage, error) {
 	fields := map[string]json.RawMessage{}
-	err := splitValue(data, '{', '}', func(part []byte) error {
+	err := split(data, '{', '}', func(part []byte) error {
 		end := stringEnd(part, 0)
 		if end < 0 {
-			return errMalformed
+			return ErrMalformed
 		}
 		var name string
 		if err := json.Unmarshal(part[:end], &name); err != nil {
@@ -28,7 +27,7 @@
 		}
 		value, found := bytes.CutPrefix(bytes.TrimSpace(part[end:]), []byte(":"))
 		if !found {
-			return errMalformed
+			return ErrMalformed
 		}
 		fields[name] = bytes.TrimSpace(value)
 		return nil
@@ -36,22 +35,22 @@
 	return fields, err
 }
 
-// rawElements returns the elements of an array.
-func rawElements(data []byte) ([]json.RawMessage, error) {
+// Elements returns the elements of an array.
+func Elements(data []byte) ([]json.RawMessage, error) {
 	var elements []json.RawMessage
-	err := splitValue(data, '[', ']', func(part []byte) error {
+	err := split(data, '[', ']', func(part []byte) error {
 		elements = append(elements, part)
 		return nil
 	})
 	return elements, err
 }
 
-// splitValue calls visit for each part of a value between an opening and a closing
+// split calls visit for each part of a value between an opening and a closing
 // bracket. Commas separate the parts.
-func splitValue(data []byte, opening, closing byte, visit func(part []byte) error) error {
+func split(data []byte, opening, closing byte, visit func(part []byte) error) error {
 	data = bytes.TrimSpace(data)
 	if len(data) < 2 || data[0] != opening || data[len(data)-1] != closing {
-		return errMalformed
+		return ErrMalformed
 	}
 	data = data[1 : len(data)-1]
 	if len(bytes.TrimSpace(data)) == 0 {
@@ -60,7 +59,7 @@
 	for {
 		end := partEnd(data)
 		if end < 0 {
-			return errMalformed
+			return ErrMalformed
 		}
 		if err := visit(bytes.TrimSpace(data[:end])); err != nil {
 			return err
