--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -33,6 +35,10 @@
 	obs           *observer
 	rng           *rand.Rand
 	configVersion int
+	// evacuatedForGood is the zone that is evacuated until the end of the run.
+	evacuatedForGood string
+	// oddEntries counts the entries of writeOddEntry.
+	oddEntries int
 }
 
 // eventKinds lists the faults and planned operations. An unplanned fault excuses
@@ -57,6 +63,8 @@
 	{"server drained", (*faultInjector).drainServer},
 	{"configuration changed", (*faultInjector).changeConfiguration},
 	{"zone evacuated", (*faultInjector).evacuateZone},
+	{"zone evacuated until the end", (*faultInjector).evacuateZoneForGood},
+	{"unreadable entry among the servers", (*faultInjector).writeOddEntry},
 }
 
 // drawSchedule draws random events, ordered by time. Events can follow each other
@@ -255,6 +263,37 @@
 
 func (r *faultInjector) evacuateZone(duration time.Duration) {
 	zone := zones[r.rng.IntN(len(zones))]
+	if zone == r.evacuatedForGood {
+		return
+	}
+	r.obs.noteEvacuation(zone, time.Now().Add(evacuateBound))
+	operator.Evacuate(r.fleet.store, zone)
+	time.AfterFunc(evacuateBound+duration, func() {
+		r.obs.noteEvacuationEnd(zone)
+		operator.EndEvacuation(r.fleet.store, zone)
+	})
+}
+
+// evacuateZoneForGood evacuates a zone that has no evacuation which ends. The final check
+// then shows whether all instances still obey it.
+func (r *faultInjector) evacuateZoneForGood(time.Duration) {
+	zone := zones[r.rng.IntN(len(zones))]
+	if r.evacuatedForGood != "" || r.obs.isEvacuated(zone) {
+		return
+	}
+	r.evacuatedForGood = zone
+	r.obs.noteEvacuation(zone, time.Now().Add(evacuateBound))
 	operator.Evacuate(r.fleet.store, zone)
-	time.AfterFunc(evacuateBound+duration, func() { operator.EndEvacuation(r.fleet.store, zone) })
+}
+
+// writeOddEntry stores an entry that cannot be read, as another writer might.
+func (r *faultInjector) writeOddEntry(time.Duration) {
+	const depth = 20_000
+	texts := []string{
+		strings.Repeat("[", depth) + strings.Repeat("]", depth),
+		`{"service":"campo","address":"127.0.0.1:65536","zone":"norte","max_concurrency":1e400,"state":"ready"}`,
+		`{"service":"campo","address":"127.0.0.1:0","zone":"norte","max_concurrency":3,"state":"ready"}`,
+	}
+	r.oddEntries++
+	r.fleet.store.PutText("servers", fmt.Sprintf("i-f%x", r.oddEntries), texts[r.rng.IntN(len(texts))])
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -119,6 +119,7 @@
 		octet = f.highestOctet
 	}
 	f.mu.Unlock()
+	f.obs.noteServer(id, zones[zone])
 	s, err := server.Start(server.Config{ID: id, Service: service, Zone: zones[zone], Address: f.address(100+zone, octet, serverPort),
 		CallerPort: packetPort, Slots: 3, StoreURL: "http://" + f.address(1, 1, storePort).String(), HeartbeatInterval: heartbeat, Observer: f.obs})
 	if err != nil {
--- a/internal/soak/observer.go
+++ b/internal/soak/observer.go
@@ -29,6 +29,10 @@
 	// killed.
 	drainDeadlines map[string]time.Time
 	goneSince      map[string]time.Time
+	// zoneOf holds the zone of each server, and evacuationDeadlines, by zone that is
+	// evacuated, the time from which its servers must not receive openings.
+	zoneOf              map[string]string
+	evacuationDeadlines map[string]time.Time
 	// faultsEndAt is the latest end of the unplanned faults so far.
 	faultsEndAt time.Time
 	violations  []string
@@ -48,7 +52,8 @@
 }
 
 func newObserver() *observer {
-	return &observer{start: time.Now(), requests: map[string]*request{}, drainDeadlines: map[string]time.Time{}, goneSince: map[string]time.Time{}}
+	return &observer{start: time.Now(), requests: map[string]*request{}, drainDeadlines: map[string]time.Time{}, goneSince: map[string]time.Time{},
+		zoneOf: map[string]string{}, evacuationDeadlines: map[string]time.Time{}}
 }
 
 func (o *observer) addViolation(format string, args ...any) {
@@ -87,6 +92,38 @@
 	o.drainDeadlines[server] = deadline
 }
 
+// noteServer records the zone of a server.
+func (o *observer) noteServer(server, zone string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.zoneOf[server] = zone
+}
+
+// noteEvacuation records that the servers of a zone must not receive openings after
+// deadline.
+func (o *observer) noteEvacuation(zone string, deadline time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, ok := o.evacuationDeadlines[zone]; !ok {
+		o.evacuationDeadlines[zone] = deadline
+	}
+}
+
+// noteEvacuationEnd records that a zone is about to be taken back into service.
+func (o *observer) noteEvacuationEnd(zone string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.evacuationDeadlines, zone)
+}
+
+// isEvacuated reports whether a zone is evacuated.
+func (o *observer) isEvacuated(zone string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	_, ok := o.evacuationDeadlines[zone]
+	return ok
+}
+
 // noteServerGone records that a server is about to be killed.
 func (o *observer) noteServerGone(server string) {
 	o.mu.Lock()
@@ -106,6 +143,10 @@
 	if deadline, ok := o.drainDeadlines[server]; ok && at.After(deadline) && o.isStableAt(at) {
 		o.addViolation("DRAIN: server %s received an opening %s after its drain deadline", server, at.Sub(deadline).Round(time.Millisecond))
 	}
+	zone := o.zoneOf[server]
+	if deadline, ok := o.evacuationDeadlines[zone]; ok && at.After(deadline) && o.isStableAt(at) {
+		o.addViolation("EVAC: server %s received an opening %s after the deadline to evacuate %s", server, at.Sub(deadline).Round(time.Millisecond), zone)
+	}
 }
 
 // Ran implements server.Observer.
