standin: unusable entries in one list, texts of the store in a file of their own

The soak and the gateway's test store the same entries; names of the platform's fields stay in the stand-ins.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"syscall"
 	"time"
 
@@ -64,7 +63,7 @@
 	{"configuration changed", (*faultInjector).changeConfiguration},
 	{"zone evacuated", (*faultInjector).evacuateZone},
 	{"zone evacuated until the end", (*faultInjector).evacuateZoneForGood},
-	{"unreadable entry among the servers", (*faultInjector).writeOddEntry},
+	{"unusable entry among the servers", (*faultInjector).writeOddEntry},
 }
 
 // drawSchedule draws random events, ordered by time. Events can follow each other
@@ -286,14 +285,9 @@
 	operator.Evacuate(r.fleet.store, zone)
 }
 
-// writeOddEntry stores an entry that cannot be read, as another writer might.
+// writeOddEntry stores an entry that names no server, as another writer might.
 func (r *faultInjector) writeOddEntry(time.Duration) {
-	const depth = 20_000
-	texts := []string{
-		strings.Repeat("[", depth) + strings.Repeat("]", depth),
-		`{"service":"campo","address":"127.0.0.1:65536","zone":"norte","max_concurrency":1e400,"state":"ready"}`,
-		`{"service":"campo","address":"127.0.0.1:0","zone":"norte","max_concurrency":3,"state":"ready"}`,
-	}
+	texts := server.UnusableEntries
 	r.oddEntries++
 	r.fleet.store.PutText("servers", fmt.Sprintf("i-f%x", r.oddEntries), texts[r.rng.IntN(len(texts))])
 }
