gatewayshell: the test of a storm of large versions does not depend on the speed of the stand-in

The log shows one cause: answers of 3.5 MB, five versions of 5,000 routes each, took 2.5 s to encode and decode there (v2 at 31.4 s, v7 at 34.5 s, v13 at 37.6 s; "body too large" was followed by a read as meant). It shows no waiting by the product beside that.

A failing test also reported a data race: the logger's cleanup was registered by the instance's goroutine, so that its lines could be read while the instance ran.

--- a/internal/gatewayshell/shell_test.go
+++ b/internal/gatewayshell/shell_test.go
@@ -153,7 +153,8 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- gatewayshell.Run(ctx, settings, platform.Adapter(), s.logger(i)) }()
+	log := s.logger(i) // before the cleanup that ends the instance, so that its lines are read after that
+	go func() { done <- gatewayshell.Run(ctx, settings, platform.Adapter(), log) }()
 	s.stops, s.results, s.files = append(s.stops, cancel), append(s.results, done), append(s.files, file)
 	s.t.Cleanup(func() { cancel(); <-done })
 }
--- a/internal/standin/platform/operator/operator.go
+++ b/internal/standin/platform/operator/operator.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
 
 	"cuminshift/internal/standin/platform/store"
 )
@@ -18,6 +19,12 @@
 
 // Configure writes a version of the configuration to the store.
 func Configure(s *store.Store, version int, routes []Route) {
+	ConfigurePadded(s, version, routes, 0)
+}
+
+// ConfigurePadded writes a version of the configuration that is larger by a number of
+// bytes, in a field that has no meaning.
+func ConfigurePadded(s *store.Store, version int, routes []Route, padding int) {
 	routeSpecs, serviceSpecs := []map[string]any{}, []map[string]any{}
 	seenServices := map[string]bool{}
 	for _, r := range routes {
@@ -28,7 +35,8 @@
 			serviceSpecs = append(serviceSpecs, map[string]any{"name": r.Service, "health_path": "/health"})
 		}
 	}
-	s.Put("config", "main", map[string]any{"version": version, "routes": routeSpecs, "services": serviceSpecs, "limits": map[string]any{"idle_timeout_ms": 15000}})
+	s.Put("config", "main", map[string]any{"version": version, "routes": routeSpecs, "services": serviceSpecs, "limits": map[string]any{"idle_timeout_ms": 15000},
+		"padding": strings.Repeat("x", padding)})
 }
 
 // Evacuate requests that a zone receives no more traffic, until EndEvacuation.
