reach: a server that resets the connections of probes is full, not down

Cause: a server at its limit of connections resets new ones, also those of probes. The reset came back within milliseconds and counted as an unanswered probe. Three probes follow each other without a pause, and a control server that is not full answered promptly, so the server was confirmed down and its flows were reset.

Change: a reset connection is a result of its own. It shows a live process and keeps new flows away from the server. Only a probe that waited for its whole timeout counts as unanswered; one that is noticed too late because the instance had no processor time, or that failed for another local reason, says nothing about the server.

--- a/internal/gatewayshell/probe.go
+++ b/internal/gatewayshell/probe.go
@@ -82,18 +82,11 @@
 		p.logFailure(errors.Wrapf(err, "probe of server %s", a.Server))
 		return reach.Answered
 	}
-	connected := false
+	connected, begin := false, time.Now()
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }}
 	response, err := p.client.Do(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return reach.ConnectionRefused
-	case err != nil && connected:
-		// The server's host accepted the connection; the health check is
-		// waiting for a free slot.
-		return reach.Answered
-	case err != nil:
-		return reach.NoAnswer
+	if err != nil {
+		return failedProbeResult(err, connected, time.Since(begin))
 	}
 	defer response.Body.Close()
 	if name := p.serverName(response.Header); name != "" && a.Server != "" && name != a.Server {
@@ -101,3 +94,25 @@
 	}
 	return reach.Answered
 }
+
+// failedProbeResult returns the result of a probe that failed with an error after the
+// given time. connected is set if the server's host accepted the connection.
+func failedProbeResult(err error, connected bool, took time.Duration) reach.ProbeResult {
+	var netErr net.Error
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return reach.ConnectionRefused
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		return reach.ConnectionReset
+	case connected:
+		// The health check is waiting for a free slot.
+		return reach.Answered
+	case !errors.As(err, &netErr) || !netErr.Timeout():
+		return reach.Inconclusive
+	case took > probeTimeout+maxControlLatency:
+		// This process got no processor time when the timeout ended, and an answer may
+		// have arrived unnoticed.
+		return reach.Inconclusive
+	}
+	return reach.NoAnswer
+}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -75,11 +75,18 @@
 	// OtherServer: another server answered at the address. The server counts as
 	// replaced.
 	OtherServer
+	// ConnectionReset: the server's process took the connection and reset it, as one
+	// does that is at its limit of connections. The server is up but takes no new
+	// flows for now.
+	ConnectionReset
+	// Inconclusive: the probe failed for a reason that says nothing about the server,
+	// for example because this instance had no descriptor or no processor time for it.
+	Inconclusive
 )
 
 // String returns the name used in logs.
 func (p ProbeResult) String() string {
-	return [...]string{"none", "answered", "refused", "no answer", "other server"}[p]
+	return [...]string{"none", "answered", "refused", "no answer", "other server", "connection reset", "inconclusive"}[p]
 }
 
 // Detector is one instance's failure detector for one server. The zero value is
@@ -177,7 +184,7 @@
 	d.probing = false
 	if d.precautionary {
 		d.precautionary = false
-		if d.state == Reachable && result != Answered {
+		if d.state == Reachable && result != Answered && result != Inconclusive {
 			d.setState(Suspect, now)
 		}
 	}
@@ -186,6 +193,11 @@
 		d.setState(Replaced, now)
 	case Answered:
 		d.probeAnswered(now)
+	case ConnectionReset:
+		d.probeAnswered(now)
+		if d.state != Replaced {
+			d.state, d.stateSince = Suspect, now
+		}
 	case ConnectionRefused:
 		if d.state != Reachable && d.state != Replaced {
 			d.setUnreachable(now)
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -180,3 +180,36 @@
 		t.Fatal("not confirmed down though its connection was refused")
 	}
 }
+
+// Guards against resets of the flows of a server that is full: callers retransmit, and the
+// server resets the connections of all probes.
+func TestServerThatResetsProbesIsNotConfirmedDown(t *testing.T) {
+	var d Detector
+	for ms := 200; ms < 4000; ms += 100 {
+		d.RecordRetransmit(at(ms), at(ms-200))
+		for d.ProbeDone(at(ms+2), ConnectionReset, true) {
+		}
+		if d.ConfirmedDown() {
+			t.Fatalf("confirmed down after %d ms", ms)
+		}
+		if d.State() == Reachable {
+			t.Fatalf("reachable after %d ms: new flows would go to a full server", ms)
+		}
+	}
+	d.ProbeDone(at(4000), ConnectionRefused, true)
+	if d.RecordRetransmit(at(4010), at(3800)); !d.ConfirmedDown() {
+		t.Fatal("not confirmed down by a refused connection")
+	}
+}
+
+// Probes that fail for reasons of the instance's own say nothing about the server.
+func TestInconclusiveProbesAreNoEvidence(t *testing.T) {
+	var d Detector
+	d.RecordRetransmit(at(200), at(0))
+	for ms := 210; ms < 240; ms += 10 {
+		d.ProbeDone(at(ms), Inconclusive, true)
+	}
+	if d.ConfirmedDown() || d.State() != Suspect {
+		t.Fatalf("%s, confirmed down %t", d.State(), d.ConfirmedDown())
+	}
+}
