gateway: new flows go to servers by their speed, and not to one that has just refused

The load of a server counts relative to its speed. A repeated opening is recorded after its own server is chosen: the choice for a retransmission goes by reachability as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,7 @@
 	"cuminshift/internal/registry"
 	"cuminshift/internal/routing"
 	"cuminshift/internal/selection"
+	"cuminshift/internal/serverload"
 	"cuminshift/internal/source"
 	"cuminshift/internal/token"
 	"cuminshift/internal/withdrawal"
@@ -178,6 +179,10 @@
 
 	serverStates map[*registry.Record]*serverState
 	services     map[string]*serviceServers
+	// serviceLoads has an entry for each service and data centre with servers, and
+	// answerSizes one for each service address with a route.
+	serviceLoads map[serviceLoadKey]*serviceLoad
+	answerSizes  map[serviceAddress]*serverload.AnswerSizes
 	tokens       *token.Index[*serverState]
 	flows        map[flow.Key]*trackedFlow
 	unknownFlows unknownFlowTable
@@ -202,6 +207,8 @@
 		withdrawn:    withdrawal.New(),
 		serverStates: map[*registry.Record]*serverState{},
 		services:     map[string]*serviceServers{},
+		serviceLoads: map[serviceLoadKey]*serviceLoad{},
+		answerSizes:  map[serviceAddress]*serverload.AnswerSizes{},
 		tokens:       token.NewIndex[*serverState](),
 		flows:        map[flow.Key]*trackedFlow{},
 		recentFlows:  recentFlowIndex{},
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -9,6 +9,7 @@
 	"cuminshift/internal/reach"
 	"cuminshift/internal/registry"
 	"cuminshift/internal/routing"
+	"cuminshift/internal/serverload"
 	"cuminshift/internal/source"
 	"cuminshift/internal/token"
 	"cuminshift/internal/withdrawal"
@@ -155,6 +156,7 @@
 	if !c.routes.Update(next) {
 		return nil
 	}
+	c.updateAnswerSizes(next)
 	actions := []Action{StateChange{Subject: fmt.Sprint(next.Version), Description: "configuration in force",
 		Cause: fmt.Sprintf("%d routes", len(next.Routes)), Age: c.age(now, source.Configuration)}}
 	if previous == nil {
@@ -260,6 +262,9 @@
 			c.addServer(r)
 		case registry.Restarted:
 			actions = append(actions, c.handleRestarted(r)...)
+			c.assignServiceLoad(c.serverStates[r])
+		case registry.Updated:
+			c.assignServiceLoad(c.serverStates[r])
 		case registry.Departed:
 			actions = append(actions, c.handleDeparted(now, r)...)
 		case registry.Forgotten:
@@ -281,7 +286,7 @@
 // also decides whose token it is if the server shares one.
 func (c *Core) handleRestarted(r *registry.Record) []Action {
 	srv := c.serverStates[r]
-	srv.reach = reach.Detector{}
+	srv.reach, srv.load = reach.Detector{}, serverload.Server{}
 	c.tokens.Remove(r.Name, srv)
 	c.tokens.Add(r.Name, r.Incarnation, srv)
 	var actions []Action
--- a/internal/gateway/packets.go
+++ b/internal/gateway/packets.go
@@ -39,6 +39,11 @@
 	c.suspects = c.suspects[:0]
 	var actions []Action
 	if previous != nil {
+		if !f.Established {
+			// Deferred: the record is for other flows. This one avoids the server
+			// by keepsServer alone.
+			defer previous.load.RecordUnanswered(now)
+		}
 		if f.Established || c.keepsServer(now, f, route) {
 			return c.forward(f, v), c.applyObservation(now, previous, observation)
 		}
@@ -130,7 +135,8 @@
 	if !f.Established && !f.OpeningAt.IsZero() {
 		v.OpenTime = now.Sub(f.OpeningAt)
 	}
-	waitingSince := f.WaitingSince
+	waitingSince, previousAck := f.WaitingSince, f.Ack
+	seenBefore := f.Established || !f.OpeningAt.IsZero()
 	observation := f.Observe(now, s)
 	route := c.routes.Current().Route(s.Key.Service())
 	if observation.Answered {
@@ -140,6 +146,15 @@
 	if observation.Retransmit {
 		v.RetransmitAfter = now.Sub(observation.FirstSeenAt)
 	}
+	if observation.Answered {
+		c.recordResponse(now, f, f.Ack-previousAck, v.AnswerTime)
+	}
+	switch {
+	case observation.RequestStarted:
+		f.requestSeen, f.unanswered = seenBefore, false
+	case f.Waiting && (observation.Retransmit || s.Reset):
+		f.recordUnanswered(now)
+	}
 	c.updateInFlight(f, wasWaiting)
 	actions := c.applyObservation(now, srv, observation)
 	if takenOver && s.Length > 0 {
--- a/internal/gateway/server_selection.go
+++ b/internal/gateway/server_selection.go
@@ -97,6 +97,8 @@
 		Flows:         len(srv.openFlows),
 		InFlight:      srv.inFlight,
 		Slots:         r.Slots,
+		Speed:         srv.load.Speed(params.now, srv.serviceLoad.MedianAnswer()),
+		Refusing:      srv.load.RefusedWithin(params.now, refusalWindow),
 		TieBreak:      selection.TieBreak(uint64(params.hash), srv.nameHash),
 	})
 	c.candidateServers = append(c.candidateServers, srv)
--- a/internal/gateway/server_state.go
+++ b/internal/gateway/server_state.go
@@ -11,6 +11,7 @@
 	"cuminshift/internal/flow"
 	"cuminshift/internal/reach"
 	"cuminshift/internal/registry"
+	"cuminshift/internal/serverload"
 	"cuminshift/internal/token"
 )
 
@@ -29,6 +30,10 @@
 	// closed; inFlight counts those of them that wait for an answer.
 	openFlows map[flow.Key]*trackedFlow
 	inFlight  int
+	// load is what the server can sustain; serviceLoad is shared by the servers of
+	// its service in its data centre.
+	load        serverload.Server
+	serviceLoad *serviceLoad
 }
 
 func newServerState(r *registry.Record) *serverState {
@@ -43,6 +48,9 @@
 	// callerClosed is set once the caller has ended its half; the flow no
 	// longer counts as open and is dropped after closedFlowRetention.
 	callerClosed bool
+	// requestSeen is set if the instance has seen the start of the latest request;
+	// unanswered is set once that request was recorded as unanswered.
+	requestSeen, unanswered bool
 }
 
 func (c *Core) attach(f *trackedFlow, srv *serverState) {
@@ -77,6 +85,7 @@
 func (c *Core) addServer(r *registry.Record) {
 	srv := newServerState(r)
 	c.serverStates[r] = srv
+	c.assignServiceLoad(srv)
 	c.tokens.Add(r.Name, r.Incarnation, srv)
 }
 
@@ -89,6 +98,7 @@
 		c.untrack(f)
 	}
 	c.tokens.Remove(r.Name, srv)
+	c.releaseServiceLoad(srv)
 	delete(c.serverStates, r)
 }
 
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -4,11 +4,12 @@
 // The server with the lowest score is chosen. Of decreasing influence on the
 // score are: whether the instance reaches the server, whether the server is
 // cold, that is, has just started and takes only few openings, its data centre,
-// and its load.
+// whether it has just refused a request, and its load.
 //
 // A flow stays at its server, so the load counts open flows, and requests in
-// flight with a higher weight, relative to the server's slots. Servers of the
-// instance's own data centre are preferred, because a flow to another data
+// flight with a higher weight, relative to the server's slots and speed. A server
+// that has just refused a request is full, so others of its data centre are
+// preferred. Servers of the instance's own data centre are preferred, because a flow to another data
 // centre breaks when the two data centres lose their connection, and every byte
 // between them costs money.
 package selection
@@ -33,6 +34,10 @@
 	// flight, both as seen by this instance. Slots is the number of requests
 	// that the server processes concurrently.
 	Flows, InFlight, Slots int
+	// Speed is the server's speed relative to its service; 0 counts as 1.
+	Speed float64
+	// Refusing is set if the server has just refused a request.
+	Refusing bool
 	// TieBreak orders candidates of equal score, lowest first; see the function
 	// TieBreak.
 	TieBreak uint64
@@ -47,6 +52,11 @@
 	// before a server of another data centre is chosen: the number of flows at
 	// which a local server is always in use.
 	remotePenalty = 12
+	// refusingPenalty keeps flows away from a server that has just refused a
+	// request. It exceeds the usual differences in load, about 3. When all local
+	// servers refuse, it leaves half of remotePenalty as the preference for them:
+	// moving flows to other data centres is not decided here.
+	refusingPenalty = 6
 	// coldPenalty keeps flows away from a cold server while there is a warm
 	// one, even if that is in another data centre.
 	coldPenalty = 30
@@ -79,12 +89,21 @@
 }
 
 // Unpenalized reports whether the candidate is local, reachable and not cold, so
-// that its score is its load alone. A server that was chosen from a sample is used
-// only in this case; otherwise all servers are compared.
+// that its score is its load and whether it refuses. A server that was chosen from a
+// sample is used only in this case; otherwise all servers are compared. If the chosen
+// server refuses, so do nearly all of the sample, and comparing all servers for every
+// opening of an overload would take too long.
 func (c *Candidate) Unpenalized() bool { return c.Local && !c.Cold && c.Reach == reach.Reachable }
 
 func (c *Candidate) score() float64 {
-	score := float64(c.Flows+inFlightWeight*c.InFlight) / float64(max(c.Slots, 1))
+	capacity := float64(max(c.Slots, 1))
+	if c.Speed > 0 {
+		capacity *= c.Speed
+	}
+	score := float64(c.Flows+inFlightWeight*c.InFlight) / capacity
+	if c.Refusing {
+		score += refusingPenalty
+	}
 	if !c.Local {
 		score += remotePenalty
 	}
--- a/internal/serverload/service.go
+++ b/internal/serverload/service.go
@@ -25,8 +25,8 @@
 	// answers and refusals are decayed counts as of updatedAt.
 	answers, refusals float64
 	updatedAt         time.Time
-	// median is the logarithm of the median answer time in seconds, after a number
-	// of responses that is counted up to 1/medianStep.
+	// median is the median answer time in seconds, after a number of responses that
+	// is counted up to 1/medianStep.
 	median    float64
 	responses uint8
 }
@@ -35,7 +35,7 @@
 func (s *Service) RecordAnswer(now time.Time, took time.Duration) {
 	s.decay(now)
 	s.answers++
-	x := math.Log(max(took, time.Microsecond).Seconds())
+	x := max(took, time.Microsecond).Seconds()
 	if s.responses == 0 {
 		s.median = x
 	}
@@ -46,9 +46,9 @@
 	step := max(1/float64(s.responses), medianStep)
 	switch {
 	case x > s.median:
-		s.median = min(s.median+step, x)
+		s.median = min(s.median*(1+step), x)
 	case x < s.median:
-		s.median = max(s.median-step, x)
+		s.median = max(s.median/(1+step), x)
 	}
 }
 
@@ -79,10 +79,7 @@
 // MedianAnswer returns the running median of the time to a response with a result; 0
 // if there was none.
 func (s *Service) MedianAnswer() time.Duration {
-	if s.responses == 0 {
-		return 0
-	}
-	return time.Duration(math.Exp(s.median) * float64(time.Second))
+	return time.Duration(s.median * float64(time.Second))
 }
 
 func (s *Service) decay(now time.Time) {
