--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -59,3 +59,15 @@
 		})
 	}
 }
+
+// BenchmarkFollowingAnswer measures a request and the first acknowledgement of its
+// response, two packets.
+func BenchmarkFollowingAnswer(b *testing.B) {
+	inst := newTestInstance(nil, server("i-1", norte), server("i-2", norte))
+	v := inst.open(1)
+	inst.handlePacket(&flow.Segment{Key: key(1), Seq: 1, Ack: 100, Token: v.Token})
+	b.ReportAllocs()
+	for i := range uint32(b.N) {
+		inst.exchange(key(1), v, i, 700, 50000000)
+	}
+}
