--- a/internal/gateway/packets.go
+++ b/internal/gateway/packets.go
@@ -40,8 +40,8 @@
 	var actions []Action
 	if previous != nil {
 		if !f.Established {
-			// Deferred: the record is for other flows. This one avoids the server
-			// by keepsServer alone.
+			// Recorded after the choice: whether this flow avoids the server depends
+			// on the server's answers to other callers.
 			defer previous.load.RecordUnanswered(now)
 		}
 		if f.Established || c.keepsServer(now, f, route) {
--- a/internal/selection/selection.go
+++ b/internal/selection/selection.go
@@ -4,18 +4,19 @@
 // The server with the lowest score is chosen. Of decreasing influence on the
 // score are: whether the instance reaches the server, whether the server is
 // cold, that is, has just started and takes only few openings, its data centre,
-// whether it has just refused a request, and its load.
+// and its load together with whether it has just refused a request.
 //
 // A flow stays at its server, so the load counts open flows, and requests in
 // flight with a higher weight, relative to the server's slots and speed. A server
-// that has just refused a request is full, so others of its data centre are
-// preferred. Servers of the instance's own data centre are preferred, because a flow to another data
+// that has just refused a request is full, so others of its data centre with a
+// similar load are preferred. Servers of the instance's own data centre are preferred, because a flow to another data
 // centre breaks when the two data centres lose their connection, and every byte
 // between them costs money.
 package selection
 
 import (
 	"iter"
+	"math"
 
 	"cuminshift/internal/reach"
 )
@@ -38,8 +39,8 @@
 	Speed float64
 	// Refusing is set if the server has just refused a request.
 	Refusing bool
-	// TieBreak orders candidates of equal score, lowest first; see the function
-	// TieBreak.
+	// TieBreak orders candidates of equal score and speed, lowest first; see the
+	// function TieBreak.
 	TieBreak uint64
 }
 
@@ -53,10 +54,12 @@
 	// which a local server is always in use.
 	remotePenalty = 12
 	// refusingPenalty keeps flows away from a server that has just refused a
-	// request. It exceeds the usual differences in load, about 3. When all local
-	// servers refuse, it leaves half of remotePenalty as the preference for them:
-	// moving flows to other data centres is not decided here.
-	refusingPenalty = 6
+	// request, as long as another one has at most this much more load. That is more
+	// than the usual difference between the least loaded servers. With 6, at full
+	// demand, the servers that did not refuse were overloaded in turn while the
+	// others idled, and nearly four times as many requests were
+	// refused.
+	refusingPenalty = 1
 	// coldPenalty keeps flows away from a cold server while there is a warm
 	// one, even if that is in another data centre.
 	coldPenalty = 30
@@ -81,13 +84,34 @@
 			continue
 		}
 		score := c.score()
-		if best == None || score < bestScore || (score == bestScore && c.TieBreak < candidates[best].TieBreak) {
+		if best == None || score < bestScore || (score == bestScore && c.precedes(&candidates[best])) {
 			best, bestScore = i, score
 		}
 	}
 	return best
 }
 
+// precedes reports whether the candidate comes before another one of equal score.
+// Servers without load have the score 0 whatever their speed. An exponentially
+// distributed key, divided by the speed, lets them receive flows in proportion to it.
+func (c *Candidate) precedes(other *Candidate) bool {
+	if c.Speed == other.Speed {
+		return c.TieBreak < other.TieBreak
+	}
+	return c.weightedKey() < other.weightedKey()
+}
+
+func (c *Candidate) weightedKey() float64 {
+	return -math.Log1p(-float64(c.TieBreak)/(1<<64)) / c.speed()
+}
+
+func (c *Candidate) speed() float64 {
+	if c.Speed > 0 {
+		return c.Speed
+	}
+	return 1
+}
+
 // Unpenalized reports whether the candidate is local, reachable and not cold, so
 // that its score is its load and whether it refuses. A server that was chosen from a
 // sample is used only in this case; otherwise all servers are compared. If the chosen
@@ -96,11 +120,7 @@
 func (c *Candidate) Unpenalized() bool { return c.Local && !c.Cold && c.Reach == reach.Reachable }
 
 func (c *Candidate) score() float64 {
-	capacity := float64(max(c.Slots, 1))
-	if c.Speed > 0 {
-		capacity *= c.Speed
-	}
-	score := float64(c.Flows+inFlightWeight*c.InFlight) / capacity
+	score := float64(c.Flows+inFlightWeight*c.InFlight) / (float64(max(c.Slots, 1)) * c.speed())
 	if c.Refusing {
 		score += refusingPenalty
 	}
@@ -150,7 +170,7 @@
 
 // TieBreak returns the sort key of the server with the given hash for the flow
 // with the given hash. Each flow orders the servers differently. All instances get
-// the same order, so that transmissions of an opening that pass through two
+// the same order of servers to which they ascribe the same speed, so that transmissions of an opening that pass through two
 // instances tend to reach the same server.
 func TieBreak(flowHash, serverHash uint64) uint64 {
 	x := flowHash ^ serverHash
