--- /dev/null
+++ b/internal/linkload/linkload.go
@@ -0,0 +1,193 @@
+// Package linkload keeps bulk transfers from filling the narrow link of an
+// instance. The load that it handles is a burst of uploads at an instance whose
+// link has, for example, 10 Mbit/s: with more than a few uploads in progress at
+// the same time, packets wait in the link's queue for longer than the callers'
+// retransmission interval, so that the link carries mostly retransmissions and
+// stays full after the demand has gone.
+//
+// It decides on the openings of bulk flows only. Small requests are not refused
+// because of the link.
+package linkload
+
+import (
+	"time"
+
+	"cuminshift/internal/flow"
+)
+
+const (
+	// bucketDuration and windowBuckets give the window of the mean utilization,
+	// 500 ms.
+	bucketDuration = 100 * time.Millisecond
+	windowBuckets  = 5
+	// maxPacketBytes is the size of a caller's largest packet, and
+	// maxPacketsInFlight the number of packets that one end sends without an
+	// acknowledgement.
+	maxPacketBytes     = 1200
+	maxPacketsInFlight = 16
+	// maxQueueDelay is the longest time that the packets of all bulk flows may
+	// wait in the link's queue. It is below the 200 ms after which callers
+	// retransmit.
+	maxQueueDelay = 150 * time.Millisecond
+	// maxUtilization is the mean utilization above which no bulk flow opens. The
+	// rest is left for small requests and probes.
+	maxUtilization = 0.9
+	// bulkRequestBytes is the mean size of a request above which the flows of a
+	// route are bulk flows: half of what may be in flight.
+	bulkRequestBytes = 8 * maxPacketBytes
+	// minRequests is the number of requests from which on the mean counts. One
+	// large request alone does not make a route bulk.
+	minRequests = 4
+	// meanRequests is the number of requests over which the running mean extends.
+	meanRequests = 32
+	// silenceTimeout is the time without a packet after which a transfer has ended:
+	// the callers' longest retransmission interval.
+	silenceTimeout = 1600 * time.Millisecond
+)
+
+// Link counts the bytes on an instance's link.
+type Link struct {
+	bytesPerSecond float64
+	// start is the time of the first packet. Times are taken relative to it, so
+	// that steps of the wall clock have no effect.
+	start          time.Time
+	received, sent window
+}
+
+// New returns a link of the given bandwidth; 0 means that it is unknown.
+func New(bitsPerSecond float64) *Link { return &Link{bytesPerSecond: bitsPerSecond / 8} }
+
+// Received counts a packet that the instance has received.
+func (l *Link) Received(now time.Time, bytes int) { l.received.add(l.elapsed(now), bytes) }
+
+// Sent counts a packet that the instance has sent.
+func (l *Link) Sent(now time.Time, bytes int) { l.sent.add(l.elapsed(now), bytes) }
+
+func (l *Link) elapsed(now time.Time) time.Duration {
+	if l.start.IsZero() {
+		l.start = now
+	}
+	return now.Sub(l.start)
+}
+
+// Utilization returns the mean utilization of the busier direction over the last
+// 500 ms. It is 0 if the bandwidth is unknown.
+func (l *Link) Utilization(now time.Time) float64 {
+	if l.bytesPerSecond <= 0 {
+		return 0
+	}
+	elapsed := l.elapsed(now)
+	return max(l.received.bytesPerSecond(elapsed), l.sent.bytesPerSecond(elapsed)) / l.bytesPerSecond
+}
+
+// AdmitBulk reports whether the link has room for one more bulk flow beside the
+// given number of transfers under way. The first one always fits into the queue,
+// since otherwise a link of less than 1 Mbit/s would carry no transfer at all.
+func (l *Link) AdmitBulk(now time.Time, underWay int) bool {
+	if l.bytesPerSecond <= 0 {
+		return true
+	}
+	queued := float64(underWay+1) * maxPacketsInFlight * maxPacketBytes
+	if underWay > 0 && queued > maxQueueDelay.Seconds()*l.bytesPerSecond {
+		return false
+	}
+	return l.Utilization(now) <= maxUtilization
+}
+
+// window is a ring of byte counts: those of the current bucket and of the
+// windowBuckets before it.
+type window struct {
+	bytes   [windowBuckets + 1]int
+	current int64
+}
+
+func (w *window) add(elapsed time.Duration, bytes int) {
+	w.advance(elapsed)
+	w.bytes[w.current%int64(len(w.bytes))] += bytes
+}
+
+// advance empties the buckets between the last packet and the given time. A packet
+// that is passed in slightly late counts in the current bucket.
+func (w *window) advance(elapsed time.Duration) {
+	bucket := int64(elapsed / bucketDuration)
+	if bucket <= w.current {
+		return
+	}
+	if bucket-w.current > windowBuckets {
+		w.bytes = [windowBuckets + 1]int{}
+		w.current = bucket
+		return
+	}
+	for w.current < bucket {
+		w.current++
+		w.bytes[w.current%int64(len(w.bytes))] = 0
+	}
+}
+
+func (w *window) bytesPerSecond(elapsed time.Duration) float64 {
+	w.advance(elapsed)
+	total := 0
+	for _, b := range w.bytes {
+		total += b
+	}
+	inCurrent := max(0, elapsed-time.Duration(w.current)*bucketDuration)
+	return float64(total) / (windowBuckets*bucketDuration + inCurrent).Seconds()
+}
+
+// RequestSizes learns the size of the requests of one route. The zero value is a
+// route of which nothing is known.
+type RequestSizes struct {
+	requests int
+	mean     float64
+}
+
+// Record takes the size of an answered request.
+func (r *RequestSizes) Record(bytes int) {
+	r.requests = min(r.requests+1, meanRequests)
+	r.mean += (float64(bytes) - r.mean) / float64(r.requests)
+}
+
+// RecordUnfinished takes the bytes seen of a request that ended without an answer.
+// They are a lower bound of its size, so they never lower the mean, and count only if
+// they alone make it a bulk request. An instance that starts on a full link learns
+// from them which routes are bulk.
+func (r *RequestSizes) RecordUnfinished(bytes int) {
+	if bytes > bulkRequestBytes {
+		r.Record(max(bytes, int(r.mean)))
+	}
+}
+
+// Bulk reports whether the route's flows are bulk flows.
+func (r *RequestSizes) Bulk() bool { return r.requests >= minRequests && r.mean > bulkRequestBytes }
+
+// Transfers holds the bulk transfers under way. Its size is bounded by the number
+// of bulk flows whose last packet is no older than silenceTimeout.
+type Transfers struct {
+	lastPacket map[flow.Key]time.Time
+}
+
+// Begin records that a transfer has begun.
+func (t *Transfers) Begin(now time.Time, k flow.Key) {
+	if t.lastPacket == nil {
+		t.lastPacket = map[flow.Key]time.Time{}
+	}
+	t.lastPacket[k] = now
+}
+
+// Progress records a packet of a transfer. One that has expired is under way again.
+func (t *Transfers) Progress(now time.Time, k flow.Key) { t.Begin(now, k) }
+
+// End records that a transfer has been answered or has ended.
+func (t *Transfers) End(k flow.Key) { delete(t.lastPacket, k) }
+
+// Expire removes the transfers that have fallen silent.
+func (t *Transfers) Expire(now time.Time) {
+	for k, last := range t.lastPacket {
+		if now.Sub(last) >= silenceTimeout {
+			delete(t.lastPacket, k)
+		}
+	}
+}
+
+// Count returns the number of transfers under way.
+func (t *Transfers) Count() int { return len(t.lastPacket) }
