gateway: openings of bulk flows are refused while the link has no room

A reset of the unopened flow with the reason "link full", before a server is chosen. Request sizes are learned for each route from new payload bytes.

--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -74,6 +74,8 @@
 	Seq, Ack uint32
 	// Length is the payload size in bytes.
 	Length int
+	// Size is the size of the datagram in bytes; 0 if unknown.
+	Size int
 	// Token names the flow's server; it is token.None until the caller has
 	// received a packet of a server.
 	Token token.Token
--- a/internal/flow/tracker.go
+++ b/internal/flow/tracker.go
@@ -48,6 +48,8 @@
 	// RequestStarted is set when the flow turns from idle to waiting, Answered
 	// when it turns from waiting to idle.
 	RequestStarted, Answered bool
+	// NewBytes is the number of payload bytes that the caller had not sent before.
+	NewBytes int
 }
 
 // Observe records the next packet of the flow and returns what it reveals about
@@ -97,6 +99,10 @@
 		}
 		return
 	}
+	o.NewBytes = s.Length
+	if t.hasPayload {
+		o.NewBytes = min(s.Length, int(end-t.payloadEnd))
+	}
 	t.payloadEnd, t.hasPayload, t.payloadEndSeenAt = end, true, now
 	if !t.Waiting {
 		t.Waiting, t.WaitingSince = true, now
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"cuminshift/internal/flow"
 	"cuminshift/internal/registry"
@@ -26,6 +27,27 @@
 	}
 }
 
+// BenchmarkFollowingNarrowLink handles the packets of flows at an instance that counts the
+// bytes on its link: those of small requests and of a bulk transfer.
+func BenchmarkFollowingNarrowLink(b *testing.B) {
+	for _, length := range []int{0, 1200} {
+		b.Run(fmt.Sprint(length), func(b *testing.B) {
+			inst := newTestInstanceBehindLink(nil, 10e6, server("i-1", norte))
+			for port := range uint16(10) {
+				inst.sendUpload(port+2, length)
+			}
+			s := flow.Segment{Key: key(1), Seq: 1, Ack: 100, Token: inst.open(1).Token, Length: length, Size: 32 + length}
+			now := time.Now()
+			b.ReportAllocs()
+			for range b.N {
+				now = now.Add(time.Microsecond)
+				s.Seq += uint32(length)
+				inst.core.HandlePacket(now, &s)
+			}
+		})
+	}
+}
+
 func BenchmarkOpening(b *testing.B) {
 	for _, n := range []int{18, 500, 5000} {
 		var servers []registry.Entry
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,6 +52,9 @@
 	// Instances is the number of instances that share the openings at cold
 	// servers, and Rank is this instance's position among them, from 0.
 	Instances, Rank int
+	// LinkBandwidth is the bandwidth of the instance's link in bits per second; 0 if
+	// unknown. Then no opening is refused because of the link.
+	LinkBandwidth float64
 }
 
 // Verdict is the decision on one packet.
@@ -137,6 +140,9 @@
 	// OpeningRerouted: a retransmitted opening is forwarded to another server
 	// than the previous transmission.
 	OpeningRerouted
+	// LinkFull: the opening of a bulk flow is reset, because the instance's link has
+	// no room for another transfer.
+	LinkFull
 	// Reasons is the number of reasons.
 	Reasons = iota
 )
@@ -144,7 +150,7 @@
 // String returns the name used in logs.
 func (r Reason) String() string {
 	return [...]string{"none", "not loaded", "not fresh", "no route", "route dropped", "no server", "no token",
-		"unknown token", "ambiguous token", "server lost", "repeated"}[r]
+		"unknown token", "ambiguous token", "server lost", "repeated", "link full"}[r]
 }
 
 // Core holds the state of one instance. Its methods may be called concurrently.
@@ -183,6 +189,8 @@
 	unknownFlows unknownFlowTable
 	recentFlows  recentFlowIndex
 
+	link linkUse
+
 	// candidates and candidateServers are scratch space for choosing a server;
 	// they have the same indexes.
 	candidates       []selection.Candidate
@@ -197,6 +205,7 @@
 func New(cfg Config) *Core {
 	return &Core{
 		cfg:          cfg,
+		link:         newLinkUse(cfg.LinkBandwidth),
 		servers:      registry.New(),
 		demand:       map[string]float64{},
 		withdrawn:    withdrawal.New(),
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -33,8 +33,14 @@
 }
 
 func newTestInstance(t *testing.T, servers ...registry.Entry) *testInstance {
+	return newTestInstanceBehindLink(t, 0, servers...)
+}
+
+// newTestInstanceBehindLink returns an instance whose link has the given bandwidth.
+func newTestInstanceBehindLink(t *testing.T, bitsPerSecond float64, servers ...registry.Entry) *testInstance {
 	inst := &testInstance{t: t, now: time.Unix(1000, 0), core: New(Config{
 		DataCentre: norte, MaxStaleness: 2700 * time.Millisecond, FlowLifetime: time.Minute, ColdSlack: 5, Instances: 1,
+		LinkBandwidth: bitsPerSecond,
 	})}
 	inst.setConfiguration(1, service)
 	inst.setServers(servers...)
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -155,6 +155,7 @@
 	if !c.routes.Update(next) {
 		return nil
 	}
+	c.link.keepRoutes(next)
 	actions := []Action{StateChange{Subject: fmt.Sprint(next.Version), Description: "configuration in force",
 		Cause: fmt.Sprintf("%d routes", len(next.Routes)), Age: c.age(now, source.Configuration)}}
 	if previous == nil {
@@ -318,6 +319,7 @@
 func (c *Core) handleTick(now time.Time) []Action {
 	actions := c.applyServerChanges(now, c.servers.Tick(now))
 	actions = append(actions, c.withdrawalActions(now, c.withdrawn.Tick(now))...)
+	c.link.transfers.Expire(now)
 	unreachable := 0
 	for _, srv := range c.serverStates {
 		previousState := srv.reach.State()
--- /dev/null
+++ b/internal/gateway/link.go
@@ -0,0 +1,171 @@
+package gateway
+
+import (
+	"net/netip"
+	"time"
+
+	"cuminshift/internal/flow"
+	"cuminshift/internal/linkload"
+	"cuminshift/internal/routing"
+)
+
+// packetOverhead is the size in bytes of the IP and UDP headers of a packet.
+const packetOverhead = 28
+
+// linkUse is how the instance's link is used. It stays empty if the bandwidth is
+// unknown.
+type linkUse struct {
+	// link is nil if the bandwidth is unknown.
+	link *linkload.Link
+	// requestSizes holds the learned sizes of the requests by service address, for
+	// routes of the configuration in force.
+	requestSizes map[netip.AddrPort]*linkload.RequestSizes
+	transfers    linkload.Transfers
+}
+
+// linkFlow is the part of a tracked flow that concerns the link.
+type linkFlow struct {
+	// startSeen is set if the instance has seen the start of the current request: the
+	// opening of the flow or the answer before.
+	startSeen bool
+	// transferring is set while the flow is in progress as a bulk transfer, or has
+	// expired as one.
+	transferring bool
+	// requestBytes is the number of payload bytes of the current request.
+	requestBytes uint32
+	// sizes holds the sizes of the route's requests; nil if they are not learned.
+	sizes *linkload.RequestSizes
+}
+
+func newLinkUse(bitsPerSecond float64) linkUse {
+	if bitsPerSecond <= 0 {
+		return linkUse{}
+	}
+	return linkUse{link: linkload.New(bitsPerSecond), requestSizes: map[netip.AddrPort]*linkload.RequestSizes{}}
+}
+
+// LinkUtilization returns the mean utilization of the link over the last 500 ms; 0 if
+// its bandwidth is unknown.
+func (c *Core) LinkUtilization(now time.Time) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.link.link == nil {
+		return 0
+	}
+	return c.link.link.Utilization(now)
+}
+
+// countReceived counts a packet as received.
+func (u *linkUse) countReceived(now time.Time, s *flow.Segment) {
+	if u.link != nil {
+		u.link.Received(now, s.Size+packetOverhead)
+	}
+}
+
+// countSent counts what is sent for a packet: the packet itself or a reset, which has
+// no payload.
+func (u *linkUse) countSent(now time.Time, s *flow.Segment, kind VerdictKind) {
+	if u.link == nil {
+		return
+	}
+	switch kind {
+	case Forward:
+		u.link.Sent(now, s.Size+packetOverhead)
+	case Reset:
+		u.link.Sent(now, s.Size-s.Length+packetOverhead)
+	}
+}
+
+// keepRoutes sets the routes whose request sizes are learned. Those of a route that
+// exists already are kept.
+func (u *linkUse) keepRoutes(c *routing.Configuration) {
+	if u.link == nil {
+		return
+	}
+	for address := range u.requestSizes {
+		if c.Route(address) == nil {
+			delete(u.requestSizes, address)
+		}
+	}
+	for address := range c.Routes {
+		if u.requestSizes[address] == nil {
+			u.requestSizes[address] = &linkload.RequestSizes{}
+		}
+	}
+}
+
+// full reports whether the link has no room for a new flow: the flow would be a bulk
+// flow, and the link admits no more of them.
+func (u *linkUse) full(now time.Time, k flow.Key) bool {
+	if u.link == nil {
+		return false
+	}
+	sizes := u.requestSizes[k.Service()]
+	return sizes != nil && sizes.Bulk() && !u.link.AdmitBulk(now, u.transfers.Count())
+}
+
+// observeOpening records a transmission of an opening that is forwarded.
+func (u *linkUse) observeOpening(now time.Time, f *trackedFlow) {
+	if u.link == nil {
+		return
+	}
+	if f.sizes == nil {
+		f.sizes, f.startSeen = u.requestSizes[f.key.Service()], true
+	}
+	if !f.Established {
+		u.observeTransfer(now, f)
+	}
+}
+
+// addTakenOver records a flow that another instance forwarded before.
+func (u *linkUse) addTakenOver(f *trackedFlow) {
+	if u.link != nil {
+		f.sizes = u.requestSizes[f.key.Service()]
+	}
+}
+
+// observe records a packet after the opening and what it reveals.
+func (u *linkUse) observe(now time.Time, f *trackedFlow, s *flow.Segment, o *flow.Observation) {
+	if f.sizes == nil {
+		return
+	}
+	if o.Answered {
+		if f.startSeen {
+			f.sizes.Record(int(f.requestBytes))
+		}
+		f.startSeen, f.requestBytes = true, 0
+		u.endTransfer(f)
+	}
+	f.requestBytes += uint32(o.NewBytes)
+	if !f.callerClosed && (f.transferring || (f.Waiting && s.Length > 0)) {
+		u.observeTransfer(now, f)
+	}
+}
+
+// observeTransfer records a packet of a flow that is in progress as a bulk transfer if
+// the route's flows are bulk flows.
+func (u *linkUse) observeTransfer(now time.Time, f *trackedFlow) {
+	switch {
+	case f.transferring:
+		u.transfers.Progress(now, f.key)
+	case f.sizes != nil && f.sizes.Bulk():
+		u.transfers.Begin(now, f.key)
+		f.transferring = true
+	}
+}
+
+// endTransfer records that a flow is not in progress as a bulk transfer any more.
+func (u *linkUse) endTransfer(f *trackedFlow) {
+	if f.transferring {
+		u.transfers.End(f.key)
+		f.transferring = false
+	}
+}
+
+// drop records the end of a flow, whose last request may be unanswered.
+func (u *linkUse) drop(f *trackedFlow) {
+	u.endTransfer(f)
+	if f.sizes != nil && f.startSeen && f.Waiting {
+		f.sizes.RecordUnfinished(int(f.requestBytes))
+	}
+}
--- a/internal/gateway/packets.go
+++ b/internal/gateway/packets.go
@@ -14,13 +14,19 @@
 func (c *Core) HandlePacket(now time.Time, s *flow.Segment) (Verdict, []Action) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.link.countReceived(now, s)
 	if !c.loaded() {
 		return Verdict{Reason: NotLoaded}, nil
 	}
+	var v Verdict
+	var actions []Action
 	if s.Opening {
-		return c.handleOpening(now, s)
+		v, actions = c.handleOpening(now, s)
+	} else {
+		v, actions = c.handleFollowing(now, s)
 	}
-	return c.handleFollowing(now, s)
+	c.link.countSent(now, s, v.Kind)
+	return v, actions
 }
 
 // handleOpening decides on an opening, the first transmission or a later one.
@@ -30,6 +36,9 @@
 		return c.refuse(now, s, NoRoute, source.Configuration), nil
 	}
 	f := c.flowOfOpening(now, s)
+	if f.serverState == nil && c.link.full(now, s.Key) {
+		return Verdict{Kind: Reset, Ack: s.Ack, Reason: LinkFull, Service: route.Pick(s.Key.Hash())}, nil
+	}
 	observation := f.Observe(now, s)
 	v := Verdict{NewOpening: true}
 	if observation.Retransmit {
@@ -40,6 +49,7 @@
 	var actions []Action
 	if previous != nil {
 		if f.Established || c.keepsServer(now, f, route) {
+			c.link.observeOpening(now, f)
 			return c.forward(f, v), c.applyObservation(now, previous, observation)
 		}
 		// The flow is detached so that it is not reset together with the
@@ -59,6 +69,7 @@
 	c.flows[s.Key] = f
 	c.attach(f, srv)
 	c.recentFlows.add(f)
+	c.link.observeOpening(now, f)
 	if c.isCold(now, srv.record) {
 		srv.coldOpenings.Record(now)
 	}
@@ -120,6 +131,7 @@
 		if f == nil {
 			f = &trackedFlow{key: s.Key}
 			c.flows[s.Key] = f
+			c.link.addTakenOver(f)
 			takenOver = true
 		}
 		c.attach(f, owner)
@@ -141,6 +153,7 @@
 		v.RetransmitAfter = now.Sub(observation.FirstSeenAt)
 	}
 	c.updateInFlight(f, wasWaiting)
+	c.link.observe(now, f, s, &observation)
 	actions := c.applyObservation(now, srv, observation)
 	if takenOver && s.Length > 0 {
 		actions = append(actions, c.suspectTakenOver(now, srv)...)
@@ -241,6 +254,7 @@
 		return
 	}
 	srv := f.serverState
+	c.link.endTransfer(f)
 	c.detach(f)
 	f.callerClosed, f.serverState = true, srv
 }
--- a/internal/gateway/server_state.go
+++ b/internal/gateway/server_state.go
@@ -43,6 +43,8 @@
 	// callerClosed is set once the caller has ended its half; the flow no
 	// longer counts as open and is dropped after closedFlowRetention.
 	callerClosed bool
+
+	linkFlow
 }
 
 func (c *Core) attach(f *trackedFlow, srv *serverState) {
@@ -70,6 +72,7 @@
 }
 
 func (c *Core) untrack(f *trackedFlow) {
+	c.link.drop(f)
 	c.detach(f)
 	delete(c.flows, f.key)
 }
--- a/internal/gatewayshell/burn.go
+++ b/internal/gatewayshell/burn.go
@@ -28,7 +28,7 @@
 
 // recordVerdict counts the good and bad events of a verdict for its service.
 func (b *burnRecorder) recordVerdict(now time.Time, v *gateway.Verdict) {
-	refused := v.Kind == gateway.Reset && v.Reason == gateway.NoServer
+	refused := v.Kind == gateway.Reset && (v.Reason == gateway.NoServer || v.Reason == gateway.LinkFull)
 	if v.Service == "" || (v.OpenTime == 0 && v.AnswerTime == 0 && !v.Closed && !refused) {
 		return
 	}
--- a/internal/gatewayshell/counters.go
+++ b/internal/gatewayshell/counters.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -51,6 +52,9 @@
 	// acknowledgement of its answer, openTime the time from an opening to its
 	// acceptance.
 	answerTime, openTime metrics.Histogram
+	// refusedLink counts the openings refused because the link is full.
+	refusedLink            metrics.Counter
+	linkUtilizationPercent metrics.Gauge
 	// reasons counts verdicts by reason.
 	reasons [gateway.Reasons]metrics.Counter
 }
@@ -86,6 +90,9 @@
 		logDropped:           metrics.GetOrRegisterGauge("log_lines_dropped", r),
 		answerTime:           histogram("answer_time_us"),
 		openTime:             histogram("open_time_us"),
+
+		refusedLink:            counter("openings_refused_link"),
+		linkUtilizationPercent: metrics.GetOrRegisterGauge("link_utilization_percent", r),
 	}
 	c.feedStateSent = counter("feed_bytes_sent_complete")
 	for k := range c.feedUpdateSent {
@@ -101,6 +108,9 @@
 // AnswerTime.
 func (c *counters) recordVerdict(v *gateway.Verdict) {
 	c.reasons[v.Reason].Inc(1)
+	if v.Reason == gateway.LinkFull {
+		c.refusedLink.Inc(1)
+	}
 	if v.OpenTime > 0 {
 		c.openTime.Update(v.OpenTime.Microseconds())
 	}
@@ -111,6 +121,7 @@
 
 func (sh *Shell) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	sh.counters.flows.Update(int64(sh.core.FlowCount()))
+	sh.counters.linkUtilizationPercent.Update(int64(100 * sh.core.LinkUtilization(time.Now())))
 	sh.counters.servers.Update(int64(sh.core.ServerCount()))
 	sh.counters.following.Update(0)
 	if sh.registered() && sh.followedInstance() != "" {
--- a/internal/gatewayshell/log.go
+++ b/internal/gatewayshell/log.go
@@ -17,6 +17,7 @@
 const (
 	logFlow            = "flow"
 	logServer          = "server"
+	logService         = "service"
 	logReason          = "reason"
 	logVerdict         = "verdict"
 	logCause           = "cause"
@@ -176,6 +177,8 @@
 	fields := []zap.Field{zap.Stringer(logFlow, s.Key), zap.Stringer(logVerdict, v.Kind), zap.Stringer(logReason, v.Reason)}
 	if v.Server != nil {
 		fields = append(fields, zap.String(logServer, v.Server.Name))
+	} else if v.Service != "" {
+		fields = append(fields, zap.String(logService, v.Service))
 	}
 	if s.Opening {
 		fields = append(fields, zap.Uint32(logRetransmitCount, s.RetransmitCount))
--- a/internal/gatewayshell/packets.go
+++ b/internal/gatewayshell/packets.go
@@ -59,6 +59,7 @@
 			sh.log.malformed(err)
 			continue
 		}
+		s.Size = n
 		sh.handlePacket(in[:n], out, &s)
 	}
 }
--- a/internal/gatewayshell/shell.go
+++ b/internal/gatewayshell/shell.go
@@ -142,6 +142,8 @@
 		FlowLifetime: s.FlowLifetime,
 		ColdSlack:    s.ColdSlack,
 		Instances:    max(1, len(s.SeedAddresses)),
+		// The settings give Mbit/s.
+		LinkBandwidth: float64(s.Bandwidth) * 1e6,
 	})
 	for k := range sh.upstreamLost {
 		sh.upstreamLost[k] = make(chan struct{}, 1)
--- a/internal/linkload/linkload.go
+++ b/internal/linkload/linkload.go
@@ -50,24 +50,48 @@
 	bytesPerSecond float64
 	// start is the time of the first packet. Times are taken relative to it, so
 	// that steps of the wall clock have no effect.
-	start          time.Time
-	received, sent window
+	start time.Time
+	// received and sent are rings of byte counts: those of the current bucket and of
+	// the windowBuckets before it. current is the index of the current bucket, which
+	// ends at currentEnd.
+	received, sent [windowBuckets + 1]int
+	current        int
+	currentEnd     time.Duration
 }
 
 // New returns a link of the given bandwidth; 0 means that it is unknown.
 func New(bitsPerSecond float64) *Link { return &Link{bytesPerSecond: bitsPerSecond / 8} }
 
 // Received counts a packet that the instance has received.
-func (l *Link) Received(now time.Time, bytes int) { l.received.add(l.elapsed(now), bytes) }
+func (l *Link) Received(now time.Time, bytes int) {
+	l.advance(now)
+	l.received[l.current] += bytes
+}
 
 // Sent counts a packet that the instance has sent.
-func (l *Link) Sent(now time.Time, bytes int) { l.sent.add(l.elapsed(now), bytes) }
+func (l *Link) Sent(now time.Time, bytes int) {
+	l.advance(now)
+	l.sent[l.current] += bytes
+}
 
-func (l *Link) elapsed(now time.Time) time.Duration {
+// advance empties the buckets between the last packet and the given time, and returns
+// the time since the first packet. A packet that is passed in slightly late counts in
+// the current bucket.
+func (l *Link) advance(now time.Time) (elapsed time.Duration) {
 	if l.start.IsZero() {
 		l.start = now
 	}
-	return now.Sub(l.start)
+	elapsed = now.Sub(l.start)
+	if elapsed < l.currentEnd {
+		return elapsed
+	}
+	buckets := (elapsed-l.currentEnd)/bucketDuration + 1
+	for range min(int(buckets), len(l.received)) {
+		l.current = (l.current + 1) % len(l.received)
+		l.received[l.current], l.sent[l.current] = 0, 0
+	}
+	l.currentEnd += buckets * bucketDuration
+	return elapsed
 }
 
 // Utilization returns the mean utilization of the busier direction over the last
@@ -76,8 +100,14 @@
 	if l.bytesPerSecond <= 0 {
 		return 0
 	}
-	elapsed := l.elapsed(now)
-	return max(l.received.bytesPerSecond(elapsed), l.sent.bytesPerSecond(elapsed)) / l.bytesPerSecond
+	elapsed := l.advance(now)
+	received, sent := 0, 0
+	for i := range l.received {
+		received += l.received[i]
+		sent += l.sent[i]
+	}
+	inCurrent := max(0, elapsed-(l.currentEnd-bucketDuration))
+	return float64(max(received, sent)) / (windowBuckets*bucketDuration + inCurrent).Seconds() / l.bytesPerSecond
 }
 
 // AdmitBulk reports whether the link has room for one more bulk flow beside the
@@ -94,46 +124,6 @@
 	return l.Utilization(now) <= maxUtilization
 }
 
-// window is a ring of byte counts: those of the current bucket and of the
-// windowBuckets before it.
-type window struct {
-	bytes   [windowBuckets + 1]int
-	current int64
-}
-
-func (w *window) add(elapsed time.Duration, bytes int) {
-	w.advance(elapsed)
-	w.bytes[w.current%int64(len(w.bytes))] += bytes
-}
-
-// advance empties the buckets between the last packet and the given time. A packet
-// that is passed in slightly late counts in the current bucket.
-func (w *window) advance(elapsed time.Duration) {
-	bucket := int64(elapsed / bucketDuration)
-	if bucket <= w.current {
-		return
-	}
-	if bucket-w.current > windowBuckets {
-		w.bytes = [windowBuckets + 1]int{}
-		w.current = bucket
-		return
-	}
-	for w.current < bucket {
-		w.current++
-		w.bytes[w.current%int64(len(w.bytes))] = 0
-	}
-}
-
-func (w *window) bytesPerSecond(elapsed time.Duration) float64 {
-	w.advance(elapsed)
-	total := 0
-	for _, b := range w.bytes {
-		total += b
-	}
-	inCurrent := max(0, elapsed-time.Duration(w.current)*bucketDuration)
-	return float64(total) / (windowBuckets*bucketDuration + inCurrent).Seconds()
-}
-
 // RequestSizes learns the size of the requests of one route. The zero value is a
 // route of which nothing is known.
 type RequestSizes struct {
--- a/internal/linkload/linkload_test.go
+++ b/internal/linkload/linkload_test.go
@@ -141,7 +141,7 @@
 
 func BenchmarkReceived(b *testing.B) {
 	b.ReportAllocs()
-	l, now := New(10_000_000), begin
+	l, now := New(10_000_000), time.Now()
 	for range b.N {
 		now = now.Add(time.Microsecond)
 		l.Received(now, 1228)
