gateway: a budget of probes for an instance

A probe without a token is deferred and requested again by the next tick. A server that answered a caller in the last 100 ms is not probed because a caller that waits for it opened another flow.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"cuminshift/internal/feed"
 	"cuminshift/internal/flow"
 	"cuminshift/internal/model"
@@ -191,6 +193,11 @@
 
 	link linkUse
 
+	// probeBudget limits the probes, and probesDeferred counts those that had to wait
+	// for it.
+	probeBudget    *rate.Limiter
+	probesDeferred int64
+
 	// candidates and candidateServers are scratch space for choosing a server;
 	// they have the same indexes.
 	candidates       []selection.Candidate
@@ -206,6 +213,7 @@
 	return &Core{
 		cfg:          cfg,
 		link:         newLinkUse(cfg.LinkBandwidth),
+		probeBudget:  rate.NewLimiter(probesPerSecond, probeBurst),
 		servers:      registry.New(),
 		demand:       map[string]float64{},
 		withdrawn:    withdrawal.New(),
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -76,6 +76,14 @@
 	}
 }
 
+// countProbes counts the bytes of probes that start.
+func (u *linkUse) countProbes(now time.Time, probes int) {
+	if u.link != nil {
+		u.link.Received(now, probes*probeBytes)
+		u.link.Sent(now, probes*probeBytes)
+	}
+}
+
 // keepRoutes sets the routes whose request sizes are learned. Those of a route that
 // exists already are kept.
 func (u *linkUse) keepRoutes(c *routing.Configuration) {
--- a/internal/gateway/reachability.go
+++ b/internal/gateway/reachability.go
@@ -23,15 +23,59 @@
 	if len(srv.openFlows) == 0 || !srv.reach.MarkSuspect(now) {
 		return nil
 	}
-	return []Action{c.probeAction(srv)}
+	return c.appendProbe(now, nil, srv)
 }
 
-// probeAction returns the action that probes a server. While the server is
-// unreachable but not confirmed down, as after a first unanswered probe, a
-// control server is probed at the same time.
-func (c *Core) probeAction(srv *serverState) Action {
+// appendProbe appends the action that probes a server, or defers the probe if the
+// budget is used up. The probe of a control server takes a token too.
+func (c *Core) appendProbe(now time.Time, actions []Action, srv *serverState) []Action {
+	needed, probes := 1, 1
+	if needsControl(srv) {
+		needed = 2
+	}
+	if srv.reach.ConfirmedDown() {
+		needed += probeReserve
+	}
+	if c.probeBudget.TokensAt(now) < float64(needed) {
+		return c.deferProbe(actions, srv)
+	}
+	p := c.probeAction(srv)
+	if p.Control.IsValid() {
+		probes = 2
+	}
+	if !c.probeBudget.AllowN(now, probes) {
+		return c.deferProbe(actions, srv)
+	}
+	c.link.countProbes(now, probes)
+	return append(actions, p)
+}
+
+func (c *Core) deferProbe(actions []Action, srv *serverState) []Action {
+	if srv.reach.DeferProbe() {
+		c.probesDeferred++
+	}
+	return actions
+}
+
+// ProbesDeferred returns the number of probes that were deferred because the budget was
+// used up, each counted once.
+func (c *Core) ProbesDeferred() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.probesDeferred
+}
+
+// needsControl reports whether a control server is probed together with the server: the
+// server is unreachable but not confirmed down, as after a first unanswered probe.
+func needsControl(srv *serverState) bool {
+	return srv.reach.State() == reach.Unreachable && !srv.reach.ConfirmedDown()
+}
+
+// probeAction returns the action that probes a server and, if needed, a control server
+// at the same time.
+func (c *Core) probeAction(srv *serverState) Probe {
 	p := Probe{Server: srv.record.Name, Address: srv.record.Address, Path: c.healthPath(srv)}
-	if srv.reach.State() == reach.Unreachable && !srv.reach.ConfirmedDown() {
+	if needsControl(srv) {
 		if controlServer := c.controlServer(srv); controlServer != nil {
 			p.Control, p.ControlPath = controlServer.record.Address, c.healthPath(controlServer)
 		}
@@ -99,15 +143,17 @@
 // at once, or the data centre may be cut off or without power.
 func (c *Core) probeDataCentre(now time.Time, unreachable *serverState) []Action {
 	var actions []Action
+	started := 0
 	for r, srv := range c.serverStates {
-		if len(actions) >= maxDataCentreProbes {
+		if started >= maxDataCentreProbes {
 			break
 		}
 		if srv == unreachable || r.DataCentre != unreachable.record.DataCentre || !r.Listed {
 			continue
 		}
 		if now.Sub(srv.reach.LastProgress()) > recentProgress && srv.reach.StartPrecautionaryProbe() {
-			actions = append(actions, c.probeAction(srv))
+			started++
+			actions = c.appendProbe(now, actions, srv)
 		}
 	}
 	return actions
@@ -132,7 +178,7 @@
 		actions = append(actions, StateChange{Subject: srv.record.Name, Description: "server " + state.String(), Cause: cause, Age: timeSinceProgress(now, srv)})
 	}
 	if needsProbe {
-		actions = append(actions, c.probeAction(srv))
+		actions = c.appendProbe(now, actions, srv)
 	}
 	return actions
 }
@@ -157,8 +203,21 @@
 	// triggers.
 	maxDataCentreProbes = 64
 	// recentProgress is how recently a server must have answered a caller not
-	// to be probed when another server of its data centre becomes unreachable.
+	// to be probed when another server of its data centre becomes unreachable, or
+	// when a caller that waits for it opens another flow.
 	recentProgress = 100 * time.Millisecond
+	// probesPerSecond and probeBurst are the budget of probes. At probeBytes each, 50
+	// a second take 2.4% of a link of 10 Mbit/s; the burst lets the servers of a lost
+	// data centre be found at once.
+	probesPerSecond = 50
+	probeBurst      = 100
+	// probeReserve is the part of the budget that repeated probes of servers that are
+	// confirmed down leave to the others. With many servers down, they alone would
+	// use up the budget, and the next failure would be found late.
+	probeReserve = probeBurst / 4
+	// probeBytes is what a probe takes of the link in each direction: the packets of
+	// a connection, a request and its response.
+	probeBytes = 600
 )
 
 // applyObservation passes what a packet reveals about its server to the
--- a/internal/gateway/recent_flows.go
+++ b/internal/gateway/recent_flows.go
@@ -66,7 +66,8 @@
 
 // suspectUnanswered collects, for the opening of a flow, the servers that have
 // shown no progress since other flows of the caller began to wait for them. The
-// opening avoids these servers, and each of them is probed.
+// opening avoids these servers, and each of them is probed that has not just answered
+// another caller: under load, a caller may wait for longer than others.
 func (c *Core) suspectUnanswered(now time.Time, opening flow.Key) []Action {
 	var actions []Action
 	for _, f := range c.recentFlows[callerServiceKeyOf(opening)] {
@@ -83,6 +84,9 @@
 			continue
 		}
 		c.suspects = append(c.suspects, srv)
+		if now.Sub(srv.reach.LastProgress()) < recentProgress {
+			continue
+		}
 		if previousState := srv.reach.State(); previousState == reach.Reachable && srv.reach.MarkSuspect(now) {
 			actions = append(actions, c.reportTransition(now, srv, previousState, true, "caller of an unanswered flow opened another flow")...)
 		}
--- a/internal/gatewayshell/counters.go
+++ b/internal/gatewayshell/counters.go
@@ -55,6 +55,9 @@
 	// refusedLink counts the openings refused because the link is full.
 	refusedLink            metrics.Counter
 	linkUtilizationPercent metrics.Gauge
+	// probesDeferred is the number of probes that had to wait for the budget since the
+	// start of the instance.
+	probesDeferred metrics.Gauge
 	// reasons counts verdicts by reason.
 	reasons [gateway.Reasons]metrics.Counter
 }
@@ -92,6 +95,7 @@
 		openTime:             histogram("open_time_us"),
 
 		refusedLink:            counter("openings_refused_link"),
+		probesDeferred:         metrics.GetOrRegisterGauge("probes_deferred", r),
 		linkUtilizationPercent: metrics.GetOrRegisterGauge("link_utilization_percent", r),
 	}
 	c.feedStateSent = counter("feed_bytes_sent_complete")
@@ -122,6 +126,7 @@
 func (sh *Shell) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	sh.counters.flows.Update(int64(sh.core.FlowCount()))
 	sh.counters.linkUtilizationPercent.Update(int64(100 * sh.core.LinkUtilization(time.Now())))
+	sh.counters.probesDeferred.Update(sh.core.ProbesDeferred())
 	sh.counters.servers.Update(int64(sh.core.ServerCount()))
 	sh.counters.following.Update(0)
 	if sh.registered() && sh.followedInstance() != "" {
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -104,8 +104,11 @@
 	// unanswered probes since the server last answered a caller or a probe.
 	probing          bool
 	unansweredProbes int
-	// precautionary is set while a probe is outstanding that was sent because
-	// another server became unreachable.
+	// deferred is set from DeferProbe until the deferred probe is done or the server
+	// answers a caller.
+	deferred bool
+	// precautionary is set while a probe is outstanding or deferred that was sent
+	// because another server became unreachable.
 	precautionary bool
 	// confirmedDown is set once there is enough evidence to reset the flows of
 	// the unreachable server.
@@ -150,6 +153,9 @@
 // reachable.
 func (d *Detector) RecordProgress(now time.Time) {
 	d.lastProgress = now
+	if d.deferred && !d.probing {
+		d.deferred, d.precautionary = false, false
+	}
 	if d.state == Reachable {
 		return
 	}
@@ -181,7 +187,7 @@
 // instance's own link may be the cause of a missing answer, which then does not
 // confirm that the server is down.
 func (d *Detector) ProbeDone(now time.Time, result ProbeResult, controlAnswered bool) (probe bool) {
-	d.probing = false
+	d.probing, d.deferred = false, false
 	if d.precautionary {
 		d.precautionary = false
 		if d.state == Reachable && result != Answered && result != Inconclusive {
@@ -234,10 +240,22 @@
 	return !d.confirmedDown && d.unansweredProbes < maxImmediateProbes && d.startProbe()
 }
 
+// DeferProbe is called instead of sending a probe that a method of the Detector has
+// just requested. No probe counts as outstanding; the next Tick requests it again. It
+// reports whether the probe was not deferred before.
+func (d *Detector) DeferProbe() (first bool) {
+	first = !d.deferred
+	d.probing, d.deferred = false, true
+	return first
+}
+
 // Tick makes a suspect server reachable again after a time-out, and reports whether
-// to probe an unreachable server again. urgent shortens the time between the
+// to send a deferred probe or to probe an unreachable server again. urgent shortens the time between the
 // probes; it is set while the instance reaches no server for most of its callers.
 func (d *Detector) Tick(now time.Time, urgent bool) (probe bool) {
+	if d.deferred && !d.probing {
+		return d.startProbe()
+	}
 	switch d.state {
 	case Suspect:
 		if !d.probing && now.Sub(d.stateSince) > suspectTimeout {
@@ -286,7 +304,7 @@
 // become unreachable. It reports whether to probe this one too. The state stays
 // Reachable until the probe ends, so that new flows do not avoid the server.
 func (d *Detector) StartPrecautionaryProbe() (probe bool) {
-	if d.state != Reachable || d.probing {
+	if d.state != Reachable || d.probing || d.deferred {
 		return false
 	}
 	d.precautionary = true
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -213,3 +213,29 @@
 		t.Fatalf("%s, confirmed down %t", d.State(), d.ConfirmedDown())
 	}
 }
+
+// Guards against a detector that waits for a probe that was never sent, and against a
+// suspect server without traffic that becomes reachable without a probe.
+func TestDeferredProbeIsRequestedByNextTick(t *testing.T) {
+	var d Detector
+	if !d.MarkSuspect(at(0)) || !d.DeferProbe() {
+		t.Fatal("no probe")
+	}
+	for ms := 100; ms <= 1000; ms += 100 {
+		if !d.Tick(at(ms), false) || d.State() != Suspect || d.DeferProbe() {
+			t.Fatalf("after %d ms: %s", ms, d.State())
+		}
+	}
+	d.Tick(at(1100), false)
+	d.ProbeDone(at(1220), NoAnswer, true)
+	if d.State() != Unreachable {
+		t.Errorf("after the probe: %s", d.State())
+	}
+	d = Detector{}
+	if !d.StartPrecautionaryProbe() || !d.DeferProbe() || d.StartPrecautionaryProbe() {
+		t.Fatal("precautionary probe")
+	}
+	if d.RecordProgress(at(50)); d.Tick(at(100), false) {
+		t.Error("probe of a server that has answered a caller since")
+	}
+}
