--- a/internal/gateway/link_test.go
+++ b/internal/gateway/link_test.go
@@ -233,25 +233,35 @@
 	}
 }
 
-// Guards against request sizes that count retransmissions or the rest of a request whose
+// Guards against request sizes that count bytes twice or the rest of a request whose
 // start another instance forwarded, and against sizes of removed routes that are kept.
 func TestRequestSizesCountNewBytes(t *testing.T) {
 	inst := newTestInstanceBehindLink(t, 10e6, server("i-1", norte))
 	v := inst.openEstablished(1)
-	for _, k := range []flow.Key{key(1), key(2)} {
-		s := flow.Segment{Key: k, Seq: 1, Ack: 100, Token: v.Token, Length: 1200}
-		for range 20 {
-			inst.advance(200 * time.Millisecond)
-			inst.handlePacket(&s)
+	for _, seq := range []uint32{1, 1, 601, 1} {
+		inst.advance(200 * time.Millisecond)
+		inst.handlePacket(&flow.Segment{Key: key(1), Seq: seq, Ack: 100, Token: v.Token, Length: 1200})
+	}
+	if got := inst.core.flows[key(1)].requestBytes; got != 1800 {
+		t.Errorf("%d bytes of a request of 1800", got)
+	}
+	sizes := inst.core.link.requestSizes[service]
+	for request := range uint32(2) {
+		if sizes.Bulk() {
+			t.Fatal("bulk because of requests whose start was not seen")
 		}
-		if got := inst.core.flows[k].requestBytes; got != 1200 {
-			t.Errorf("%s: %d bytes of a request of 1200", k, got)
+		for port := uint16(2); port < 10; port++ {
+			s := flow.Segment{Key: key(port), Seq: 1 + request*uploadPackets*1200, Ack: 100 + request*440, Token: v.Token, Length: 1200}
+			for range uploadPackets {
+				inst.handlePacket(&s)
+				s.Seq += 1200
+			}
+			s.Length, s.Ack = 0, s.Ack+440
+			inst.handlePacket(&s)
 		}
-		s.Length, s.Ack = 0, 540
-		inst.handlePacket(&s)
 	}
-	if got := inst.core.link.requestSizes[service]; got == nil || got.Bulk() {
-		t.Errorf("%+v", got)
+	if !sizes.Bulk() {
+		t.Error("not bulk after requests whose start was seen")
 	}
 	inst.setConfiguration(2, smallService)
 	if n := len(inst.core.link.requestSizes); n != 1 {
