--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -23,20 +23,6 @@
 	transfers    linkload.Transfers
 }
 
-// linkFlow is the part of a tracked flow that concerns the link.
-type linkFlow struct {
-	// startSeen is set if the instance has seen the start of the current request: the
-	// opening of the flow or the answer before.
-	startSeen bool
-	// transferring is set while the flow is in progress as a bulk transfer, or has
-	// expired as one.
-	transferring bool
-	// requestBytes is the number of payload bytes of the current request.
-	requestBytes uint32
-	// sizes holds the sizes of the route's requests; nil if they are not learned.
-	sizes *linkload.RequestSizes
-}
-
 func newLinkUse(bitsPerSecond float64) linkUse {
 	if bitsPerSecond <= 0 {
 		return linkUse{}
@@ -117,8 +103,8 @@
 	if u.link == nil {
 		return
 	}
-	if f.sizes == nil {
-		f.sizes, f.startSeen = u.requestSizes[f.key.Service()], true
+	if f.requestSizes == nil {
+		f.requestSizes, f.startSeen = u.requestSizes[f.key.Service()], true
 	}
 	if !f.Established {
 		u.observeTransfer(now, f)
@@ -128,18 +114,18 @@
 // addTakenOver records a flow that another instance forwarded before.
 func (u *linkUse) addTakenOver(f *trackedFlow) {
 	if u.link != nil {
-		f.sizes = u.requestSizes[f.key.Service()]
+		f.requestSizes = u.requestSizes[f.key.Service()]
 	}
 }
 
 // observe records a packet after the opening and what it reveals.
 func (u *linkUse) observe(now time.Time, f *trackedFlow, s *flow.Segment, o *flow.Observation) {
-	if f.sizes == nil {
+	if f.requestSizes == nil {
 		return
 	}
 	if o.Answered {
 		if f.startSeen {
-			f.sizes.Record(int(f.requestBytes))
+			f.requestSizes.Record(int(f.requestBytes))
 		}
 		f.startSeen, f.requestBytes = true, 0
 		u.endTransfer(f)
@@ -156,7 +142,7 @@
 	switch {
 	case f.transferring:
 		u.transfers.Progress(now, f.key)
-	case f.sizes != nil && f.sizes.Bulk():
+	case f.requestSizes != nil && f.requestSizes.Bulk():
 		u.transfers.Begin(now, f.key)
 		f.transferring = true
 	}
@@ -173,7 +159,7 @@
 // drop records the end of a flow, whose last request may be unanswered.
 func (u *linkUse) drop(f *trackedFlow) {
 	u.endTransfer(f)
-	if f.sizes != nil && f.startSeen && f.Waiting {
-		f.sizes.RecordUnfinished(int(f.requestBytes))
+	if f.requestSizes != nil && f.startSeen && f.Waiting {
+		f.requestSizes.RecordUnfinished(int(f.requestBytes))
 	}
 }
--- a/internal/gateway/server_state.go
+++ b/internal/gateway/server_state.go
@@ -9,6 +9,7 @@
 
 	"cuminshift/internal/coldstart"
 	"cuminshift/internal/flow"
+	"cuminshift/internal/linkload"
 	"cuminshift/internal/reach"
 	"cuminshift/internal/registry"
 	"cuminshift/internal/token"
@@ -44,7 +45,20 @@
 	// longer counts as open and is dropped after closedFlowRetention.
 	callerClosed bool
 
-	linkFlow
+	// The rest concerns the link; see linkUse. It shares a word with callerClosed, so
+	// that a flow takes 8 bytes more.
+
+	// startSeen is set if the instance has seen the start of the current request: the
+	// opening of the flow or the answer before.
+	startSeen bool
+	// transferring is set while the flow is in progress as a bulk transfer, or has
+	// expired as one.
+	transferring bool
+	// requestBytes is the number of payload bytes of the current request.
+	requestBytes uint32
+	// requestSizes holds the sizes of the route's requests; nil if they are not
+	// learned.
+	requestSizes *linkload.RequestSizes
 }
 
 func (c *Core) attach(f *trackedFlow, srv *serverState) {
--- a/internal/gatewayshell/reload.go
+++ b/internal/gatewayshell/reload.go
@@ -87,6 +87,9 @@
 	if s.Instance != sh.settings.Instance || s.DataCentre != sh.settings.DataCentre {
 		afterRestart = append(afterRestart, "instance")
 	}
+	if s.Bandwidth != sh.settings.Bandwidth {
+		afterRestart = append(afterRestart, "bandwidth")
+	}
 	sh.applySettings(s)
 	sh.counters.reloads.Inc(1)
 	sh.log.reloaded(s, afterRestart)
