--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"cuminshift/internal/feed"
 	"cuminshift/internal/flow"
 	"cuminshift/internal/model"
@@ -53,6 +55,9 @@
 	// Instances is the number of instances that share the openings at cold
 	// servers, and Rank is this instance's position among them, from 0.
 	Instances, Rank int
+	// LinkBandwidth is the bandwidth of the instance's link in bits per second; 0 if
+	// unknown. Then no opening is refused because of the link.
+	LinkBandwidth float64
 }
 
 // Verdict is the decision on one packet.
@@ -138,6 +143,9 @@
 	// OpeningRerouted: a retransmitted opening is forwarded to another server
 	// than the previous transmission.
 	OpeningRerouted
+	// LinkFull: the opening of a bulk flow is reset, because the instance's link has
+	// no room for another transfer.
+	LinkFull
 	// Reasons is the number of reasons.
 	Reasons = iota
 )
@@ -145,7 +153,7 @@
 // String returns the name used in logs.
 func (r Reason) String() string {
 	return [...]string{"none", "not loaded", "not fresh", "no route", "route dropped", "no server", "no token",
-		"unknown token", "ambiguous token", "server lost", "repeated"}[r]
+		"unknown token", "ambiguous token", "server lost", "repeated", "link full"}[r]
 }
 
 // Core holds the state of one instance. Its methods may be called concurrently.
@@ -188,6 +196,13 @@
 	unknownFlows unknownFlowTable
 	recentFlows  recentFlowIndex
 
+	link linkUse
+
+	// probeBudget limits the probes, and probesDeferred counts those that had to wait
+	// for it.
+	probeBudget    *rate.Limiter
+	probesDeferred int64
+
 	// candidates and candidateServers are scratch space for choosing a server;
 	// they have the same indexes.
 	candidates       []selection.Candidate
@@ -202,6 +217,8 @@
 func New(cfg Config) *Core {
 	return &Core{
 		cfg:          cfg,
+		link:         newLinkUse(cfg.LinkBandwidth),
+		probeBudget:  rate.NewLimiter(probesPerSecond, probeBurst),
 		servers:      registry.New(),
 		demand:       map[string]float64{},
 		withdrawn:    withdrawal.New(),
--- a/internal/gateway/server_state.go
+++ b/internal/gateway/server_state.go
@@ -9,6 +9,7 @@
 
 	"cuminshift/internal/coldstart"
 	"cuminshift/internal/flow"
+	"cuminshift/internal/linkload"
 	"cuminshift/internal/reach"
 	"cuminshift/internal/registry"
 	"cuminshift/internal/serverload"
@@ -51,6 +52,21 @@
 	// requestSeen is set if the instance has seen the start of the latest request;
 	// unanswered is set once that request was recorded as unanswered.
 	requestSeen, unanswered bool
+
+	// The rest concerns the link; see linkUse. It shares a word with callerClosed, so
+	// that a flow takes 8 bytes more.
+
+	// startSeen is set if the instance has seen the start of the current request: the
+	// opening of the flow or the answer before.
+	startSeen bool
+	// transferring is set while the flow is in progress as a bulk transfer, or has
+	// expired as one.
+	transferring bool
+	// requestBytes is the number of payload bytes of the current request.
+	requestBytes uint32
+	// requestSizes holds the sizes of the route's requests; nil if they are not
+	// learned.
+	requestSizes *linkload.RequestSizes
 }
 
 func (c *Core) attach(f *trackedFlow, srv *serverState) {
@@ -78,6 +94,7 @@
 }
 
 func (c *Core) untrack(f *trackedFlow) {
+	c.link.drop(f)
 	c.detach(f)
 	delete(c.flows, f.key)
 }
