linkload: bulk flows get what small requests leave of the link

Change: the queue of bulk flows is limited to 65 ms of what other packets leave of the link. A link on which callers retransmit (8% of the packets, utilization over 0.6) takes no bulk flow until it has drained. The budget of probes follows the bandwidth: 5% of the link, 100 to 1,000 a second, saved up for 3 s.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -218,7 +218,7 @@
 	return &Core{
 		cfg:          cfg,
 		link:         newLinkUse(cfg.LinkBandwidth),
-		probeBudget:  rate.NewLimiter(probesPerSecond, probeBurst),
+		probeBudget:  newProbeBudget(cfg.LinkBandwidth),
 		servers:      registry.New(),
 		demand:       map[string]float64{},
 		withdrawn:    withdrawal.New(),
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -98,6 +98,13 @@
 	return sizes != nil && sizes.Bulk() && !u.link.AdmitBulk(now, u.transfers.Count())
 }
 
+// countRetransmit counts a packet that is a retransmission.
+func (u *linkUse) countRetransmit(now time.Time) {
+	if u.link != nil {
+		u.link.Retransmitted(now)
+	}
+}
+
 // observeOpening records a transmission of an opening that is forwarded.
 func (u *linkUse) observeOpening(now time.Time, f *trackedFlow) {
 	if u.link == nil {
@@ -131,6 +138,9 @@
 		u.endTransfer(f)
 	}
 	f.requestBytes += uint32(o.NewBytes)
+	if f.transferring {
+		u.link.ReceivedBulk(now, s.Size+packetOverhead)
+	}
 	if !f.callerClosed && (f.transferring || (f.Waiting && s.Length > 0)) {
 		u.observeTransfer(now, f)
 	}
--- a/internal/gateway/packets.go
+++ b/internal/gateway/packets.go
@@ -21,6 +21,9 @@
 	var v Verdict
 	var actions []Action
 	if s.Opening {
+		if s.RetransmitCount > 0 {
+			c.link.countRetransmit(now)
+		}
 		v, actions = c.handleOpening(now, s)
 	} else {
 		v, actions = c.handleFollowing(now, s)
@@ -157,6 +160,7 @@
 	}
 	if observation.Retransmit {
 		v.RetransmitAfter = now.Sub(observation.FirstSeenAt)
+		c.link.countRetransmit(now)
 	}
 	if observation.Answered {
 		c.recordResponse(now, f, f.Ack-previousAck, v.AnswerTime)
--- a/internal/gateway/reachability.go
+++ b/internal/gateway/reachability.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"cuminshift/internal/flow"
 	"cuminshift/internal/reach"
 	"cuminshift/internal/registry"
@@ -34,7 +36,7 @@
 		needed = 2
 	}
 	if srv.reach.ConfirmedDown() {
-		needed += probeReserve
+		needed += int(probeReserve * float64(c.probeBudget.Burst()))
 	}
 	if c.probeBudget.TokensAt(now) < float64(needed) {
 		return c.deferProbe(actions, srv)
@@ -50,6 +52,16 @@
 	return append(actions, p)
 }
 
+// newProbeBudget returns the budget of probes of an instance with a link of the given
+// bandwidth; 0 means that it is unknown.
+func newProbeBudget(bitsPerSecond float64) *rate.Limiter {
+	perSecond := float64(maxProbeRate)
+	if bitsPerSecond > 0 {
+		perSecond = min(max(probeLinkShare*bitsPerSecond/8/probeBytes, minProbeRate), maxProbeRate)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), int(perSecond*probeBurst.Seconds()))
+}
+
 func (c *Core) deferProbe(actions []Action, srv *serverState) []Action {
 	if srv.reach.DeferProbe() {
 		c.probesDeferred++
@@ -206,15 +218,19 @@
 	// to be probed when another server of its data centre becomes unreachable, or
 	// when a caller that waits for it opens another flow.
 	recentProgress = 100 * time.Millisecond
-	// probesPerSecond and probeBurst are the budget of probes. At probeBytes each, 50
-	// a second take 2.4% of a link of 10 Mbit/s; the burst lets the servers of a lost
-	// data centre be found at once.
-	probesPerSecond = 50
-	probeBurst      = 100
-	// probeReserve is the part of the budget that repeated probes of servers that are
+	// probeLinkShare is the part of the link that probes may take. The rate that follows
+	// is limited to the range from minProbeRate to maxProbeRate in probes a second; the
+	// latter also holds if the bandwidth is unknown.
+	probeLinkShare = 0.05
+	minProbeRate   = 100
+	maxProbeRate   = 1000
+	// probeBurst is the time for which the budget is saved up, so that the servers of a
+	// lost data centre are found at once.
+	probeBurst = 3 * time.Second
+	// probeReserve is the part of the burst that repeated probes of servers that are
 	// confirmed down leave to the others. With many servers down, they alone would
 	// use up the budget, and the next failure would be found late.
-	probeReserve = probeBurst / 4
+	probeReserve = 0.25
 	// probeBytes is what a probe takes of the link in each direction: the packets of
 	// a connection, a request and its response.
 	probeBytes = 600
--- a/internal/linkload/linkload.go
+++ b/internal/linkload/linkload.go
@@ -5,8 +5,8 @@
 // retransmission interval, so that the link carries mostly retransmissions and
 // stays full after the demand has gone.
 //
-// It decides on the openings of bulk flows only. Small requests are not refused
-// because of the link.
+// It decides on the openings of bulk flows, and reports when the link is so congested
+// that less urgent openings have to stay away too.
 package linkload
 
 import (
@@ -26,12 +26,22 @@
 	maxPacketBytes     = 1200
 	maxPacketsInFlight = 16
 	// maxQueueDelay is the longest time that the packets of all bulk flows may
-	// wait in the link's queue. It is below the 200 ms after which callers
-	// retransmit.
-	maxQueueDelay = 150 * time.Millisecond
+	// wait in the link's queue: a third of the 200 ms after which callers
+	// retransmit, since bursts of small requests wait in the same queue. With
+	// 150 ms, 40% of the bytes on links of 10 Mbit/s were retransmissions.
+	maxQueueDelay = 65 * time.Millisecond
 	// maxUtilization is the mean utilization above which no bulk flow opens. The
 	// rest is left for small requests and probes.
-	maxUtilization = 0.9
+	maxUtilization = 0.85
+	// maxSmallUtilization is the utilization by other packets than those of bulk
+	// flows up to which one bulk flow at a time always fits.
+	maxSmallUtilization = 0.7
+	// congestedRetransmits is the fraction of retransmissions among the received
+	// packets, and congestedUtilization the utilization, above which packets are
+	// taken to wait in the link's queue for longer than the callers' retransmission
+	// interval. Lost packets alone make 1% of retransmissions.
+	congestedRetransmits = 0.08
+	congestedUtilization = 0.6
 	// bulkRequestBytes is the mean size of a request above which the flows of a
 	// route are bulk flows: half of what may be in flight.
 	bulkRequestBytes = 8 * maxPacketBytes
@@ -55,8 +65,11 @@
 	// the windowBuckets before it. current is the index of the current bucket, which
 	// ends at currentEnd.
 	received, sent [windowBuckets + 1]int
-	current        int
-	currentEnd     time.Duration
+	// bulk holds the part of received that belongs to bulk flows, and packets and
+	// retransmits the numbers of received packets.
+	bulk, packets, retransmits [windowBuckets + 1]int
+	current                    int
+	currentEnd                 time.Duration
 }
 
 // New returns a link of the given bandwidth; 0 means that it is unknown.
@@ -66,6 +79,20 @@
 func (l *Link) Received(now time.Time, bytes int) {
 	l.advance(now)
 	l.received[l.current] += bytes
+	l.packets[l.current]++
+}
+
+// ReceivedBulk records that the bytes of a packet counted by Received belong to a bulk
+// flow.
+func (l *Link) ReceivedBulk(now time.Time, bytes int) {
+	l.advance(now)
+	l.bulk[l.current] += bytes
+}
+
+// Retransmitted records that a packet counted by Received is a retransmission.
+func (l *Link) Retransmitted(now time.Time) {
+	l.advance(now)
+	l.retransmits[l.current]++
 }
 
 // Sent counts a packet that the instance has sent.
@@ -88,7 +115,8 @@
 	buckets := (elapsed-l.currentEnd)/bucketDuration + 1
 	for range min(int(buckets), len(l.received)) {
 		l.current = (l.current + 1) % len(l.received)
-		l.received[l.current], l.sent[l.current] = 0, 0
+		l.received[l.current], l.sent[l.current], l.bulk[l.current] = 0, 0, 0
+		l.packets[l.current], l.retransmits[l.current] = 0, 0
 	}
 	l.currentEnd += buckets * bucketDuration
 	return elapsed
@@ -100,28 +128,51 @@
 	if l.bytesPerSecond <= 0 {
 		return 0
 	}
-	elapsed := l.advance(now)
-	received, sent := 0, 0
-	for i := range l.received {
-		received += l.received[i]
-		sent += l.sent[i]
+	window := l.window(now)
+	return float64(max(total(&l.received), total(&l.sent))) / window.Seconds() / l.bytesPerSecond
+}
+
+// window returns the time over which the rings extend.
+func (l *Link) window(now time.Time) time.Duration {
+	inCurrent := max(0, l.advance(now)-(l.currentEnd-bucketDuration))
+	return windowBuckets*bucketDuration + inCurrent
+}
+
+func total(ring *[windowBuckets + 1]int) int {
+	sum := 0
+	for _, n := range ring {
+		sum += n
+	}
+	return sum
+}
+
+// Congested reports whether packets wait in the link's queue for so long that callers
+// retransmit them. The queue then drains only if the flows in progress get no company:
+// retransmissions keep it full after the demand has gone.
+func (l *Link) Congested(now time.Time) bool {
+	if l.bytesPerSecond <= 0 || l.Utilization(now) <= congestedUtilization {
+		return false
 	}
-	inCurrent := max(0, elapsed-(l.currentEnd-bucketDuration))
-	return float64(max(received, sent)) / (windowBuckets*bucketDuration + inCurrent).Seconds() / l.bytesPerSecond
+	return float64(total(&l.retransmits)) > congestedRetransmits*float64(total(&l.packets))
 }
 
 // AdmitBulk reports whether the link has room for one more bulk flow beside the
-// given number of transfers under way. The first one always fits into the queue,
-// since otherwise a link of less than 1 Mbit/s would carry no transfer at all.
+// given number of transfers under way. What other packets take of the link is not
+// there for the bulk flows' queue. The first one fits unless these packets nearly fill
+// the link: a link of less than 1 Mbit/s would otherwise carry no transfer at all.
 func (l *Link) AdmitBulk(now time.Time, underWay int) bool {
 	if l.bytesPerSecond <= 0 {
 		return true
 	}
-	queued := float64(underWay+1) * maxPacketsInFlight * maxPacketBytes
-	if underWay > 0 && queued > maxQueueDelay.Seconds()*l.bytesPerSecond {
+	if l.Utilization(now) > maxUtilization || l.Congested(now) {
 		return false
 	}
-	return l.Utilization(now) <= maxUtilization
+	small := float64(total(&l.received)-total(&l.bulk)) / l.window(now).Seconds()
+	if underWay == 0 && small < maxSmallUtilization*l.bytesPerSecond {
+		return true
+	}
+	queued := float64(underWay+1) * maxPacketsInFlight * maxPacketBytes
+	return queued <= maxQueueDelay.Seconds()*(l.bytesPerSecond-small)
 }
 
 // RequestSizes learns the size of the requests of one route. The zero value is a
--- a/internal/linkload/linkload_test.go
+++ b/internal/linkload/linkload_test.go
@@ -42,6 +42,7 @@
 			k := queue[0]
 			queue = queue[1:]
 			l.Received(now, maxPacketBytes)
+			l.ReceivedBulk(now, maxPacketBytes)
 			transfers.Progress(now, k)
 			carried += maxPacketBytes
 			if left[k]--; left[k] >= maxPacketsInFlight {
@@ -147,3 +148,46 @@
 		l.Received(now, 1228)
 	}
 }
+
+// Guards against a link that stays full of retransmissions after a burst: what is
+// admitted then is retransmitted too.
+func TestCongestedLinkAdmitsNoBulk(t *testing.T) {
+	for _, c := range []struct {
+		packets, retransmits int
+		congested            bool
+	}{{800, 0, false}, {800, 30, false}, {800, 200, true}, {300, 100, false}} {
+		l := New(10_000_000)
+		for i := range c.packets {
+			now := begin.Add(time.Duration(i) * time.Second / time.Duration(c.packets))
+			l.Received(now, maxPacketBytes)
+			l.ReceivedBulk(now, maxPacketBytes)
+			if i*c.retransmits/c.packets != (i+1)*c.retransmits/c.packets {
+				l.Retransmitted(now)
+			}
+		}
+		now := begin.Add(time.Second)
+		if l.Congested(now) != c.congested || l.AdmitBulk(now, 1) == c.congested {
+			t.Errorf("%d of %d packets a second retransmitted: congested %t, admitted %t", c.retransmits, c.packets, l.Congested(now), l.AdmitBulk(now, 1))
+		}
+		if l.Congested(now.Add(600 * time.Millisecond)) {
+			t.Errorf("%d retransmits: congested 600 ms after the last packet", c.retransmits)
+		}
+	}
+}
+
+// Guards against bulk flows that leave no room to many small requests.
+func TestSmallRequestsNarrowTheRoomOfBulkFlows(t *testing.T) {
+	admitted := func(smallBytesPerSecond int) (n int) {
+		l := New(10_000_000)
+		for ms := range 1000 {
+			l.Received(begin.Add(time.Duration(ms)*time.Millisecond), smallBytesPerSecond/1000)
+		}
+		for l.AdmitBulk(begin.Add(time.Second), n) {
+			n++
+		}
+		return n
+	}
+	if none, half, most := admitted(0), admitted(500_000), admitted(1_000_000); none < 3 || half < 1 || half >= none || most != 0 {
+		t.Errorf("admitted %d, %d and %d bulk flows beside no, 0.5 and 1 MB/s of small requests", none, half, most)
+	}
+}
