--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -35,7 +35,18 @@
 	{name: "map", address: netip.MustParseAddrPort("198.18.0.2:8443"), service: "ordenes", idempotent: true, flowPerRequest: true, workMS: 5, answerBytes: 20000, deadline: 3 * time.Second},
 }
 
+// overloadRoutes are the requests of an overload. Their work is long, so that few of
+// them exceed what the servers can process. One keeps its flows open, the other
+// opens a flow for each request.
+var overloadRoutes = []route{
+	{name: "analysis", address: routes[0].address, service: "campo", idempotent: true, workMS: 60, answerBytes: 600, deadline: 1200 * time.Millisecond},
+	{name: "export", address: routes[1].address, service: "campo", flowPerRequest: true, workMS: 60, answerBytes: 600, deadline: 1200 * time.Millisecond},
+}
+
 const (
+	// overloadCallersPerHost is the number of callers of each route that an
+	// overload adds to a host.
+	overloadCallersPerHost = 8
 	// meanThinkTime is the mean pause between two requests of a caller.
 	meanThinkTime = 60 * time.Millisecond
 	// maxAttempts is the number of attempts at a request.
@@ -52,10 +63,13 @@
 	flow  *client.Flow
 	// lastServer is the server that last answered on the flow, or empty.
 	lastServer string
+	// until is the time from which the caller sends no more requests; zero means
+	// that it sends until the context is done.
+	until time.Time
 }
 
 func (c *caller) run(ctx context.Context) {
-	for n := 0; ctx.Err() == nil; n++ {
+	for n := 0; ctx.Err() == nil && (c.until.IsZero() || time.Now().Before(c.until)); n++ {
 		c.sendRequest(ctx, fmt.Sprintf("%s-%d", c.name, n))
 		select {
 		case <-ctx.Done():
@@ -78,13 +92,17 @@
 		if flowOpen, err = c.attempt(ctx, id); err == nil || ctx.Err() != nil {
 			break
 		}
-		if flowOpen && !c.route.idempotent {
+		if errors.Is(err, errRefused) || (flowOpen && !c.route.idempotent) {
 			break
 		}
 	}
 	c.obs.noteFinished(id, start, err)
 }
 
+// errRefused reports that a server refused a request. The caller does not repeat it,
+// because it would meet the same load.
+var errRefused = errors.New("soak: request refused")
+
 // attempt makes one attempt at a request. flowOpen reports whether the flow was
 // open, so that the request may have run.
 func (c *caller) attempt(ctx context.Context, id string) (flowOpen bool, err error) {
@@ -97,6 +115,7 @@
 		}
 		c.lastServer = ""
 	}
+	c.obs.noteAttempt(id)
 	answer, err := c.flow.Request(ctx, id, c.route.workMS, c.route.answerBytes)
 	switch {
 	case errors.Is(err, client.ErrReset):
@@ -106,7 +125,12 @@
 		c.flow = nil
 	default:
 		c.lastServer = answer.Server
-		c.obs.noteAnswer(id, answer)
+		if answer.Refused {
+			c.obs.noteRefusal(id)
+			err = errRefused
+		} else {
+			c.obs.noteAnswer(id, answer)
+		}
 		if c.route.flowPerRequest {
 			c.flow.Close()
 			c.flow = nil
@@ -121,24 +145,52 @@
 	c.flow = nil
 }
 
+// callers are the callers of a run and their hosts.
+type callers struct {
+	ctx   context.Context
+	obs   *observer
+	seed  uint64
+	hosts []*client.Host
+	wg    sync.WaitGroup
+	// overloads counts the overloads so far.
+	overloads int
+}
+
+// start starts a caller, which runs until cs.ctx is done or, unless zero, until.
+func (cs *callers) start(name string, host *client.Host, r *route, stream uint64, until time.Time) {
+	c := &caller{name: name, host: host, route: r, obs: cs.obs, until: until, rng: rand.New(rand.NewPCG(cs.seed, stream))}
+	cs.wg.Add(1)
+	go func() { defer cs.wg.Done(); c.run(cs.ctx) }()
+}
+
+// overload adds callers for some time, which send more than the servers can process.
+func (cs *callers) overload(duration time.Duration) {
+	cs.overloads++
+	until := time.Now().Add(duration)
+	for h, host := range cs.hosts {
+		for r := range overloadRoutes {
+			for n := range overloadCallersPerHost {
+				stream := uint64(((cs.overloads*1000+h)*10+r)*100 + n)
+				cs.start(fmt.Sprintf("overload%d-%d-%s-%d", cs.overloads, h, overloadRoutes[r].name, n), host, &overloadRoutes[r], stream, until)
+			}
+		}
+	}
+}
+
 // startCallers starts callers in all zones, which run until ctx is done.
-func startCallers(ctx context.Context, f *fleet, o Options, obs *observer) (*sync.WaitGroup, []*client.Host, error) {
-	var wg sync.WaitGroup
-	var hosts []*client.Host
+func startCallers(ctx context.Context, f *fleet, o Options, obs *observer) (*callers, error) {
+	cs := &callers{ctx: ctx, obs: obs, seed: o.Seed}
 	for z, zone := range zones {
 		for h := range o.HostsPerZone {
 			host, err := client.NewHost(f.address(150+z, h+1, packetPort), f.address(3, z+1, packetPort))
 			if err != nil {
-				return &wg, hosts, err
+				return cs, err
 			}
-			hosts = append(hosts, host)
+			cs.hosts = append(cs.hosts, host)
 			for r := range routes {
-				c := &caller{name: fmt.Sprintf("%s-%d-%s", zone, h, routes[r].name), host: host, route: &routes[r], obs: obs,
-					rng: rand.New(rand.NewPCG(o.Seed, uint64(len(hosts)*10+r)))}
-				wg.Add(1)
-				go func() { defer wg.Done(); c.run(ctx) }()
+				cs.start(fmt.Sprintf("%s-%d-%s", zone, h, routes[r].name), host, &routes[r], uint64(len(cs.hosts)*10+r), time.Time{})
 			}
 		}
 	}
-	return &wg, hosts, nil
+	return cs, nil
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -31,6 +31,7 @@
 // faultInjector applies events to a fleet.
 type faultInjector struct {
 	fleet         *fleet
+	callers       *callers
 	obs           *observer
 	rng           *rand.Rand
 	configVersion int
@@ -64,6 +65,7 @@
 	{"zone evacuated", (*faultInjector).evacuateZone},
 	{"zone evacuated until the end", (*faultInjector).evacuateZoneForGood},
 	{"unusable entry among the servers", (*faultInjector).writeOddEntry},
+	{"overload", (*faultInjector).overload},
 }
 
 // drawSchedule draws random events, ordered by time. Events can follow each other
@@ -285,6 +287,10 @@
 	operator.Evacuate(r.fleet.store, zone)
 }
 
+// overload lets callers send more than the servers can process. It excuses no flow
+// reset: a full server is alive.
+func (r *faultInjector) overload(duration time.Duration) { r.callers.overload(duration) }
+
 // writeOddEntry stores an entry that names no server, as another writer might.
 func (r *faultInjector) writeOddEntry(time.Duration) {
 	texts := server.UnusableEntries
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -31,6 +31,10 @@
 	// restartDelay is the time after which a process that has exited is
 	// restarted.
 	restartDelay = 300 * time.Millisecond
+	// slotsPerServer is the number of requests that a server runs at a time,
+	// queuePerServer the number that may wait.
+	slotsPerServer = 3
+	queuePerServer = 8
 )
 
 var zones = []string{"norte", "centro", "sur"}
@@ -121,7 +125,7 @@
 	f.mu.Unlock()
 	f.obs.noteServer(id, zones[zone])
 	s, err := server.Start(server.Config{ID: id, Service: service, Zone: zones[zone], Address: f.address(100+zone, octet, serverPort),
-		CallerPort: packetPort, Slots: 3, StoreURL: "http://" + f.address(1, 1, storePort).String(), HeartbeatInterval: heartbeat, Observer: f.obs})
+		CallerPort: packetPort, Slots: slotsPerServer, QueueLimit: queuePerServer, StoreURL: "http://" + f.address(1, 1, storePort).String(), HeartbeatInterval: heartbeat, Observer: f.obs})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/observer.go
+++ b/internal/soak/observer.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,7 +39,7 @@
 	faultsEndAt time.Time
 	violations  []string
 
-	totalRequests, failedRequests int
+	totalRequests, failedRequests, refusedRequests int
 	// finalRequests and finalFailed count the requests that finish during the
 	// final check.
 	finalRequests, finalFailed       int
@@ -49,6 +51,9 @@
 	route *route
 	// runs is the number of times that servers have started the request.
 	runs int
+	// attempts is the number of times that the caller sent it on an open flow,
+	// refusals the number of these that a server refused.
+	attempts, refusals int
 }
 
 func newObserver() *observer {
@@ -179,6 +184,32 @@
 	o.requests[id] = &request{route: r}
 }
 
+// noteAttempt records that a request is about to be sent on an open flow.
+func (o *observer) noteAttempt(id string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.requests[id].attempts++
+}
+
+// noteRefusal records that a server refused an attempt at a request.
+func (o *observer) noteRefusal(id string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.requests[id].refusals++
+	o.refusedRequests++
+}
+
+// checkRefusedRequests checks that no refused attempt ran: a request runs at most as
+// often as it was sent and not refused. It is called with mu held, at the end of the
+// run, because a queued request may run after its caller gave up.
+func (o *observer) checkRefusedRequests() {
+	for _, id := range slices.Sorted(maps.Keys(o.requests)) {
+		if r := o.requests[id]; r.refusals > 0 && r.runs > r.attempts-r.refusals {
+			o.addViolation("REFUSED: request %s ran %d times, but %d of %d attempts were refused", id, r.runs, r.refusals, r.attempts)
+		}
+	}
+}
+
 func (o *observer) noteAnswer(id string, a client.Answer) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -44,6 +44,9 @@
 	Seed     uint64
 	Requests int
 	Failed   int
+	// Refused is the number of requests that servers refused; they also count as
+	// failed.
+	Refused int
 	// UnexpectedResets counts the resets of flows whose server was serving,
 	// ExpectedResets those that a fault, a drain or the end of the server
 	// explains.
@@ -71,9 +74,9 @@
 	callersCtx, stopCallers := context.WithCancel(ctx)
 	defer stopCallers()
 	sleep(ctx, warmUpPeriod)
-	wg, hosts, err := startCallers(callersCtx, f, o, obs)
+	cs, err := startCallers(callersCtx, f, o, obs)
 	defer func() {
-		for _, h := range hosts {
+		for _, h := range cs.hosts {
 			h.Close()
 		}
 	}()
@@ -81,16 +84,16 @@
 		return nil, err
 	}
 	rng := rand.New(rand.NewPCG(o.Seed, 1))
-	injector := &faultInjector{fleet: f, obs: obs, rng: rng, configVersion: 1}
+	injector := &faultInjector{fleet: f, callers: cs, obs: obs, rng: rng, configVersion: 1}
 	injector.runSchedule(ctx, drawSchedule(rng, o.EventCount, o.EventPeriod))
 	sleep(ctx, recoveryPeriod)
 	obs.setFinalCheck(true)
 	sleep(ctx, finalCheckPeriod)
 	obs.setFinalCheck(false)
 	stopCallers()
-	wg.Wait()
+	cs.wg.Wait()
 	return buildResult(o, f, obs, func() (n int) {
-		for _, h := range hosts {
+		for _, h := range cs.hosts {
 			n += h.Forged()
 		}
 		return n
@@ -110,10 +113,11 @@
 		}
 		p.mu.Unlock()
 	}
+	obs.checkRefusedRequests()
 	if obs.finalRequests == 0 || float64(obs.finalFailed) > maxFinalFailureRatio*float64(obs.finalRequests) {
 		obs.addViolation("AVAILABILITY: %d of %d requests failed in the final check, after the faults have ended", obs.finalFailed, obs.finalRequests)
 	}
-	r := &Result{Seed: o.Seed, Requests: obs.totalRequests, Failed: obs.failedRequests, UnexpectedResets: obs.unexpectedResets, ExpectedResets: obs.expectedResets,
+	r := &Result{Seed: o.Seed, Requests: obs.totalRequests, Failed: obs.failedRequests, Refused: obs.refusedRequests, UnexpectedResets: obs.unexpectedResets, ExpectedResets: obs.expectedResets,
 		Violations: obs.violations, LogDir: f.dir}
 	if len(r.Violations) > 0 {
 		return r, nil
@@ -130,7 +134,7 @@
 
 // String formats the result as a summary line and one line per violation.
 func (r *Result) String() string {
-	s := fmt.Sprintf("seed %d: %d requests, %d failed, %d expected resets, %d violations\n", r.Seed, r.Requests, r.Failed, r.ExpectedResets, len(r.Violations))
+	s := fmt.Sprintf("seed %d: %d requests, %d failed, %d of them refused, %d expected resets, %d violations\n", r.Seed, r.Requests, r.Failed, r.Refused, r.ExpectedResets, len(r.Violations))
 	for _, v := range r.Violations {
 		s += "  " + v + "\n"
 	}
--- a/internal/standin/platform/client/client.go
+++ b/internal/standin/platform/client/client.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -194,6 +195,8 @@
 	Server, Service string
 	// Size is the number of bytes after the header line.
 	Size int
+	// Refused is set if the server was full and has not run the request.
+	Refused bool
 }
 
 // Request sends a request and waits for its complete answer. The server works on
@@ -255,15 +258,20 @@
 }
 
 // parseAnswer parses the bytes received so far and reports whether the answer is
-// complete. An answer is a header line "ID SERVER SERVICE SIZE" and SIZE bytes.
+// complete. An answer is a header line "ID SERVER SERVICE SIZE" and SIZE bytes, or
+// only a header line with "refused" instead of SIZE.
 func parseAnswer(body []byte, id string) (Answer, bool, error) {
 	header, rest, ok := bytes.Cut(body, []byte("\n"))
 	if !ok {
 		return Answer{}, false, nil
 	}
 	var a Answer
-	var gotID string
-	if _, err := fmt.Sscanf(string(header), "%s %s %s %d", &gotID, &a.Server, &a.Service, &a.Size); err != nil || gotID != id || len(rest) > a.Size {
+	var gotID, size string
+	_, err := fmt.Sscanf(string(header), "%s %s %s %s", &gotID, &a.Server, &a.Service, &size)
+	if a.Refused = size == "refused"; !a.Refused && err == nil {
+		a.Size, err = strconv.Atoi(size)
+	}
+	if err != nil || gotID != id || len(rest) > a.Size {
 		return Answer{}, false, errors.Wrapf(ErrWrongAnswer, "answer header %q for request %s", header, id)
 	}
 	return a, len(rest) == a.Size, nil
--- a/internal/standin/platform/server/server.go
+++ b/internal/standin/platform/server/server.go
@@ -34,6 +34,12 @@
 	sendWindow = 16
 	// retransmitTick is the interval at which due retransmissions are sent.
 	retransmitTick = 20 * time.Millisecond
+	// maxQueueTime is the time after which a server with a bounded queue refuses a
+	// request that waits for a slot.
+	maxQueueTime = 100 * time.Millisecond
+	// refusalSize is the size of a refusal, at most half of that of the shortest
+	// answer with a result.
+	refusalSize = 128
 )
 
 // Config describes a server.
@@ -45,6 +51,10 @@
 	CallerPort uint16
 	// Slots is the number of requests that run concurrently.
 	Slots int
+	// QueueLimit is the number of requests that wait for a slot; further ones and
+	// those that wait longer than maxQueueTime are refused. 0 means that all
+	// requests wait without limit.
+	QueueLimit int
 	// StoreURL is the base URL of the store, HeartbeatInterval the interval at
 	// which the server writes its entry.
 	StoreURL          string
@@ -81,7 +91,9 @@
 	flows      map[netip.AddrPort]*flow
 	draining   bool
 	heartbeats int
-	startedMS  int64
+	// queued is the number of requests that wait for a slot.
+	queued    int
+	startedMS int64
 }
 
 type flow struct {
@@ -285,7 +297,8 @@
 	s.transmit(f.synAck, f.caller)
 }
 
-// runRequest runs a request of the form "ID WORK_MS BYTES" and answers it.
+// runRequest runs a request of the form "ID WORK_MS BYTES" and answers it, or
+// refuses it if the server is full.
 func (s *Server) runRequest(ctx context.Context, f *flow, request string) {
 	var id string
 	var workMS, size int
@@ -293,9 +306,13 @@
 		s.cfg.Observer.Forged(s.cfg.ID, time.Now())
 		return
 	}
-	select {
-	case s.slots <- struct{}{}:
-	case <-ctx.Done():
+	if !s.acquireSlot(ctx) {
+		if ctx.Err() == nil {
+			refusal := fmt.Sprintf("%s %s %s refused", id, s.cfg.ID, s.cfg.Service)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.sendAnswer(f, fmt.Appendf(nil, "%-*s\n", refusalSize-1, refusal))
+		}
 		return
 	}
 	defer func() { <-s.slots }()
@@ -311,6 +328,47 @@
 	s.sendAnswer(f, append([]byte(header), bytes.Repeat([]byte("x"), size)...))
 }
 
+// acquireSlot waits for a slot. It reports false if the request is to be refused or
+// the server is stopped.
+func (s *Server) acquireSlot(ctx context.Context) bool {
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	default:
+	}
+	var timeout <-chan time.Time
+	if s.cfg.QueueLimit > 0 {
+		if !s.enqueue() {
+			return false
+		}
+		defer s.dequeue()
+		timeout = time.After(maxQueueTime)
+	}
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	case <-timeout:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+func (s *Server) enqueue() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.queued >= s.cfg.QueueLimit {
+		return false
+	}
+	s.queued++
+	return true
+}
+
+func (s *Server) dequeue() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queued--
+}
+
 func (s *Server) sendAnswer(f *flow, body []byte) {
 	for len(body) > 0 {
 		n := min(len(body), wire.MaxPayload)
