spill: flows return although the own capacity was last seen near zero

The known capacity was also taken from samples left over after a burst, and a capacity or local share of 0 kept flows away for good (test TestFlowsReturnFromEverythingMoved).

--- a/internal/spill/spill.go
+++ b/internal/spill/spill.go
@@ -44,6 +44,10 @@
 	// data centres no longer use.
 	capacityGrowth    = 0.02
 	maxCapacityGrowth = 0.2
+	// probeStep is the fraction of the new flows that returns in the first step
+	// without refusals, twice that in the second and so on, up to returnStep, even
+	// beyond the known capacity. That capacity can have been near 0.
+	probeStep = 0.005
 	// gain is the fraction of the new flows that moves to or returns from a data
 	// centre in a step, per difference of the refused fractions.
 	gain = 0.3
@@ -73,6 +77,11 @@
 // would keep flows away for 5 s more.
 const recentDecay = 300 * time.Millisecond
 
+// minAdded is the number of refusals in a step from which the own data centre counts
+// as refusing in this step. It is below 1, because the decay of the view is only
+// known approximately.
+const minAdded = 0.5
+
 // DataCentre is an instance's view of one data centre.
 type DataCentre struct {
 	Name model.DataCentre
@@ -103,6 +112,8 @@
 	samples, refusals float64
 	// pastSamples and pastRefusals are the counts of the view at the last step.
 	pastSamples, pastRefusals float64
+	// added is the number of refusals in the last step.
+	added float64
 }
 
 // observe adds the samples of the view since the last step.
@@ -110,7 +121,8 @@
 	refusals := view.Samples * view.Refused
 	viewKept, kept := decayed(elapsed, sampleDecay), decayed(elapsed, constant)
 	n.samples = n.samples*kept + max(view.Samples-n.pastSamples*viewKept, 0)
-	n.refusals = min(n.refusals*kept+max(refusals-n.pastRefusals*viewKept, 0), n.samples)
+	n.added = max(refusals-n.pastRefusals*viewKept, 0)
+	n.refusals = min(n.refusals*kept+n.added, n.samples)
 	n.pastSamples, n.pastRefusals = view.Samples, refusals
 }
 
@@ -200,6 +212,9 @@
 		c.giveBack(returnStep)
 		return
 	}
+	if c.SpilledFraction() == 0 {
+		c.calmSteps = 0
+	}
 	refused := local.Refused
 	if recent := c.recent.refused(); recent < endRefused {
 		refused = min(refused, recent)
@@ -210,12 +225,16 @@
 	}
 	switch {
 	case refused > startRefused:
-		c.capacity = local.Samples * (1 - refused)
+		// After a burst, the samples that are left show less than the capacity.
+		if c.recent.added >= minAdded {
+			c.capacity = local.Samples * (1 - refused)
+		}
 		c.move(refused, total)
-	case refused < endRefused:
+	case refused < endRefused && c.SpilledFraction() > 0:
 		c.calmSteps++
 		c.capacity *= 1 + min(c.calmSteps*capacityGrowth, maxCapacityGrowth)
-		c.giveBack(min(returnStep, c.fitting(local.Samples)-(1-c.SpilledFraction())))
+		fits := c.fitting(local.Samples) - (1 - c.SpilledFraction())
+		c.giveBack(min(returnStep, max(fits, c.calmSteps*probeStep)))
 	}
 }
 
--- a/internal/spill/spill_test.go
+++ b/internal/spill/spill_test.go
@@ -21,7 +21,8 @@
 	capacity  []float64
 	demand    []float64 // per second, by data centre of the callers
 	down      []bool
-	mute      []bool // responses of the data centre to other data centres are lost
+	mute      []bool  // responses of the data centre to other data centres are lost
+	pinned    float64 // fraction of the requests that come on old flows, which stay local
 	instances []*instance
 	load      []float64 // of the last tick, relative to the capacity
 }
@@ -59,7 +60,7 @@
 			flows := m.demand[x.home] / float64(len(m.instances)/n) * tick.Seconds()
 			for range int(flows + m.rng.Float64()) {
 				dc := x.home
-				if p := x.controller.Pick(m.rng.Float64()); p != "" {
+				if p := x.controller.Pick(m.rng.Float64()); p != "" && m.rng.Float64() >= m.pinned {
 					fmt.Sscanf(string(p), "dc%d", &dc)
 				}
 				sent[i][dc]++
@@ -217,6 +218,23 @@
 	}
 }
 
+// Guards against flows that stay away for good because the capacity of the own data
+// centre was last seen as nearly 0, or because no new flow is local that could show
+// how much fits.
+func TestFlowsReturnFromEverythingMoved(t *testing.T) {
+	for _, c := range []struct{ capacity, demand, pinned float64 }{{1, usual, 0}, {600, 2500, 0.7}} {
+		m := newCluster(5, []float64{c.capacity, 5000, 5000}, []float64{c.demand, usual, usual})
+		m.pinned = c.pinned
+		m.run(10*time.Second, nil)
+		spilled := m.spilled(0)
+		m.capacity[0], m.demand[0] = 1500, usual
+		m.run(6*time.Second, nil)
+		if s := m.spilled(0); spilled < 0.9 || s > 0.01 {
+			t.Errorf("%+v: spilled %.3f, and %.3f 6 s after the recovery", c, spilled, s)
+		}
+	}
+}
+
 // Guards against shares that are not numbers, exceed 1 or go to an unknown or unusable
 // data centre, whatever the views contain.
 func TestSharesStayValid(t *testing.T) {
