serverload: refused fraction with the time constant that the controllers assume

Packages spill and overload derive what came since their last step from counts that decay with 1 s; the counts decayed with 0.5 s.

--- a/internal/serverload/service.go
+++ b/internal/serverload/service.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// refusalDecay is the time constant of the refused fraction. The controllers
-	// act on it in steps of 100 and 200 ms and must end 1 s after the last refusal.
-	refusalDecay = 500 * time.Millisecond
+	// refusalDecay is the time constant of the refused fraction, which packages spill and
+	// overload know: they derive from it what came since their last step.
+	refusalDecay = time.Second
 	// A service is saturated if its servers refuse more than saturatedFraction of
 	// its requests; with fewer than saturatedSamples responses this is chance.
 	saturatedFraction = 0.05
