--- /dev/null
+++ b/internal/overload/overload_test.go
@@ -0,0 +1,184 @@
+package overload
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// draw returns new flows of which a fraction has priority 1, the others 2. A fraction is
+// of caller 0, the others are of 200 callers.
+func draw(m *model, urgent, heavy float64) func() request {
+	return func() request {
+		r := request{priority: 2, caller: uint32(1 + m.random.IntN(200))}
+		if m.random.Float64() < heavy {
+			r.caller = 0
+		}
+		if m.random.Float64() < urgent {
+			r.priority = 1
+		}
+		return r
+	}
+}
+
+// Guards against idle servers, oscillation and refused urgent requests at several times
+// the demand that fits, and against refusals that last after it.
+func TestOverload(t *testing.T) {
+	const seeds = 5
+	for _, requests := range []int{1, 2, 4} {
+		for _, times := range []float64{4, 8} {
+			t.Run(fmt.Sprintf("%d requests for each flow, %g times", requests, times), func(t *testing.T) {
+				var urgent, urgentLater float64
+				for seed := range uint64(seeds) {
+					m := newModel(seed, 1000, requests)
+					fits := 0.9 * m.capacity / float64(requests)
+					mixed := draw(m, 0.1, 0)
+					m.run(5*time.Second, fits, mixed)
+					if n := sum(m.rejects); n > 0 || m.c.Refusing() {
+						t.Errorf("seed %d: %g openings refused before the overload", seed, n)
+					}
+					m.reset()
+					m.run(10*time.Second, times*fits, mixed)
+					useful := sum(m.served) / m.capacity / 10
+					urgent += m.served[1] / m.wanted[1] / seeds
+					m.reset()
+					m.run(10*time.Second, times*fits, mixed)
+					usefulLater := sum(m.served) / m.capacity / 10
+					urgentLater += m.served[1] / m.wanted[1] / seeds
+					t.Logf("seed %d: useful %.3f, later %.3f", seed, useful, usefulLater)
+					if useful < 0.9 || usefulLater < 0.9 || m.rejects[1] > 0 {
+						t.Errorf("seed %d: useful %.3f, later %.3f; %g urgent openings refused later", seed, useful, usefulLater, m.rejects[1])
+					}
+					m.run(time.Second, fits, mixed)
+					m.reset()
+					m.run(3*time.Second, fits, mixed)
+					if n := sum(m.rejects); n > 0 || m.c.Refusing() {
+						t.Errorf("seed %d: %g openings refused later than 1 s after the overload", seed, n)
+					}
+				}
+				t.Logf("urgent requests served: %.3f in the first 10 s, %.3f later", urgent, urgentLater)
+				if urgentLater < 0.95 {
+					t.Errorf("urgent requests served: %.3f in the first 10 s, %.3f later", urgent, urgentLater)
+				}
+			})
+		}
+	}
+}
+
+// Guards against oscillation and against refusals without overload at an instance that
+// sees few responses.
+func TestFewSamples(t *testing.T) {
+	for _, capacity := range []float64{25, 50} {
+		m := newModel(1, capacity, 2)
+		m.misread = 0.03
+		m.run(60*time.Second, 0.6*capacity/2, draw(m, 0.1, 0))
+		if n := sum(m.rejects); n > 0 {
+			t.Errorf("capacity %g: %g openings refused without overload", capacity, n)
+		}
+		m.reset()
+		m.run(20*time.Second, 4*capacity/2, draw(m, 0.1, 0))
+		useful := sum(m.served) / capacity / 20
+		t.Logf("capacity %g: useful %.3f", capacity, useful)
+		if useful < 0.85 {
+			t.Errorf("capacity %g: useful %.3f", capacity, useful)
+		}
+		m.run(3*time.Second, 0.6*capacity/2, draw(m, 0.1, 0))
+		if m.c.Refusing() {
+			t.Errorf("capacity %g: still refusing 3 s after the overload", capacity)
+		}
+	}
+}
+
+// Guards against openings that are refused because short responses are misread.
+func TestMisreadRefusalsChangeNothing(t *testing.T) {
+	m := newModel(1, 1000, 2)
+	m.misread = 0.03
+	m.run(60*time.Second, 0.8*1000/2, draw(m, 0.1, 0))
+	if n := sum(m.rejects); n > 0 {
+		t.Errorf("%g openings refused", n)
+	}
+}
+
+// Guards against an overload of one service that refuses openings of another.
+func TestServicesAreSeparate(t *testing.T) {
+	a, b := newModel(1, 1000, 2), newModel(2, 1000, 2)
+	for range 100 {
+		a.run(100*time.Millisecond, 4*500, draw(a, 0.1, 0))
+		b.run(100*time.Millisecond, 0.8*500, draw(b, 0.1, 0))
+	}
+	if sum(a.rejects) == 0 || sum(b.rejects) > 0 || b.c.Refusing() {
+		t.Errorf("%g and %g openings refused", sum(a.rejects), sum(b.rejects))
+	}
+}
+
+// Guards against a caller that takes the openings of the others: the 200 others open one
+// flow in the time in which it opens 20.
+func TestFairShare(t *testing.T) {
+	m := newModel(1, 1000, 1)
+	m.run(5*time.Second, 900, draw(m, 0.1, 0))
+	m.reset()
+	m.run(10*time.Second, 2200, draw(m, 0, 1.0/11))
+	others := (sum(m.served) - m.callerServed[0]) / 200
+	t.Logf("caller %g, others %g", m.callerServed[0], others)
+	if m.callerServed[0] > 5*others || m.callerServed[0] < others || sum(m.served) < 0.9*10*m.capacity {
+		t.Errorf("the caller with 20 times the openings is served %g times, the others %g times, all %g times", m.callerServed[0], others, sum(m.served))
+	}
+}
+
+// Guards against counts of callers that grow with their number, and against an opening
+// that allocates memory.
+func TestCallersAreBounded(t *testing.T) {
+	m := newModel(1, 1000, 1)
+	m.run(3*time.Second, 4000, func() request { return request{priority: 2, caller: m.random.Uint32()} })
+	if !m.c.Refusing() || m.c.callers.active > maxCallers {
+		t.Errorf("%g active callers, refusing: %t", m.c.callers.active, m.c.Refusing())
+	}
+	if n := testing.AllocsPerRun(1000, func() { m.c.Admit(m.now, Opening{Priority: 2, Caller: m.random.Uint32()}) }); n > 0 {
+		t.Errorf("%g allocations for an opening", n)
+	}
+}
+
+// Guards against a controller that refuses for ever once nothing tells it of the servers.
+func TestRefusalsEndWithoutUpdates(t *testing.T) {
+	m := newModel(1, 1000, 1)
+	m.run(3*time.Second, 8000, draw(m, 0, 0))
+	o := Opening{Priority: 2, Point: 0.999}
+	if d := m.c.Admit(m.now, o); d != Overloaded {
+		t.Fatal(d)
+	}
+	if d := m.c.Admit(m.now.Add(endDelay), o); d != Admitted {
+		t.Errorf("%s without updates", d)
+	}
+	for range 20 {
+		m.now = m.now.Add(100 * time.Millisecond)
+		m.c.Update(m.now, Input{})
+	}
+	if m.c.Refusing() {
+		t.Error("still refusing without samples")
+	}
+	if p, f := m.c.AdmittedPriority(); p != 255 || f != 1 {
+		t.Errorf("priority %d, fraction %g", p, f)
+	}
+}
+
+func TestDecisions(t *testing.T) {
+	m := newModel(1, 1000, 1)
+	m.median = 300 * time.Millisecond
+	slow := Opening{Timeout: 200 * time.Millisecond}
+	// Guards against a timeout that is always too short: calm services admit all.
+	m.run(time.Second, 500, draw(m, 0, 0))
+	if d := m.c.Admit(m.now, slow); d != Admitted {
+		t.Errorf("calm service: %s", d)
+	}
+	m.run(3*time.Second, 8000, draw(m, 0, 0))
+	if d := m.c.Admit(m.now, slow); d.String() != "cannot answer in time" {
+		t.Error(d)
+	}
+	// Guards against flows that are refused after their first transmission was admitted.
+	if d := m.c.Admit(m.now, Opening{Priority: 2, Point: 0.999, Repeated: true}); d.String() != "admitted" {
+		t.Error(d)
+	}
+	if d := m.c.Admit(m.now, Opening{Priority: 2, Point: 0.999}); d.String() != "overloaded" {
+		t.Error(d)
+	}
+}
