overload: limit on admitted openings that follows the servers' capacity

Useful work, the urgent priority, recovery, shares of callers, few samples and misread refusals are tested against a model of servers and callers.

--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -24,7 +24,7 @@
 	// startDeviations is the number of standard deviations by which the refused
 	// fraction must exceed startRefused, so that 20 samples of which 0.03 are misread
 	// do not start the controller.
-	startDeviations = 1
+	startDeviations = 1.5
 	// minSamples is the number of responses below which the refused fraction says
 	// nothing.
 	minSamples = 20
@@ -65,17 +65,24 @@
 	// openings from before it.
 	startHold = 500 * time.Millisecond
 
+	// baseWindow bounds the decrease of base. Refusals from before a fall of the demand
+	// count for some time, in which the responses are those to the demand.
+	baseWindow = 2 * time.Second
+
 	// decreasePerSecond is the relative decrease of the limit while everything is
 	// refused, increasePerSecond the increase while nothing is, as a part of base.
-	// Refusals show 0.4 s after their cause; with twice the decrease, the limit
+	// Refusals show 0.4 s after their cause; with twice the increase, the limit
 	// oscillates.
 	decreasePerSecond = 2
-	increasePerSecond = 0.1
+	increasePerSecond = 0.05
 	// minLimit and maxLimit bound the limit as multiples of base. Flows from before the
 	// start send requests for some time, and there are few requests for some time after
-	// these have ended: a limit that followed both would oscillate.
-	minLimit    = 0.8
-	maxLimit    = 0.97
+	// these have ended: a limit that followed both would oscillate. At maxLimit 1.05, servers
+	// refused some 2% more of the urgent requests.
+	minLimit = 0.86
+	maxLimit = 0.96
+	// Below lowLimit, the increase is lowIncrease times as fast, so that nothing is
+	// refused for long after the demand has fallen.
 	lowLimit    = 0.9
 	lowIncrease = 6
 	// increaseDelay is the time without refusals after which maxLimit no longer applies
@@ -243,7 +250,7 @@
 
 func (c *Controller) start(now time.Time) {
 	c.refusing, c.saturated, c.started = true, now, now
-	c.updateBase()
+	c.base = c.fitting()
 	c.limit = c.base
 	c.callers.start()
 }
@@ -298,18 +305,18 @@
 	return offered
 }
 
-// updateBase derives base from the responses with a result, which full servers give at
-// the same rate whatever the demand, and from the openings per response. An opening
-// brings at least one request.
-func (c *Controller) updateBase() {
+// fitting returns the rate of openings that fits the capacity. It derives the capacity
+// from the responses with a result, which full servers give at the same rate whatever the
+// demand. An opening brings at least one request.
+func (c *Controller) fitting() float64 {
 	perResponse := min(1, c.openings.perSecond()/max(c.responses.perSecond(), 1))
-	c.base = c.previous.Samples * (1 - c.previous.Refused) / inputDecay.Seconds() * perResponse
+	return c.previous.Samples * (1 - c.previous.Refused) / inputDecay.Seconds() * perResponse
 }
 
 // updateLimit takes a step of the limit. quiet is the time since the last saturation.
 func (c *Controller) updateLimit(elapsed, quiet time.Duration, refused float64) {
 	if refused > targetRefused {
-		c.updateBase()
+		c.base = max(c.fitting(), c.base*math.Exp(-elapsed.Seconds()/baseWindow.Seconds()))
 		c.limit *= math.Exp(-decreasePerSecond * elapsed.Seconds() * (refused - targetRefused) / (1 - targetRefused))
 		c.limit = max(c.limit, minLimit*c.base)
 		return
