--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -28,20 +28,19 @@
 	// minSamples is the number of responses below which the refused fraction says
 	// nothing.
 	minSamples = 20
-	// targetRefused is the fraction of refused requests that is kept while openings
-	// are refused. Servers do not know priorities: at 0.10, a tenth of the urgent
-	// requests would be refused. Any fraction above 0 means that a server is full.
-	// Below 0.03, responses that are misread as refusals would decrease the limit.
-	targetRefused = 0.03
+	// targetRefused is the fraction of refused requests above which the limit decreases.
+	// Servers do not know priorities: at 0.10, a tenth of the urgent requests would be
+	// refused. It is above the fraction of responses that may be misread as refusals.
+	targetRefused = 0.04
 	// quietRefused is the refused fraction up to which servers count as not full while
 	// openings are refused.
-	quietRefused = 0.01
+	quietRefused = 0.015
 	// endDelay is the time after which everything is admitted if there are not enough
 	// samples or no updates.
 	endDelay = time.Second
 	// slackDelay is the time for which the limit must exceed the offered openings
 	// before everything is admitted.
-	slackDelay = 300 * time.Millisecond
+	slackDelay = 200 * time.Millisecond
 
 	// inputDecay is the time constant with which the counts of the input decay.
 	inputDecay = time.Second
@@ -56,40 +55,41 @@
 	// maxOffered bounds that rate, as a multiple of the rate since the last update, so
 	// that it follows a fall of the demand at once.
 	maxOffered = 1.2
+	// servedWindow is the time constant of the servers' capacity.
+	servedWindow = time.Second
 	// openingsWindow is the time constant of the openings per response. It is longer
 	// than the time in which a burst of openings is followed by responses.
-	openingsWindow = 3 * time.Second
+	openingsWindow = 2 * time.Second
 	// responseSteps is the number of updates by which responses lag behind openings.
 	responseSteps = 2
+	// minPerResponse is the least number of openings per response that is assumed, so that
+	// the limit rises even if there were nearly no openings.
+	minPerResponse = 0.02
+	// startSteps is the number of updates after which the rates are known well enough to
+	// start.
+	startSteps = responseSteps + 2
 	// startHold is the time after the start in which responses are still those to
 	// openings from before it.
 	startHold = 500 * time.Millisecond
 
 	// baseWindow bounds the decrease of base. Refusals from before a fall of the demand
 	// count for some time, in which the responses are those to the demand.
-	baseWindow = 2 * time.Second
+	baseWindow = 4 * time.Second
 
 	// decreasePerSecond is the relative decrease of the limit while everything is
 	// refused, increasePerSecond the increase while nothing is, as a part of base.
-	// Refusals show 0.4 s after their cause; with twice the increase, the limit
-	// oscillates.
-	decreasePerSecond = 2
-	increasePerSecond = 0.05
-	// minLimit and maxLimit bound the limit as multiples of base. Flows from before the
-	// start send requests for some time, and there are few requests for some time after
-	// these have ended: a limit that followed both would oscillate. At maxLimit 1.05, servers
-	// refused some 2% more of the urgent requests.
-	minLimit = 0.86
-	maxLimit = 0.96
-	// Below lowLimit, the increase is lowIncrease times as fast, so that nothing is
-	// refused for long after the demand has fallen.
-	lowLimit    = 0.9
-	lowIncrease = 6
-	// increaseDelay is the time without refusals after which maxLimit no longer applies
-	// and the increase doubles in each increaseDoubling, so that a limit that is far
-	// too low does not last.
-	increaseDelay    = 1500 * time.Millisecond
-	increaseDoubling = 500 * time.Millisecond
+	decreasePerSecond = 3
+	increasePerSecond = 0.07
+	// minLimit bounds the limit as a multiple of base. Flows from before the start send
+	// requests for some time, and there are few requests for some time after these have
+	// ended. A limit that followed both would oscillate: with 0.3, servers did 0.72 of
+	// what they can in the test's model, instead of 0.95.
+	minLimit = 0.9
+	// increaseDelay is the time without refusals after which the limit may exceed base
+	// and the increase doubles in each increaseDoubling, so that a limit that is too low
+	// does not last. With 250 ms, it rose too far before the refusals showed.
+	increaseDelay    = time.Second
+	increaseDoubling = time.Second
 
 	numPriorities = 256
 )
@@ -182,12 +182,15 @@
 	// fits the capacity.
 	limit, base float64
 	// admitted is the number of admitted openings since the last update, recent the
-	// rates at the updates before, oldest first.
+	// rates at the updates before, of which steps have been made.
 	admitted float64
 	recent   [responseSteps]float64
+	steps    int
 	previous Input
 	// answered and refused are the rates of responses with and without a result.
 	answered, refused rate
+	// served is the rate of responses with a result over servedWindow.
+	served rate
 	// openings and responses are rates over openingsWindow.
 	openings, responses rate
 
@@ -208,6 +211,9 @@
 	} else if elapsed <= 0 {
 		return
 	}
+	if !(in.Samples > 0 && in.Refused >= 0 && in.Refused <= 1) {
+		in.Refused, in.Samples = 0, 0
+	}
 	c.updated, c.median = now, in.MedianAnswer
 	if elapsed > 0 {
 		c.updateResponses(elapsed, in)
@@ -220,7 +226,7 @@
 	switch {
 	case !c.refusing:
 		deviation := math.Sqrt(startRefused * (1 - startRefused) / max(in.Samples, 1))
-		if !known || in.Refused <= startRefused+startDeviations*deviation {
+		if !known || c.steps < startSteps || in.Refused <= startRefused+startDeviations*deviation {
 			return
 		}
 		c.start(now)
@@ -235,13 +241,14 @@
 			c.saturated = now
 		}
 		c.updateLimit(elapsed, now.Sub(c.saturated), refused)
-		if offered <= c.limit && refused <= startRefused {
+		if offered <= c.limit && !(known && refused > startRefused) {
 			c.slack += elapsed
 		} else {
 			c.slack = max(0, c.slack-elapsed)
 		}
 	}
-	if c.slack >= slackDelay || !known && now.Sub(c.saturated) >= endDelay {
+	quiet := now.Sub(c.saturated)
+	if c.slack >= slackDelay || !known && quiet >= endDelay {
 		c.end()
 		return
 	}
@@ -272,12 +279,15 @@
 	alpha := 1 - math.Exp(-seconds/window)
 	c.refused.update(refused, alpha)
 	c.answered.update(answered, alpha)
+	c.served.update(answered, 1-math.Exp(-seconds/servedWindow.Seconds()))
 
 	alpha = 1 - math.Exp(-seconds/openingsWindow.Seconds())
-	c.openings.update(c.recent[0], alpha)
-	c.responses.update(refused+answered, alpha)
-	copy(c.recent[:], c.recent[1:])
-	c.recent[responseSteps-1] = c.admitted / seconds
+	if c.steps >= responseSteps {
+		c.openings.update(c.recent[c.steps%responseSteps], alpha)
+		c.responses.update(refused+answered, alpha)
+	}
+	c.recent[c.steps%responseSteps] = c.admitted / seconds
+	c.steps++
 }
 
 // updateOffered starts new counts and returns the rate of all offered openings, without
@@ -309,8 +319,11 @@
 // from the responses with a result, which full servers give at the same rate whatever the
 // demand. An opening brings at least one request.
 func (c *Controller) fitting() float64 {
-	perResponse := min(1, c.openings.perSecond()/max(c.responses.perSecond(), 1))
-	return c.previous.Samples * (1 - c.previous.Refused) / inputDecay.Seconds() * perResponse
+	perResponse := 1.0
+	if c.openings.weight > 0 {
+		perResponse = min(1, max(minPerResponse, c.openings.perSecond()/max(c.responses.perSecond(), 1)))
+	}
+	return c.served.perSecond() * perResponse
 }
 
 // updateLimit takes a step of the limit. quiet is the time since the last saturation.
@@ -323,10 +336,7 @@
 	}
 	increase := increasePerSecond * elapsed.Seconds() * (targetRefused - refused) / targetRefused * max(c.base, 1)
 	if quiet < increaseDelay {
-		if c.limit < lowLimit*c.base {
-			increase *= lowIncrease
-		}
-		c.limit = max(c.limit, min(c.limit+increase, maxLimit*c.base))
+		c.limit = max(c.limit, min(c.limit+increase, c.base))
 		return
 	}
 	c.limit += increase * math.Exp2((quiet-increaseDelay).Seconds()/increaseDoubling.Seconds())
