routing, platform: priority of routes and time after which callers give up

An invalid slo_ms, timeout_ms, priority or max_concurrency is replaced by a default and reported as a rejection.

--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -24,6 +24,11 @@
 	// AnswerWithin is the objective for the time to an answer; 0 means no
 	// objective.
 	AnswerWithin time.Duration
+	// Priority is the urgency of the route's requests under overload; 0 is the most
+	// urgent.
+	Priority uint8
+	// GiveUpAfter is the time after which callers give up; 0 means unknown.
+	GiveUpAfter time.Duration
 }
 
 // Service holds the settings of a service.
@@ -66,9 +71,10 @@
 	return c.Routes[address]
 }
 
-// Equal reports whether two routes have the same name, objective and shares.
+// Equal reports whether two routes have the same name, settings and shares.
 func (r *Route) Equal(other *Route) bool {
-	return other != nil && r.Name == other.Name && r.AnswerWithin == other.AnswerWithin && slices.Equal(r.Shares, other.Shares)
+	return other != nil && r.Name == other.Name && r.AnswerWithin == other.AnswerWithin && r.Priority == other.Priority &&
+		r.GiveUpAfter == other.GiveUpAfter && slices.Equal(r.Shares, other.Shares)
 }
 
 // Pick returns the service for a new flow, or "" if the weights are all 0. It
--- a/internal/source/source.go
+++ b/internal/source/source.go
@@ -78,7 +78,8 @@
 	// Servers and DataCentres are in the order of the changes.
 	Servers     []ServerChange
 	DataCentres []DataCentreChange
-	// Rejected lists the objects that could not be decoded and are not used.
+	// Rejected lists the objects that could not be decoded. They are not used, or a
+	// default is used for what is invalid, as the cause says.
 	Rejected []Rejection
 }
 
@@ -112,8 +113,8 @@
 	KeepFor      time.Duration
 }
 
-// Rejection is an object that could not be decoded. Name identifies the object and
-// Cause says why, as free text.
+// Rejection is an object, or a part of one, that could not be decoded. Name identifies
+// it and Cause says why, as free text.
 type Rejection struct {
 	Name, Cause string
 }
