--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,6 +88,9 @@
 	Closed bool
 	// Service is the flow's service; empty if unknown.
 	Service string
+	// Spilled is set if the flow goes to another data centre because the servers of the
+	// own one refuse requests.
+	Spilled bool
 	// RetransmitAfter is the time since the first transmission of the packet
 	// arrived; 0 unless this packet is a retransmission.
 	RetransmitAfter time.Duration
@@ -146,6 +149,12 @@
 	// LinkFull: the opening of a bulk flow is reset, because the instance's link has
 	// no room for another transfer.
 	LinkFull
+	// Overloaded: the opening is reset, because the servers of its service refuse too
+	// many requests and more urgent openings go first.
+	Overloaded
+	// TooSlow: the opening is reset, because its caller would give up before the servers
+	// of its service answer.
+	TooSlow
 	// Reasons is the number of reasons.
 	Reasons = iota
 )
@@ -153,7 +162,7 @@
 // String returns the name used in logs.
 func (r Reason) String() string {
 	return [...]string{"none", "not loaded", "not fresh", "no route", "route dropped", "no server", "no token",
-		"unknown token", "ambiguous token", "server lost", "repeated", "link full"}[r]
+		"unknown token", "ambiguous token", "server lost", "repeated", "link full", "overloaded", "cannot answer in time"}[r]
 }
 
 // Core holds the state of one instance. Its methods may be called concurrently.
@@ -191,6 +200,10 @@
 	// answerSizes one for each service address with a route.
 	serviceLoads map[serviceLoadKey]*serviceLoad
 	answerSizes  map[serviceAddress]*serverload.AnswerSizes
+	// serviceControls has an entry for each service with servers.
+	serviceControls map[string]*serviceControl
+	// mostUrgent is the most urgent priority of the routes.
+	mostUrgent   uint8
 	tokens       *token.Index[*serverState]
 	flows        map[flow.Key]*trackedFlow
 	unknownFlows unknownFlowTable
@@ -216,20 +229,21 @@
 // New returns the core of an instance that has no information yet.
 func New(cfg Config) *Core {
 	return &Core{
-		cfg:          cfg,
-		link:         newLinkUse(cfg.LinkBandwidth),
-		probeBudget:  newProbeBudget(cfg.LinkBandwidth),
-		servers:      registry.New(),
-		demand:       map[string]float64{},
-		withdrawn:    withdrawal.New(),
-		serverStates: map[*registry.Record]*serverState{},
-		services:     map[string]*serviceServers{},
-		serviceLoads: map[serviceLoadKey]*serviceLoad{},
-		answerSizes:  map[serviceAddress]*serverload.AnswerSizes{},
-		tokens:       token.NewIndex[*serverState](),
-		flows:        map[flow.Key]*trackedFlow{},
-		recentFlows:  recentFlowIndex{},
-		unknownFlows: unknownFlowTable{flows: map[flow.Key]unknownFlow{}},
+		cfg:             cfg,
+		link:            newLinkUse(cfg.LinkBandwidth),
+		probeBudget:     newProbeBudget(cfg.LinkBandwidth),
+		servers:         registry.New(),
+		demand:          map[string]float64{},
+		withdrawn:       withdrawal.New(),
+		serverStates:    map[*registry.Record]*serverState{},
+		services:        map[string]*serviceServers{},
+		serviceLoads:    map[serviceLoadKey]*serviceLoad{},
+		serviceControls: map[string]*serviceControl{},
+		answerSizes:     map[serviceAddress]*serverload.AnswerSizes{},
+		tokens:          token.NewIndex[*serverState](),
+		flows:           map[flow.Key]*trackedFlow{},
+		recentFlows:     recentFlowIndex{},
+		unknownFlows:    unknownFlowTable{flows: map[flow.Key]unknownFlow{}},
 	}
 }
 
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -157,6 +157,7 @@
 		return nil
 	}
 	c.updateAnswerSizes(next)
+	c.mostUrgent = mostUrgentPriority(next)
 	c.link.keepRoutes(next)
 	actions := []Action{StateChange{Subject: fmt.Sprint(next.Version), Description: "configuration in force",
 		Cause: fmt.Sprintf("%d routes", len(next.Routes)), Age: c.age(now, source.Configuration)}}
@@ -343,6 +344,7 @@
 	c.decayDemand()
 	actions = append(actions, c.refreshRegistry(now)...)
 	c.updateLostDataCentres(now, unreachable)
+	actions = append(actions, c.updateServiceControls(now)...)
 	return append(actions, c.updateServing(now)...)
 }
 
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -105,6 +105,9 @@
 	}
 }
 
+// congested reports whether callers retransmit because the link's queue is full.
+func (u *linkUse) congested(now time.Time) bool { return u.link != nil && u.link.Congested(now) }
+
 // observeOpening records a transmission of an opening that is forwarded.
 func (u *linkUse) observeOpening(now time.Time, f *trackedFlow) {
 	if u.link == nil {
--- a/internal/gateway/packets.go
+++ b/internal/gateway/packets.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cuminshift/internal/flow"
+	"cuminshift/internal/model"
 	"cuminshift/internal/source"
 	"cuminshift/internal/token"
 )
@@ -39,8 +40,12 @@
 		return c.refuse(now, s, NoRoute, source.Configuration), nil
 	}
 	f := c.flowOfOpening(now, s)
-	if f.serverState == nil && c.link.full(now, s.Key) {
-		return Verdict{Kind: Reset, Ack: s.Ack, Reason: LinkFull, Service: route.Pick(s.Key.Hash())}, nil
+	var dataCentre model.DataCentre
+	if f.serverState == nil {
+		var reason Reason
+		if dataCentre, reason = c.admitOpening(now, s, route); reason != ReasonNone {
+			return Verdict{Kind: Reset, Ack: s.Ack, Reason: reason, Service: route.Pick(s.Key.Hash())}, nil
+		}
 	}
 	observation := f.Observe(now, s)
 	v := Verdict{NewOpening: true}
@@ -67,7 +72,7 @@
 	} else {
 		actions = c.suspectUnanswered(now, s.Key)
 	}
-	srv := c.chooseServer(now, s, route, previous)
+	srv := c.chooseServer(now, s, route, previous, dataCentre)
 	if srv == nil {
 		c.untrack(f)
 		v = c.refuse(now, s, NoServer, source.Registry)
@@ -78,6 +83,7 @@
 	c.attach(f, srv)
 	c.recentFlows.add(f)
 	c.link.observeOpening(now, f)
+	v.Spilled = dataCentre != "" && srv.record.DataCentre == dataCentre
 	if c.isCold(now, srv.record) {
 		srv.coldOpenings.Record(now)
 	}
--- a/internal/gateway/server_selection.go
+++ b/internal/gateway/server_selection.go
@@ -22,10 +22,15 @@
 
 // chooseServer returns the server for a new flow, or nil. The service selected
 // by the route's weights comes first; the other services of the route are the
-// fallback. avoid is the server of an earlier transmission of the opening, or
-// nil.
-func (c *Core) chooseServer(now time.Time, s *flow.Segment, route *routing.Route, previous *serverState) *serverState {
+// fallback. previous is the server of an earlier transmission of the opening, or
+// nil. A server in dataCentre goes first, unless it is "".
+func (c *Core) chooseServer(now time.Time, s *flow.Segment, route *routing.Route, previous *serverState, dataCentre model.DataCentre) *serverState {
 	preferred := route.Pick(s.Key.Hash())
+	if dataCentre != "" {
+		if srv := c.chooseFromDataCentre(now, s, preferred, dataCentre); srv != nil {
+			return srv
+		}
+	}
 	if !c.canReachService(now, preferred) {
 		// No flow is opened that could show the demand by its requests.
 		c.demand[preferred]++
@@ -74,6 +79,26 @@
 	return nil
 }
 
+// chooseFromDataCentre returns a reachable server of a service in another data centre, or
+// nil if that has none that is reachable and not cold.
+func (c *Core) chooseFromDataCentre(now time.Time, s *flow.Segment, service string, dc model.DataCentre) *serverState {
+	servers := c.services[service]
+	if servers == nil || c.lost[dc] {
+		return nil
+	}
+	params := openingParams{now: now, hash: s.Key.Hash()}
+	c.resetCandidates()
+	for _, srv := range servers.remote {
+		if srv.record.DataCentre == dc {
+			c.addCandidate(&params, srv)
+		}
+	}
+	if i := selection.Choose(c.candidates); i != selection.None && c.candidates[i].Reach == reach.Reachable {
+		return c.candidateServers[i]
+	}
+	return nil
+}
+
 func (c *Core) resetCandidates() {
 	c.candidates, c.candidateServers = c.candidates[:0], c.candidateServers[:0]
 }
--- /dev/null
+++ b/internal/gateway/service_control.go
@@ -0,0 +1,179 @@
+package gateway
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"cuminshift/internal/flow"
+	"cuminshift/internal/model"
+	"cuminshift/internal/overload"
+	"cuminshift/internal/routing"
+	"cuminshift/internal/spill"
+)
+
+// serviceControl holds the decisions on the new flows of one service while its servers
+// refuse requests: which data centre they go to and which of them are refused.
+type serviceControl struct {
+	spill    spill.Controller
+	overload overload.Controller
+	// roomIn is a remote data centre whose servers refuse few requests; empty if there is
+	// none. While there is one, flows that the service's other data centres have no room
+	// for go there instead of being refused.
+	roomIn model.DataCentre
+	// refused is the refused fraction over all data centres.
+	refused float64
+	// saturated, spilling and refusing are the states that were last reported.
+	saturated, spilling, refusing bool
+	// dataCentres is scratch space for the view of the data centres.
+	dataCentres []spill.DataCentre
+}
+
+const (
+	// maxRefusedWithRoom is the refused fraction up to which a data centre counts as
+	// having room, and minSamplesForRoom the number of responses from which on the
+	// fraction is known.
+	maxRefusedWithRoom = 0.03
+	minSamplesForRoom  = 5
+	// spillReportFraction is the spilled fraction from which on a spill is reported. The
+	// few flows that keep an instance informed about other data centres stay below it.
+	spillReportFraction = 0.1
+)
+
+// updateServiceControls updates the controls of all services from what their servers
+// have answered.
+func (c *Core) updateServiceControls(now time.Time) []Action {
+	for _, load := range c.serviceLoads {
+		load.usable = false
+	}
+	for _, srv := range c.serverStates {
+		if !srv.serviceLoad.usable && c.isUsable(now, srv) {
+			srv.serviceLoad.usable = true
+		}
+	}
+	for key, load := range c.serviceLoads {
+		control := c.serviceControls[key.service]
+		if control == nil {
+			control = &serviceControl{}
+			c.serviceControls[key.service] = control
+		}
+		refused, samples := load.RefusedFraction(now)
+		control.dataCentres = append(control.dataCentres, spill.DataCentre{Name: key.dataCentre,
+			Local: key.dataCentre == c.cfg.DataCentre, Usable: load.usable, Refused: refused, Samples: samples})
+	}
+	var actions []Action
+	for service, control := range c.serviceControls {
+		if len(control.dataCentres) == 0 {
+			delete(c.serviceControls, service)
+			continue
+		}
+		control.update(now, c.medianAnswer(service))
+		actions = append(actions, c.reportServiceControl(service, control)...)
+		control.dataCentres = control.dataCentres[:0]
+	}
+	return actions
+}
+
+// medianAnswer returns the median answer time of a service's servers in the instance's
+// own data centre, or else in another one.
+func (c *Core) medianAnswer(service string) time.Duration {
+	if load := c.serviceLoad(service, c.cfg.DataCentre); load != nil && load.MedianAnswer() > 0 {
+		return load.MedianAnswer()
+	}
+	for key, load := range c.serviceLoads {
+		if key.service == service && load.MedianAnswer() > 0 {
+			return load.MedianAnswer()
+		}
+	}
+	return 0
+}
+
+func (s *serviceControl) update(now time.Time, median time.Duration) {
+	s.spill.Update(now, s.dataCentres)
+	s.roomIn = ""
+	refused, samples, least := 0.0, 0.0, maxRefusedWithRoom
+	for i := range s.dataCentres {
+		d := &s.dataCentres[i]
+		refused += d.Refused * d.Samples
+		samples += d.Samples
+		if !d.Local && d.Usable && d.Samples >= minSamplesForRoom && d.Refused <= least {
+			s.roomIn, least = d.Name, d.Refused
+		}
+	}
+	s.refused = refused / math.Max(samples, 1)
+	s.overload.Update(now, overload.Input{Refused: s.refused, Samples: samples, MedianAnswer: median})
+}
+
+// admit decides on an opening of the service. It returns the data centre whose servers it
+// goes to, "" for any, or the reason to refuse it.
+func (s *serviceControl) admit(now time.Time, o overload.Opening) (model.DataCentre, Reason) {
+	spilled := s.spill.Pick(o.Point)
+	switch s.overload.Admit(now, o) {
+	case overload.Overloaded:
+		if s.roomIn != "" {
+			return s.roomIn, ReasonNone
+		}
+		return "", Overloaded
+	case overload.TooSlow:
+		return "", TooSlow
+	}
+	return spilled, ReasonNone
+}
+
+// admitOpening decides on a transmission of an opening that has no server yet. It returns
+// the data centre whose servers it goes to, "" for any, or the reason to refuse it.
+func (c *Core) admitOpening(now time.Time, s *flow.Segment, route *routing.Route) (model.DataCentre, Reason) {
+	if c.link.full(now, s.Key) || (route.Priority > c.mostUrgent && c.link.congested(now)) {
+		return "", LinkFull
+	}
+	control := c.serviceControls[route.Pick(s.Key.Hash())]
+	if control == nil {
+		return "", ReasonNone
+	}
+	return control.admit(now, overload.Opening{Priority: route.Priority, Point: admissionPoint(s.Key.Hash()),
+		Caller: s.Key.CallerIP, Timeout: route.GiveUpAfter, Repeated: s.RetransmitCount > 0})
+}
+
+// admissionPoint returns a point in [0,1) for the decision on an opening. It is
+// independent of the route's choice of the service and of the sample of servers, which
+// use the hash itself.
+func admissionPoint(hash model.FlowHash) float64 {
+	const oddConstant = 0x9e3779b97f4a7c15 // the golden ratio in 64 bits
+	return float64((uint64(hash)*oddConstant)>>11) / (1 << 53)
+}
+
+// mostUrgentPriority returns the lowest number among the priorities of the routes.
+func mostUrgentPriority(c *routing.Configuration) uint8 {
+	lowest := uint8(math.MaxUint8)
+	for _, route := range c.Routes {
+		lowest = min(lowest, route.Priority)
+	}
+	return lowest
+}
+
+// reportServiceControl returns the log entries of states that have changed.
+func (c *Core) reportServiceControl(service string, s *serviceControl) []Action {
+	var actions []Action
+	report := func(reported *bool, state bool, begins, ends string) {
+		if *reported == state {
+			return
+		}
+		*reported = state
+		description := ends
+		if state {
+			description = begins
+		}
+		priority, fraction := s.overload.AdmittedPriority()
+		actions = append(actions, StateChange{Subject: service, Description: description, Cause: fmt.Sprintf(
+			"servers refuse %.2f of the requests, %.2f of the new flows go to other data centres, priorities up to %d are admitted, the last one to %.2f",
+			s.refused, s.spill.SpilledFraction(), priority, fraction)})
+	}
+	report(&s.saturated, s.refused > saturatedFraction, "service saturated", "service not saturated any more")
+	report(&s.spilling, s.spill.SpilledFraction() >= spillReportFraction, "service spills to other data centres", "service spills no more")
+	report(&s.refusing, s.overload.Refusing(), "service refuses new flows", "service refuses no more new flows")
+	return actions
+}
+
+// saturatedFraction is the refused fraction from which on a service is reported as
+// saturated.
+const saturatedFraction = 0.05
--- a/internal/gateway/service_load.go
+++ b/internal/gateway/service_load.go
@@ -25,6 +25,8 @@
 	// servers is the number of servers that share it, including departed ones that
 	// may still have flows.
 	servers int
+	// usable is set if one of the servers could be used at the last tick.
+	usable bool
 }
 
 // serviceAddress is the address of a route.
