--- a/internal/overload/callers.go
+++ b/internal/overload/callers.go
@@ -25,6 +25,9 @@
 	// minCount is the count below which a caller is not active: that of one opening a
 	// second ago.
 	minCount = 1 / math.E
+	// dropCount is the count below which a caller is forgotten. Arithmetic with the
+	// smallest numbers, to which counts would decay, is slow.
+	dropCount = 0.01
 )
 
 type callerCount struct {
@@ -58,10 +61,12 @@
 	for i := range c.buckets {
 		for j := range c.buckets[i] {
 			k := &c.buckets[i][j]
-			k.count *= decay
-			if k.count >= minCount {
+			switch k.count *= decay; {
+			case k.count >= minCount:
 				c.active++
 				c.total += float64(k.count)
+			case k.count < dropCount:
+				*k = callerCount{}
 			}
 		}
 	}
