--- a/internal/feed/codec.go
+++ b/internal/feed/codec.go
@@ -2,11 +2,14 @@
 
 import (
 	"maps"
+	"math"
 	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"google.golang.org/protobuf/proto"
+
 	pb "cuminshift/internal/gen/cuminshift/v1"
 	"cuminshift/internal/model"
 	"cuminshift/internal/registry"
@@ -75,7 +78,8 @@
 }
 
 func encodeRoute(address netip.AddrPort, route *routing.Route) *pb.FeedRoute {
-	r := &pb.FeedRoute{Name: route.Name, Address: address.String(), AnswerWithinMs: uint32(route.AnswerWithin.Milliseconds())}
+	r := &pb.FeedRoute{Name: route.Name, Address: address.String(), AnswerWithinMs: uint32(route.AnswerWithin.Milliseconds()),
+		Priority: proto.Uint32(uint32(route.Priority)), GiveUpAfterMs: uint32(route.GiveUpAfter.Milliseconds())}
 	for _, s := range route.Shares {
 		r.Shares = append(r.Shares, &pb.FeedShare{Service: s.Service, Weight: uint32(s.Weight)})
 	}
@@ -150,7 +154,8 @@
 		if err != nil {
 			return nil, errors.Wrapf(err, "feed: address of route %s", r.Name)
 		}
-		route := &routing.Route{Name: r.Name, AnswerWithin: time.Duration(r.AnswerWithinMs) * time.Millisecond}
+		route := &routing.Route{Name: r.Name, AnswerWithin: time.Duration(r.AnswerWithinMs) * time.Millisecond,
+			Priority: decodePriority(r.Priority), GiveUpAfter: time.Duration(r.GiveUpAfterMs) * time.Millisecond}
 		for _, s := range r.Shares {
 			route.Shares = append(route.Shares, routing.Share{Service: s.Service, Weight: int(s.Weight)})
 		}
@@ -162,6 +167,15 @@
 	return c, nil
 }
 
+// decodePriority returns the priority of a route; the least urgent one if the message
+// comes from an instance that does not know of priorities.
+func decodePriority(p *uint32) uint8 {
+	if p == nil {
+		return math.MaxUint8
+	}
+	return uint8(min(*p, math.MaxUint8))
+}
+
 // DecodeServer returns the entry of a server's message. Only the name is set for
 // a removed server.
 func DecodeServer(m *pb.FeedServer) (registry.Entry, error) {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -32,7 +32,8 @@
 	c := &routing.Configuration{Version: version, IdleTimeout: 15 * time.Second, Routes: map[netip.AddrPort]*routing.Route{},
 		Services: map[string]routing.Service{"campo": {Name: "campo", HealthPath: "/health", ColdOpenings: 2}}}
 	for i := range n {
-		c.Routes[address(i)] = &routing.Route{Name: fmt.Sprintf("r-%d", i), Shares: []routing.Share{{Service: "campo", Weight: 1}}, AnswerWithin: 200 * time.Millisecond}
+		c.Routes[address(i)] = &routing.Route{Name: fmt.Sprintf("r-%d", i), Shares: []routing.Share{{Service: "campo", Weight: 1}}, AnswerWithin: 200 * time.Millisecond,
+			Priority: uint8(i % 3), GiveUpAfter: 1200 * time.Millisecond}
 	}
 	for _, i := range changed {
 		c.Routes[address(i)] = &routing.Route{Name: fmt.Sprintf("r-%d", i), Shares: []routing.Share{{Service: "campo", Weight: 3}}}
@@ -201,3 +202,15 @@
 		t.Error("the log has the changes since a revision of the era before")
 	}
 }
+
+// Guards against routes of an instance that does not know of priorities being taken for
+// the most urgent ones.
+func TestRouteWithoutPriorityIsLeastUrgent(t *testing.T) {
+	c, err := DecodeConfiguration(&pb.FeedConfiguration{Version: 3, Routes: []*pb.FeedRoute{{Name: "r", Address: "198.18.0.1:443"}}}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := c.Route(netip.MustParseAddrPort("198.18.0.1:443")); r.Priority != 255 || r.GiveUpAfter != 0 {
+		t.Errorf("%+v", r)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,6 +88,9 @@
 	Closed bool
 	// Service is the flow's service; empty if unknown.
 	Service string
+	// RefusedByServer is set if this packet acknowledges an answer by which the server
+	// refused a request.
+	RefusedByServer bool
 	// Spilled is set if the flow goes to another data centre because the servers of the
 	// own one refuse requests.
 	Spilled bool
@@ -165,6 +168,12 @@
 		"unknown token", "ambiguous token", "server lost", "repeated", "link full", "overloaded", "cannot answer in time"}[r]
 }
 
+// RefusesOpening reports whether the reason is one for which openings are reset although
+// their service has a route.
+func (r Reason) RefusesOpening() bool {
+	return r == NoServer || r == LinkFull || r == Overloaded || r == TooSlow
+}
+
 // Core holds the state of one instance. Its methods may be called concurrently.
 type Core struct {
 	// mu guards all state and is the only lock.
--- a/internal/gateway/packets.go
+++ b/internal/gateway/packets.go
@@ -169,7 +169,7 @@
 		c.link.countRetransmit(now)
 	}
 	if observation.Answered {
-		c.recordResponse(now, f, f.Ack-previousAck, v.AnswerTime)
+		v.RefusedByServer = c.recordResponse(now, f, f.Ack-previousAck, v.AnswerTime)
 	}
 	switch {
 	case observation.RequestStarted:
--- a/internal/gateway/service_load.go
+++ b/internal/gateway/service_load.go
@@ -88,21 +88,22 @@
 }
 
 // recordResponse records a response of the flow's server, whose first acknowledgement
-// covers the given number of bytes. The response to a request that began at another
+// covers the given number of bytes, and reports whether it is a refusal. The response to a request that began at another
 // instance is not counted: its time is not known.
-func (c *Core) recordResponse(now time.Time, f *trackedFlow, bytes uint32, took time.Duration) {
+func (c *Core) recordResponse(now time.Time, f *trackedFlow, bytes uint32, took time.Duration) (refusal bool) {
 	sizes := c.answerSizes[serviceAddressOf(f.key)]
 	if !f.requestSeen || sizes == nil {
-		return
+		return false
 	}
 	srv := f.serverState
 	if sizes.IsRefusal(bytes) {
 		srv.load.RecordRefusal(now)
 		srv.serviceLoad.RecordRefusal(now)
-		return
+		return true
 	}
 	srv.load.RecordAnswer(now, took)
 	srv.serviceLoad.RecordAnswer(now, took)
+	return false
 }
 
 // recordUnanswered records, once for each request, that its caller repeats it or gives
--- a/internal/gatewayshell/burn.go
+++ b/internal/gatewayshell/burn.go
@@ -28,7 +28,7 @@
 
 // recordVerdict counts the good and bad events of a verdict for its service.
 func (b *burnRecorder) recordVerdict(now time.Time, v *gateway.Verdict) {
-	refused := v.Kind == gateway.Reset && (v.Reason == gateway.NoServer || v.Reason == gateway.LinkFull)
+	refused := v.Kind == gateway.Reset && v.Reason.RefusesOpening()
 	if v.Service == "" || (v.OpenTime == 0 && v.AnswerTime == 0 && !v.Closed && !refused) {
 		return
 	}
@@ -38,6 +38,10 @@
 	if refused {
 		b.events.AddBad(now, service, burn.Refused, v.Reason.String())
 	}
+	if v.RefusedByServer {
+		b.events.AddBad(now, service, burn.Refused, "refused by the server")
+		return
+	}
 	if v.OpenTime > 0 {
 		b.events.AddGood(now, service, burn.Refused, 1)
 	}
--- a/internal/gatewayshell/counters.go
+++ b/internal/gatewayshell/counters.go
@@ -53,7 +53,12 @@
 	// acceptance.
 	answerTime, openTime metrics.Histogram
 	// refusedLink counts the openings refused because the link is full.
-	refusedLink            metrics.Counter
+	refusedLink metrics.Counter
+	// refusedOverload counts the openings refused because the servers of their service
+	// are full, spilled those that go to another data centre for that reason.
+	refusedOverload, spilled metrics.Counter
+	// serverRefusals counts the requests that servers have refused.
+	serverRefusals         metrics.Counter
 	linkUtilizationPercent metrics.Gauge
 	// probesDeferred is the number of probes that had to wait for the budget since the
 	// start of the instance.
@@ -95,6 +100,9 @@
 		openTime:             histogram("open_time_us"),
 
 		refusedLink:            counter("openings_refused_link"),
+		refusedOverload:        counter("openings_refused_overload"),
+		spilled:                counter("openings_spilled"),
+		serverRefusals:         counter("server_refusals"),
 		probesDeferred:         metrics.GetOrRegisterGauge("probes_deferred", r),
 		linkUtilizationPercent: metrics.GetOrRegisterGauge("link_utilization_percent", r),
 	}
@@ -112,8 +120,17 @@
 // AnswerTime.
 func (c *counters) recordVerdict(v *gateway.Verdict) {
 	c.reasons[v.Reason].Inc(1)
-	if v.Reason == gateway.LinkFull {
+	switch v.Reason {
+	case gateway.LinkFull:
 		c.refusedLink.Inc(1)
+	case gateway.Overloaded, gateway.TooSlow:
+		c.refusedOverload.Inc(1)
+	}
+	if v.Spilled {
+		c.spilled.Inc(1)
+	}
+	if v.RefusedByServer {
+		c.serverRefusals.Inc(1)
 	}
 	if v.OpenTime > 0 {
 		c.openTime.Update(v.OpenTime.Microseconds())
--- a/internal/gatewayshell/log.go
+++ b/internal/gatewayshell/log.go
@@ -44,8 +44,10 @@
 	// openingLinesPerSecond limits the sampled lines about openings that are
 	// forwarded.
 	openingLinesPerSecond = 5
-	// maxRejections bounds the rejected objects in loggedRejections.
-	maxRejections = 1024
+	// maxRejections bounds the rejected objects in loggedRejections, and
+	// rejectionLinesPerSecond the lines about them beyond a burst of that size.
+	maxRejections           = 1024
+	rejectionLinesPerSecond = 5
 )
 
 // errorField returns a field with the error's text, without its stack trace.
@@ -62,6 +64,7 @@
 	flows        *rate.Limiter
 	openings     *rate.Limiter
 	stateChanges *rate.Limiter
+	rejections   *rate.Limiter
 
 	mu sync.Mutex
 	// omitted counts the lines that exceeded a limit since the last report.
@@ -76,6 +79,7 @@
 		flows:            rate.NewLimiter(flowLinesPerSecond, flowLinesBurst),
 		openings:         rate.NewLimiter(openingLinesPerSecond, openingLinesPerSecond),
 		stateChanges:     rate.NewLimiter(stateLinesPerSecond, stateLinesBurst),
+		rejections:       rate.NewLimiter(rejectionLinesPerSecond, maxRejections),
 		loggedRejections: map[source.Rejection]bool{},
 	}
 }
@@ -139,7 +143,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range all {
-		if l.loggedRejections[r] || len(l.loggedRejections) >= maxRejections {
+		if l.loggedRejections[r] {
+			continue
+		}
+		if len(l.loggedRejections) >= maxRejections {
+			// Rejections that name a version would use up the bound in time, and later
+			// ones would not be logged.
+			clear(l.loggedRejections)
+		}
+		if !l.rejections.Allow() {
+			l.omitted++
 			continue
 		}
 		l.loggedRejections[r] = true
