--- a/internal/gateway/service_control.go
+++ b/internal/gateway/service_control.go
@@ -21,6 +21,12 @@
 	// none. While there is one, flows that the service's other data centres have no room
 	// for go there instead of being refused.
 	roomIn model.DataCentre
+	// unknown is a remote data centre of which too few answers are known.
+	unknown model.DataCentre
+	// trials counts the flows that were sent to data centres of which too few answers are
+	// known since the last update that was at least trialInterval after the one before.
+	trials     int
+	trialsFrom time.Time
 	// refused is the refused fraction over all data centres.
 	refused float64
 	// saturated, spilling and refusing are the states that were last reported.
@@ -35,6 +41,10 @@
 	// fraction is known.
 	maxRefusedWithRoom = 0.03
 	minSamplesForRoom  = 5
+	// maxTrials is the number of flows that go to data centres with fewer answers in a
+	// trialInterval. Their answers show within that time whether there is room.
+	maxTrials     = 20
+	trialInterval = 300 * time.Millisecond
 	// spillReportFraction is the spilled fraction from which on a spill is reported. The
 	// few flows that keep an instance informed about other data centres stay below it.
 	spillReportFraction = 0.1
@@ -91,12 +101,20 @@
 func (s *serviceControl) update(now time.Time, median time.Duration) {
 	s.spill.Update(now, s.dataCentres)
 	s.roomIn = ""
+	if now.Sub(s.trialsFrom) >= trialInterval {
+		s.trials, s.trialsFrom = 0, now
+	}
+	s.unknown = ""
 	refused, samples, least := 0.0, 0.0, maxRefusedWithRoom
 	for i := range s.dataCentres {
 		d := &s.dataCentres[i]
 		refused += d.Refused * d.Samples
 		samples += d.Samples
-		if !d.Local && d.Usable && d.Samples >= minSamplesForRoom && d.Refused <= least {
+		switch {
+		case d.Local || !d.Usable:
+		case d.Samples < minSamplesForRoom:
+			s.unknown = d.Name
+		case d.Refused <= least:
 			s.roomIn, least = d.Name, d.Refused
 		}
 	}
@@ -110,8 +128,12 @@
 	spilled := s.spill.Pick(o.Point)
 	switch s.overload.Admit(now, o) {
 	case overload.Overloaded:
-		if s.roomIn != "" {
+		switch {
+		case s.roomIn != "":
 			return s.roomIn, ReasonNone
+		case s.unknown != "" && s.trials < maxTrials:
+			s.trials++
+			return s.unknown, ReasonNone
 		}
 		return "", Overloaded
 	case overload.TooSlow:
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -91,6 +91,12 @@
 	increaseDelay    = time.Second
 	increaseDoubling = time.Second
 
+	// maxRefusedUrgent is the fraction of refused requests up to which the most urgent of
+	// several priorities is not limited. Requests on open flows cannot be refused and may
+	// alone keep servers full; an urgent opening and its two retries then still find a
+	// server in 7 of 8 cases, and displace less urgent requests there.
+	maxRefusedUrgent = 0.5
+
 	numPriorities = 256
 )
 
@@ -342,11 +348,31 @@
 	c.limit += increase * math.Exp2((quiet-increaseDelay).Seconds()/increaseDoubling.Seconds())
 }
 
+// unlimitedPriority returns the priority that is not limited, or numPriorities if there is
+// none.
+func (c *Controller) unlimitedPriority() int {
+	refused := c.refused.perSecond() / max(c.refused.perSecond()+c.answered.perSecond(), 1)
+	first, offered := numPriorities, 0
+	for p := range c.classes {
+		if c.classes[p][0].offered.perSecond() < 1 {
+			continue
+		}
+		if offered++; offered == 1 {
+			first = p
+		}
+	}
+	if offered < 2 || refused > maxRefusedUrgent {
+		return numPriorities
+	}
+	return first
+}
+
 // divide gives the limit to the most urgent first and, within a priority, to the
 // openings within the callers' fair shares first. An opening and its two retries are
 // admitted with the probability 1-(1-fraction)^3.
 func (c *Controller) divide() {
 	left := c.limit
+	unlimited := c.unlimitedPriority()
 	c.admittedPriority, c.admittedFraction = 0, 0
 	for p := range c.classes {
 		total, admitted := 0.0, 0.0
@@ -355,10 +381,13 @@
 			demand := k.offered.perSecond()
 			share := min(demand, left)
 			k.fraction = 1
+			if p == unlimited && i == 0 {
+				share = demand
+			}
 			if share < demand {
 				k.fraction = 1 - math.Cbrt(1-share/demand)
 			}
-			left -= share
+			left = max(0, left-share)
 			total, admitted = total+demand, admitted+share
 		}
 		if admitted > 0 {
