--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -211,8 +211,10 @@
 	answerSizes  map[serviceAddress]*serverload.AnswerSizes
 	// serviceControls has an entry for each service with servers.
 	serviceControls map[string]*serviceControl
-	// mostUrgent is the most urgent priority of the routes.
+	// mostUrgent is the most urgent priority of recent openings, and mostUrgentAt the
+	// time of the last opening with it.
 	mostUrgent   uint8
+	mostUrgentAt time.Time
 	tokens       *token.Index[*serverState]
 	flows        map[flow.Key]*trackedFlow
 	unknownFlows unknownFlowTable
--- a/internal/gateway/handle.go
+++ b/internal/gateway/handle.go
@@ -157,7 +157,6 @@
 		return nil
 	}
 	c.updateAnswerSizes(next)
-	c.mostUrgent = mostUrgentPriority(next)
 	c.link.keepRoutes(next)
 	actions := []Action{StateChange{Subject: fmt.Sprint(next.Version), Description: "configuration in force",
 		Cause: fmt.Sprintf("%d routes", len(next.Routes)), Age: c.age(now, source.Configuration)}}
--- a/internal/gateway/service_control.go
+++ b/internal/gateway/service_control.go
@@ -48,6 +48,9 @@
 	// spillReportFraction is the spilled fraction from which on a spill is reported. The
 	// few flows that keep an instance informed about other data centres stay below it.
 	spillReportFraction = 0.1
+	// urgentWindow is the time for which an opening keeps less urgent ones from being the
+	// most urgent.
+	urgentWindow = 2 * time.Second
 )
 
 // updateServiceControls updates the controls of all services from what their servers
@@ -145,6 +148,9 @@
 // admitOpening decides on a transmission of an opening that has no server yet. It returns
 // the data centre whose servers it goes to, "" for any, or the reason to refuse it.
 func (c *Core) admitOpening(now time.Time, s *flow.Segment, route *routing.Route) (model.DataCentre, Reason) {
+	if route.Priority <= c.mostUrgent || now.Sub(c.mostUrgentAt) > urgentWindow {
+		c.mostUrgent, c.mostUrgentAt = route.Priority, now
+	}
 	if c.link.full(now, s.Key) || (route.Priority > c.mostUrgent && c.link.congested(now)) {
 		return "", LinkFull
 	}
@@ -164,15 +170,6 @@
 	return float64((uint64(hash)*oddConstant)>>11) / (1 << 53)
 }
 
-// mostUrgentPriority returns the lowest number among the priorities of the routes.
-func mostUrgentPriority(c *routing.Configuration) uint8 {
-	lowest := uint8(math.MaxUint8)
-	for _, route := range c.Routes {
-		lowest = min(lowest, route.Priority)
-	}
-	return lowest
-}
-
 // reportServiceControl returns the log entries of states that have changed.
 func (c *Core) reportServiceControl(service string, s *serviceControl) []Action {
 	var actions []Action
--- a/internal/gateway/service_load.go
+++ b/internal/gateway/service_load.go
@@ -13,6 +13,10 @@
 // has a full queue, and a queued request waits some 100 ms before its own refusal.
 const refusalWindow = 200 * time.Millisecond
 
+// minResponseBytes is less than the size of a status line. Fewer bytes acknowledge that the
+// server has ended its half of the flow.
+const minResponseBytes = 12
+
 type serviceLoadKey struct {
 	service    string
 	dataCentre model.DataCentre
@@ -92,7 +96,7 @@
 // instance is not counted: its time is not known.
 func (c *Core) recordResponse(now time.Time, f *trackedFlow, bytes uint32, took time.Duration) (refusal bool) {
 	sizes := c.answerSizes[serviceAddressOf(f.key)]
-	if !f.requestSeen || sizes == nil {
+	if !f.requestSeen || sizes == nil || bytes < minResponseBytes {
 		return false
 	}
 	srv := f.serverState
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -94,8 +94,8 @@
 	// maxRefusedUrgent is the fraction of refused requests up to which the most urgent of
 	// several priorities is not limited. Requests on open flows cannot be refused and may
 	// alone keep servers full; an urgent opening and its two retries then still find a
-	// server in 7 of 8 cases, and displace less urgent requests there.
-	maxRefusedUrgent = 0.5
+	// server in more than half of the cases, and displace less urgent requests there.
+	maxRefusedUrgent = 0.75
 
 	numPriorities = 256
 )
@@ -232,7 +232,9 @@
 	switch {
 	case !c.refusing:
 		deviation := math.Sqrt(startRefused * (1 - startRefused) / max(in.Samples, 1))
-		if !known || c.steps < startSteps || in.Refused <= startRefused+startDeviations*deviation {
+		// The input still holds refusals from before a fall of the demand; the recent
+		// fraction keeps them from starting the controller again.
+		if !known || c.steps < startSteps || in.Refused <= startRefused+startDeviations*deviation || c.refusedFraction() <= startRefused {
 			return
 		}
 		c.start(now)
@@ -242,7 +244,7 @@
 			c.started, c.answered, c.refused = time.Time{}, rate{}, rate{}
 		}
 	default:
-		refused := c.refused.perSecond() / max(c.refused.perSecond()+c.answered.perSecond(), 1)
+		refused := c.refusedFraction()
 		if known && refused > quietRefused {
 			c.saturated = now
 		}
@@ -261,6 +263,12 @@
 	c.divide()
 }
 
+// refusedFraction returns the refused fraction of the responses within the window of the
+// limit.
+func (c *Controller) refusedFraction() float64 {
+	return c.refused.perSecond() / max(c.refused.perSecond()+c.answered.perSecond(), 1)
+}
+
 func (c *Controller) start(now time.Time) {
 	c.refusing, c.saturated, c.started = true, now, now
 	c.base = c.fitting()
@@ -351,7 +359,6 @@
 // unlimitedPriority returns the priority that is not limited, or numPriorities if there is
 // none.
 func (c *Controller) unlimitedPriority() int {
-	refused := c.refused.perSecond() / max(c.refused.perSecond()+c.answered.perSecond(), 1)
 	first, offered := numPriorities, 0
 	for p := range c.classes {
 		if c.classes[p][0].offered.perSecond() < 1 {
@@ -361,7 +368,7 @@
 			first = p
 		}
 	}
-	if offered < 2 || refused > maxRefusedUrgent {
+	if offered < 2 || c.refusedFraction() > maxRefusedUrgent {
 		return numPriorities
 	}
 	return first
