gateway: silence confirms no loss of a server while its service is saturated or the link congested

Cause: three unanswered probes and retransmissions confirmed that a server is down, also while full servers and a full link answer nobody in time.

Change: only a refused connection confirms it then. An opening that cannot be answered in time goes to a data centre with room like one that does not fit; the state lines say whether new flows are spilled or refused; probes do not count as received packets of callers.

Test: TestSilentServerOfSaturatedServiceKeepsFlows failed before (1 reset by silence).

--- a/internal/gateway/failure_test.go
+++ b/internal/gateway/failure_test.go
@@ -65,6 +65,31 @@
 	}
 }
 
+// Guards against resets of the flows of a full server: callers retransmit and probes stay
+// unanswered, while other servers of the service answer. A refused connection still counts.
+func TestSilentServerOfSaturatedServiceKeepsFlows(t *testing.T) {
+	inst := newTestInstance(t, server("i-1", norte))
+	v := inst.openEstablished(1)
+	inst.setServers(server("i-1", norte), server("i-2", norte))
+	for range 100 {
+		inst.core.serviceLoad(v.Server.Service, norte).RecordRefusal(inst.now)
+	}
+	inst.advance(10 * time.Millisecond)
+	inst.sendRequest(1, v, 1)
+	for range 4 {
+		inst.advance(200 * time.Millisecond)
+		inst.sendRequest(1, v, 1)
+		inst.handleEvent(ProbeDone{Server: "i-1", Result: reach.NoAnswer, ControlAnswered: true})
+	}
+	if n := len(inst.resets()); n > 0 {
+		t.Fatalf("%d resets by silence", n)
+	}
+	inst.handleEvent(ProbeDone{Server: "i-1", Result: reach.ConnectionRefused})
+	if n := len(inst.resets()); n != 1 {
+		t.Fatalf("%d resets after a refused connection", n)
+	}
+}
+
 // Several servers crash at once. The first one detected triggers probes of the
 // others, so that callers do not have to discover them one by one.
 func TestSimultaneousServerCrashes(t *testing.T) {
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -44,7 +44,7 @@
 // countReceived counts a packet as received.
 func (u *linkUse) countReceived(now time.Time, s *flow.Segment) {
 	if u.link != nil {
-		u.link.Received(now, s.Size+packetOverhead)
+		u.link.Received(now, s.Size+packetOverhead, 1)
 	}
 }
 
@@ -65,7 +65,7 @@
 // countProbes counts the bytes of probes that start.
 func (u *linkUse) countProbes(now time.Time, probes int) {
 	if u.link != nil {
-		u.link.Received(now, probes*probeBytes)
+		u.link.Received(now, probes*probeBytes, 0)
 		u.link.Sent(now, probes*probeBytes)
 	}
 }
--- a/internal/gateway/reachability.go
+++ b/internal/gateway/reachability.go
@@ -131,6 +131,11 @@
 		// removal of its entry leads to the next probe.
 		result, controlAnswered = reach.NoAnswer, false
 	}
+	if srv.serviceLoad.Saturated(now) || c.link.congested(now) {
+		// Silence is what full servers and a full link show too; only a refused
+		// connection then confirms that a server is down.
+		controlAnswered = false
+	}
 	probe := srv.reach.ProbeDone(now, result, controlAnswered)
 	actions := c.reportTransition(now, srv, previousState, probe, "probe: "+e.Result.String())
 	// A server that was reachable is itself the target of a precautionary probe
--- a/internal/gateway/service_control.go
+++ b/internal/gateway/service_control.go
@@ -129,20 +129,19 @@
 // goes to, "" for any, or the reason to refuse it.
 func (s *serviceControl) admit(now time.Time, o overload.Opening) (model.DataCentre, Reason) {
 	spilled := s.spill.Pick(o.Point)
-	switch s.overload.Admit(now, o) {
-	case overload.Overloaded:
-		switch {
-		case s.roomIn != "":
-			return s.roomIn, ReasonNone
-		case s.unknown != "" && s.trials < maxTrials:
-			s.trials++
-			return s.unknown, ReasonNone
-		}
-		return "", Overloaded
-	case overload.TooSlow:
+	decision := s.overload.Admit(now, o)
+	switch {
+	case decision == overload.Admitted:
+		return spilled, ReasonNone
+	case s.roomIn != "":
+		return s.roomIn, ReasonNone
+	case s.unknown != "" && s.trials < maxTrials:
+		s.trials++
+		return s.unknown, ReasonNone
+	case decision == overload.TooSlow:
 		return "", TooSlow
 	}
-	return spilled, ReasonNone
+	return "", Overloaded
 }
 
 // admitOpening decides on a transmission of an opening that has no server yet. It returns
@@ -170,6 +169,12 @@
 	return float64((uint64(hash)*oddConstant)>>11) / (1 << 53)
 }
 
+// spills reports whether a considerable part of the new flows goes to other data centres:
+// the fraction that the spill controller moves, or what would otherwise be refused.
+func (s *serviceControl) spills() bool {
+	return s.spill.SpilledFraction() >= spillReportFraction || (s.overload.Refusing() && s.roomIn != "")
+}
+
 // reportServiceControl returns the log entries of states that have changed.
 func (c *Core) reportServiceControl(service string, s *serviceControl) []Action {
 	var actions []Action
@@ -184,12 +189,12 @@
 		}
 		priority, fraction := s.overload.AdmittedPriority()
 		actions = append(actions, StateChange{Subject: service, Description: description, Cause: fmt.Sprintf(
-			"servers refuse %.2f of the requests, %.2f of the new flows go to other data centres, priorities up to %d are admitted, the last one to %.2f",
-			s.refused, s.spill.SpilledFraction(), priority, fraction)})
+			"servers refuse %.2f of the requests; %.2f of the new flows move to other data centres; admitted: %.2f of priority %d, more urgent ones entirely",
+			s.refused, s.spill.SpilledFraction(), fraction, priority)})
 	}
 	report(&s.saturated, s.refused > saturatedFraction, "service saturated", "service not saturated any more")
-	report(&s.spilling, s.spill.SpilledFraction() >= spillReportFraction, "service spills to other data centres", "service spills no more")
-	report(&s.refusing, s.overload.Refusing(), "service refuses new flows", "service refuses no more new flows")
+	report(&s.spilling, s.spills(), "service spills to other data centres", "service spills no more")
+	report(&s.refusing, s.overload.Refusing() && s.roomIn == "", "service refuses new flows", "service refuses no more new flows")
 	return actions
 }
 
--- a/internal/linkload/linkload.go
+++ b/internal/linkload/linkload.go
@@ -75,11 +75,11 @@
 // New returns a link of the given bandwidth; 0 means that it is unknown.
 func New(bitsPerSecond float64) *Link { return &Link{bytesPerSecond: bitsPerSecond / 8} }
 
-// Received counts a packet that the instance has received.
-func (l *Link) Received(now time.Time, bytes int) {
+// Received counts bytes that the instance has received in a number of callers' packets.
+func (l *Link) Received(now time.Time, bytes, packets int) {
 	l.advance(now)
 	l.received[l.current] += bytes
-	l.packets[l.current]++
+	l.packets[l.current] += packets
 }
 
 // ReceivedBulk records that the bytes of a packet counted by Received belong to a bulk
--- a/internal/linkload/linkload_test.go
+++ b/internal/linkload/linkload_test.go
@@ -41,7 +41,7 @@
 		for credit += bytesPerMillisecond; credit >= maxPacketBytes && len(queue) > 0; credit -= maxPacketBytes {
 			k := queue[0]
 			queue = queue[1:]
-			l.Received(now, maxPacketBytes)
+			l.Received(now, maxPacketBytes, 1)
 			l.ReceivedBulk(now, maxPacketBytes)
 			transfers.Progress(now, k)
 			carried += maxPacketBytes
@@ -75,7 +75,7 @@
 	for _, l := range []*Link{New(0), New(10e9)} {
 		for i := range 500 {
 			now := begin.Add(time.Duration(i) * time.Millisecond)
-			l.Received(now, 100_000)
+			l.Received(now, 100_000, 1)
 			l.Sent(now, 100_000)
 			if !l.AdmitBulk(now, i) {
 				t.Fatalf("refused with %d transfers and a utilization of %f", i, l.Utilization(now))
@@ -89,7 +89,7 @@
 
 // Guards against a direction that is left out, and against a mean that lags behind.
 func TestUtilization(t *testing.T) {
-	for _, count := range []func(*Link, time.Time, int){(*Link).Received, (*Link).Sent} {
+	for _, count := range []func(*Link, time.Time, int){func(l *Link, now time.Time, bytes int) { l.Received(now, bytes, 1) }, (*Link).Sent} {
 		l, now := New(8_000_000), begin
 		for range 1000 {
 			now = now.Add(time.Millisecond)
@@ -145,7 +145,7 @@
 	l, now := New(10_000_000), time.Now()
 	for range b.N {
 		now = now.Add(time.Microsecond)
-		l.Received(now, 1228)
+		l.Received(now, 1228, 1)
 	}
 }
 
@@ -159,7 +159,7 @@
 		l := New(10_000_000)
 		for i := range c.packets {
 			now := begin.Add(time.Duration(i) * time.Second / time.Duration(c.packets))
-			l.Received(now, maxPacketBytes)
+			l.Received(now, maxPacketBytes, 1)
 			l.ReceivedBulk(now, maxPacketBytes)
 			if i*c.retransmits/c.packets != (i+1)*c.retransmits/c.packets {
 				l.Retransmitted(now)
@@ -180,7 +180,7 @@
 	admitted := func(smallBytesPerSecond int) (n int) {
 		l := New(10_000_000)
 		for ms := range 1000 {
-			l.Received(begin.Add(time.Duration(ms)*time.Millisecond), smallBytesPerSecond/1000)
+			l.Received(begin.Add(time.Duration(ms)*time.Millisecond), smallBytesPerSecond/1000, 1)
 		}
 		for l.AdmitBulk(begin.Add(time.Second), n) {
 			n++
