gateway: faults that the review of the load control found

- A route with an IPv6 address ended the process (As4 panics in the answer sizes).
- Answer sizes were kept when a route moved to another service: its shorter answers counted as refusals for minutes.
Responses up to 176 bytes may be refusals (256): the headers of a signed result alone take 180.
- A late duplicate of an opening, or a retransmission whose first transmission another instance had forwarded, could be refused, which resets a flow that is open.
- Openings for a data centre with room fell back to the full servers when it had none to take them.
- Retransmissions to a server that answers nobody counted as congestion of the link.
- Inconclusive probes of an unreachable server had no backoff; no route to the host is no answer again, as before.
- The own data centre spilled on some misread responses of few samples.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,7 +32,6 @@
 	"cuminshift/internal/registry"
 	"cuminshift/internal/routing"
 	"cuminshift/internal/selection"
-	"cuminshift/internal/serverload"
 	"cuminshift/internal/source"
 	"cuminshift/internal/token"
 	"cuminshift/internal/withdrawal"
@@ -208,7 +207,7 @@
 	// serviceLoads has an entry for each service and data centre with servers, and
 	// answerSizes one for each service address with a route.
 	serviceLoads map[serviceLoadKey]*serviceLoad
-	answerSizes  map[serviceAddress]*serverload.AnswerSizes
+	answerSizes  map[serviceAddress]*routeAnswerSizes
 	// serviceControls has an entry for each service with servers.
 	serviceControls map[string]*serviceControl
 	// mostUrgent is the most urgent priority of recent openings, and mostUrgentAt the
@@ -250,7 +249,7 @@
 		services:        map[string]*serviceServers{},
 		serviceLoads:    map[serviceLoadKey]*serviceLoad{},
 		serviceControls: map[string]*serviceControl{},
-		answerSizes:     map[serviceAddress]*serverload.AnswerSizes{},
+		answerSizes:     map[serviceAddress]*routeAnswerSizes{},
 		tokens:          token.NewIndex[*serverState](),
 		flows:           map[flow.Key]*trackedFlow{},
 		recentFlows:     recentFlowIndex{},
--- a/internal/gateway/packets.go
+++ b/internal/gateway/packets.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"cuminshift/internal/flow"
-	"cuminshift/internal/model"
+	"cuminshift/internal/routing"
 	"cuminshift/internal/source"
 	"cuminshift/internal/token"
 )
@@ -22,9 +22,6 @@
 	var v Verdict
 	var actions []Action
 	if s.Opening {
-		if s.RetransmitCount > 0 {
-			c.link.countRetransmit(now)
-		}
 		v, actions = c.handleOpening(now, s)
 	} else {
 		v, actions = c.handleFollowing(now, s)
@@ -39,17 +36,24 @@
 	if route == nil {
 		return c.refuse(now, s, NoRoute, source.Configuration), nil
 	}
+	// A late duplicate of the first transmission looks like the opening of a new flow, and
+	// a reset would end the flow that is open.
+	known := c.flows[s.Key]
+	duplicate := known != nil && !known.callerClosed && now.Sub(known.openedAround()) <= openingWindow
 	f := c.flowOfOpening(now, s)
-	var dataCentre model.DataCentre
-	if f.serverState == nil {
+	var a admission
+	if f.serverState == nil && !duplicate {
 		var reason Reason
-		if dataCentre, reason = c.admitOpening(now, s, route); reason != ReasonNone {
-			return Verdict{Kind: Reset, Ack: s.Ack, Reason: reason, Service: route.Pick(s.Key.Hash())}, nil
+		if a, reason = c.admitOpening(now, s, route); reason != ReasonNone {
+			return c.refuseForLoad(s, route, reason), nil
 		}
 	}
 	observation := f.Observe(now, s)
 	v := Verdict{NewOpening: true}
 	if observation.Retransmit {
+		if f.serverState == nil || f.serverState.reach.LastProgress().After(observation.FirstSeenAt) {
+			c.link.countRetransmit(now)
+		}
 		v = Verdict{RetransmitAfter: now.Sub(observation.FirstSeenAt)}
 	}
 	previous := f.serverState
@@ -72,9 +76,12 @@
 	} else {
 		actions = c.suspectUnanswered(now, s.Key)
 	}
-	srv := c.chooseServer(now, s, route, previous, dataCentre)
+	srv := c.chooseServer(now, s, route, previous, a)
 	if srv == nil {
 		c.untrack(f)
+		if a.overflow {
+			return c.refuseForLoad(s, route, Overloaded), actions
+		}
 		v = c.refuse(now, s, NoServer, source.Registry)
 		v.Service = route.Pick(s.Key.Hash())
 		return v, actions
@@ -83,7 +90,7 @@
 	c.attach(f, srv)
 	c.recentFlows.add(f)
 	c.link.observeOpening(now, f)
-	v.Spilled = dataCentre != "" && srv.record.DataCentre == dataCentre
+	v.Spilled = a.dataCentre != "" && srv.record.DataCentre == a.dataCentre
 	if c.isCold(now, srv.record) {
 		srv.coldOpenings.Record(now)
 	}
@@ -93,6 +100,11 @@
 	return c.forward(f, v), actions
 }
 
+// refuseForLoad returns the verdict on an opening that is refused because of the load.
+func (c *Core) refuseForLoad(s *flow.Segment, route *routing.Route, reason Reason) Verdict {
+	return Verdict{Kind: Reset, Ack: s.Ack, Reason: reason, Service: route.Pick(s.Key.Hash())}
+}
+
 // flowOfOpening returns the flow that a transmission of an opening belongs to. The first
 // transmission belongs to a new flow, also if its caller has used the port before: that
 // caller may have given up the earlier flow without a packet that shows it. So does a
@@ -166,7 +178,10 @@
 	}
 	if observation.Retransmit {
 		v.RetransmitAfter = now.Sub(observation.FirstSeenAt)
-		c.link.countRetransmit(now)
+		if srv.reach.LastProgress().After(observation.FirstSeenAt) {
+			// Retransmissions to a server that answers nobody show no full link.
+			c.link.countRetransmit(now)
+		}
 	}
 	if observation.Answered {
 		v.RefusedByServer = c.recordResponse(now, f, f.Ack-previousAck, v.AnswerTime)
--- a/internal/gateway/reachability.go
+++ b/internal/gateway/reachability.go
@@ -231,7 +231,7 @@
 	maxProbeRate   = 1000
 	// probeBurst is the time for which the budget is saved up, so that the servers of a
 	// lost data centre are found at once.
-	probeBurst = 3 * time.Second
+	probeBurst = 5 * time.Second
 	// probeReserve is the part of the burst that repeated probes of servers that are
 	// confirmed down leave to the others. With many servers down, they alone would
 	// use up the budget, and the next failure would be found late.
--- a/internal/gateway/server_selection.go
+++ b/internal/gateway/server_selection.go
@@ -23,11 +23,11 @@
 // chooseServer returns the server for a new flow, or nil. The service selected
 // by the route's weights comes first; the other services of the route are the
 // fallback. previous is the server of an earlier transmission of the opening, or
-// nil. A server in dataCentre goes first, unless it is "".
-func (c *Core) chooseServer(now time.Time, s *flow.Segment, route *routing.Route, previous *serverState, dataCentre model.DataCentre) *serverState {
+// nil. A server in the data centre of the admission goes first.
+func (c *Core) chooseServer(now time.Time, s *flow.Segment, route *routing.Route, previous *serverState, a admission) *serverState {
 	preferred := route.Pick(s.Key.Hash())
-	if dataCentre != "" {
-		if srv := c.chooseFromDataCentre(now, s, preferred, dataCentre); srv != nil {
+	if a.dataCentre != "" {
+		if srv := c.chooseFromDataCentre(now, s, preferred, a.dataCentre); srv != nil || a.overflow {
 			return srv
 		}
 	}
@@ -87,11 +87,10 @@
 		return nil
 	}
 	params := openingParams{now: now, hash: s.Key.Hash()}
+	inDC := servers.byDataCentre[dc]
 	c.resetCandidates()
-	for _, srv := range servers.remote {
-		if srv.record.DataCentre == dc {
-			c.addCandidate(&params, srv)
-		}
+	for i := range selection.Sample(uint64(params.hash), len(inDC)) {
+		c.addCandidate(&params, inDC[i])
 	}
 	if i := selection.Choose(c.candidates); i != selection.None && c.candidates[i].Reach == reach.Reachable {
 		return c.candidateServers[i]
--- a/internal/gateway/server_state.go
+++ b/internal/gateway/server_state.go
@@ -10,6 +10,7 @@
 	"cuminshift/internal/coldstart"
 	"cuminshift/internal/flow"
 	"cuminshift/internal/linkload"
+	"cuminshift/internal/model"
 	"cuminshift/internal/reach"
 	"cuminshift/internal/registry"
 	"cuminshift/internal/serverload"
@@ -123,6 +124,8 @@
 // by name.
 type serviceServers struct {
 	local, remote []*serverState
+	// byDataCentre holds the remote servers by data centre.
+	byDataCentre map[model.DataCentre][]*serverState
 }
 
 // indexServices rebuilds the lists of servers that may take new flows. A server without
@@ -136,7 +139,7 @@
 		}
 		servers := c.services[r.Service]
 		if servers == nil {
-			servers = &serviceServers{}
+			servers = &serviceServers{byDataCentre: map[model.DataCentre][]*serverState{}}
 			c.services[r.Service] = servers
 		}
 		if r.DataCentre == c.cfg.DataCentre {
@@ -148,6 +151,10 @@
 	for _, servers := range c.services {
 		slices.SortFunc(servers.local, byName)
 		slices.SortFunc(servers.remote, byName)
+		for _, srv := range servers.remote {
+			dc := srv.record.DataCentre
+			servers.byDataCentre[dc] = append(servers.byDataCentre[dc], srv)
+		}
 	}
 }
 
--- a/internal/gateway/service_control.go
+++ b/internal/gateway/service_control.go
@@ -125,37 +125,46 @@
 	s.overload.Update(now, overload.Input{Refused: s.refused, Samples: samples, MedianAnswer: median})
 }
 
-// admit decides on an opening of the service. It returns the data centre whose servers it
-// goes to, "" for any, or the reason to refuse it.
-func (s *serviceControl) admit(now time.Time, o overload.Opening) (model.DataCentre, Reason) {
+// admission says where an admitted opening goes.
+type admission struct {
+	// dataCentre is the data centre whose servers it goes to; "" for any.
+	dataCentre model.DataCentre
+	// overflow is set if it would be refused without a server there.
+	overflow bool
+}
+
+// admit decides on an opening of the service. It returns where it goes or the reason to
+// refuse it.
+func (s *serviceControl) admit(now time.Time, o overload.Opening) (admission, Reason) {
 	spilled := s.spill.Pick(o.Point)
 	decision := s.overload.Admit(now, o)
 	switch {
 	case decision == overload.Admitted:
-		return spilled, ReasonNone
+		return admission{dataCentre: spilled}, ReasonNone
 	case s.roomIn != "":
-		return s.roomIn, ReasonNone
+		return admission{s.roomIn, true}, ReasonNone
 	case s.unknown != "" && s.trials < maxTrials:
 		s.trials++
-		return s.unknown, ReasonNone
+		return admission{s.unknown, true}, ReasonNone
 	case decision == overload.TooSlow:
-		return "", TooSlow
+		return admission{}, TooSlow
 	}
-	return "", Overloaded
+	return admission{}, Overloaded
 }
 
 // admitOpening decides on a transmission of an opening that has no server yet. It returns
-// the data centre whose servers it goes to, "" for any, or the reason to refuse it.
-func (c *Core) admitOpening(now time.Time, s *flow.Segment, route *routing.Route) (model.DataCentre, Reason) {
+// where it goes or the reason to refuse it. A retransmission is not refused: another
+// instance may have forwarded the first transmission, and the flow may be open.
+func (c *Core) admitOpening(now time.Time, s *flow.Segment, route *routing.Route) (admission, Reason) {
 	if route.Priority <= c.mostUrgent || now.Sub(c.mostUrgentAt) > urgentWindow {
 		c.mostUrgent, c.mostUrgentAt = route.Priority, now
 	}
-	if c.link.full(now, s.Key) || (route.Priority > c.mostUrgent && c.link.congested(now)) {
-		return "", LinkFull
+	if s.RetransmitCount == 0 && (c.link.full(now, s.Key) || (route.Priority > c.mostUrgent && c.link.congested(now))) {
+		return admission{}, LinkFull
 	}
 	control := c.serviceControls[route.Pick(s.Key.Hash())]
 	if control == nil {
-		return "", ReasonNone
+		return admission{}, ReasonNone
 	}
 	return control.admit(now, overload.Opening{Priority: route.Priority, Point: admissionPoint(s.Key.Hash()),
 		Caller: s.Key.CallerIP, Timeout: route.GiveUpAfter, Repeated: s.RetransmitCount > 0})
--- a/internal/gateway/service_load.go
+++ b/internal/gateway/service_load.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"cuminshift/internal/flow"
@@ -39,6 +40,12 @@
 	port uint16
 }
 
+// routeAnswerSizes holds the sizes of the answers of a route with the given shares.
+type routeAnswerSizes struct {
+	serverload.AnswerSizes
+	shares []routing.Share
+}
+
 func serviceAddressOf(k flow.Key) serviceAddress { return serviceAddress{k.ServiceIP, k.ServicePort} }
 
 // serviceLoad returns what is known about the load of a service's servers in a data
@@ -82,12 +89,18 @@
 // that it no longer has.
 func (c *Core) updateAnswerSizes(next *routing.Configuration) {
 	previous := c.answerSizes
-	c.answerSizes = make(map[serviceAddress]*serverload.AnswerSizes, len(next.Routes))
-	for address := range next.Routes {
+	c.answerSizes = make(map[serviceAddress]*routeAnswerSizes, len(next.Routes))
+	for address, route := range next.Routes {
+		if !address.Addr().Is4() {
+			continue // callers' packets have IPv4 addresses only
+		}
 		k := serviceAddressOf(flow.NewKey(address, address))
-		if c.answerSizes[k] = previous[k]; c.answerSizes[k] == nil {
-			c.answerSizes[k] = &serverload.AnswerSizes{}
+		sizes := previous[k]
+		if sizes == nil || !slices.Equal(sizes.shares, route.Shares) {
+			// Another service may have other answers.
+			sizes = &routeAnswerSizes{shares: route.Shares}
 		}
+		c.answerSizes[k] = sizes
 	}
 }
 
--- a/internal/gatewayshell/probe.go
+++ b/internal/gatewayshell/probe.go
@@ -107,6 +107,8 @@
 	case connected:
 		// The health check is waiting for a free slot.
 		return reach.Answered
+	case errors.Is(err, syscall.EHOSTUNREACH), errors.Is(err, syscall.ENETUNREACH):
+		return reach.NoAnswer
 	case !errors.As(err, &netErr) || !netErr.Timeout():
 		return reach.Inconclusive
 	case took > probeTimeout+maxControlLatency:
--- a/internal/gatewayshell/probe_test.go
+++ b/internal/gatewayshell/probe_test.go
@@ -30,6 +30,7 @@
 		"reset while connecting":    {err: dialError(syscall.ECONNRESET), want: reach.ConnectionReset},
 		"reset after connecting":    {err: &net.OpError{Op: "read", Err: os.NewSyscallError("read", syscall.ECONNRESET)}, connected: true, want: reach.ConnectionReset},
 		"waits for a slot":          {err: os.ErrDeadlineExceeded, connected: true, took: probeTimeout, want: reach.Answered},
+		"no route to the host":      {err: dialError(syscall.EHOSTUNREACH), want: reach.NoAnswer},
 		"silence":                   {err: &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}, took: probeTimeout, want: reach.NoAnswer},
 		"silence, noticed too late": {err: &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}, took: 2 * probeTimeout, want: reach.Inconclusive},
 		"no descriptor":             {err: &net.OpError{Op: "dial", Err: os.NewSyscallError("socket", syscall.EMFILE)}, want: reach.Inconclusive},
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -388,6 +388,10 @@
 			demand := k.offered.perSecond()
 			share := min(demand, left)
 			k.fraction = 1
+			if demand == 0 && left == 0 {
+				// Openings of a kind that was not offered so far find no room either.
+				k.fraction = 0
+			}
 			if p == unlimited && i == 0 {
 				share = demand
 			}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -209,6 +209,10 @@
 			d.setUnreachable(now)
 			d.confirmedDown = true
 		}
+	case Inconclusive:
+		if d.state == Unreachable {
+			d.setUnreachable(now) // the next probe waits as after a failed one
+		}
 	case NoAnswer:
 		return d.probeUnanswered(now, controlAnswered)
 	}
--- a/internal/serverload/answersizes.go
+++ b/internal/serverload/answersizes.go
@@ -3,8 +3,10 @@
 import "math"
 
 const (
-	// maxRefusalBytes is the size up to which a response may be a refusal.
-	maxRefusalBytes = 256
+	// maxRefusalBytes is the size up to which a response may be a refusal. Refusals and
+	// errors have 125 to 165 bytes on the users' platform; the headers of a response with a
+	// result, which the server signs, alone take 180.
+	maxRefusalBytes = 176
 	// recentResponses and usualResponses are the numbers of responses over which
 	// the two fractions of long responses are averaged.
 	recentResponses = 64
--- a/internal/spill/spill.go
+++ b/internal/spill/spill.go
@@ -26,7 +26,10 @@
 	// startRefused is the refused fraction of the own data centre above which
 	// flows move, endRefused the one below which they return.
 	startRefused = 0.05
-	endRefused   = 0.02
+	// startDeviations is the number of standard deviations by which the refused fraction
+	// must exceed startRefused: with few samples, some misread responses exceed it.
+	startDeviations = 1.5
+	endRefused      = 0.02
 	// minDifference is how much less a data centre must refuse than the own one
 	// to receive more flows. It keeps data centres that refuse alike from
 	// exchanging flows.
@@ -224,7 +227,7 @@
 		c.calmSteps = 0
 	}
 	switch {
-	case refused > startRefused:
+	case refused > startRefused+startDeviations*math.Sqrt(startRefused*(1-startRefused)/max(local.Samples, 1)):
 		// After a burst, the samples that are left show less than the capacity.
 		if c.recent.added >= minAdded {
 			c.capacity = local.Samples * (1 - refused)
