serverload: new flows avoid a server that fails far more requests than its service

Cause: a server that fails requests at once is idle, so new flows preferred it.

Change: each server has a moving average of the refused fraction over its last responses. A server with over 0.3 and three times its service's fraction counts as suspect for new flows. The average decays within 2 s without responses, so the server is tried again.

--- a/internal/gateway/server_selection.go
+++ b/internal/gateway/server_selection.go
@@ -109,7 +109,7 @@
 		return
 	}
 	state := srv.reach.State()
-	if (srv == params.avoid || slices.Contains(c.suspects, srv)) && state == reach.Reachable {
+	if state == reach.Reachable && (srv == params.avoid || slices.Contains(c.suspects, srv) || c.isFailing(params.now, srv)) {
 		state = reach.Suspect
 	}
 	coldStart := c.isCold(params.now, r)
@@ -128,6 +128,16 @@
 	c.candidateServers = append(c.candidateServers, srv)
 }
 
+// isFailing reports whether the server refuses or fails far more requests than the others
+// of its service.
+func (c *Core) isFailing(now time.Time, srv *serverState) bool {
+	if !srv.load.Refuses() {
+		return false
+	}
+	refused, _ := srv.serviceLoad.RefusedFraction(now)
+	return srv.load.Failing(now, refused)
+}
+
 // openingParams holds what the choice of the server for one new flow depends
 // on.
 type openingParams struct {
--- a/internal/gateway/service_load_test.go
+++ b/internal/gateway/service_load_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -76,3 +77,54 @@
 		t.Errorf("left over: %v, %v", inst.core.serviceLoads, inst.core.answerSizes)
 	}
 }
+
+// Guards against a server that attracts new flows because it fails requests at once and so
+// is always idle, and against one that is avoided after it has recovered.
+func TestServerThatFailsFastIsAvoided(t *testing.T) {
+	var servers []registry.Entry
+	for i := range 10 {
+		servers = append(servers, server(fmt.Sprint("i-", i), norte))
+	}
+	inst := newTestInstance(t, servers...)
+	caller := uint32(0)
+	// play opens 300 flows a second, each with one request that takes 60 ms, and returns the
+	// fraction of them that goes to the server i-0. Of its requests, i-0 fails the given
+	// number in 10 at once.
+	play := func(d time.Duration, failed uint32) float64 {
+		answers := map[time.Time][]*flow.Segment{}
+		total, atFailing := 0, 0
+		for end := inst.now.Add(d); inst.now.Before(end); inst.advance(10 * time.Millisecond) {
+			for _, s := range answers[inst.now] {
+				inst.handlePacket(s)
+			}
+			delete(answers, inst.now)
+			for range 3 {
+				caller++
+				k := key(1)
+				k.CallerIP += caller * 7
+				v := inst.handlePacket(&flow.Segment{Key: k, Opening: true})
+				inst.handlePacket(&flow.Segment{Key: k, Seq: 1, Ack: 100, Token: v.Token})
+				inst.handlePacket(&flow.Segment{Key: k, Seq: 1, Ack: 100, Length: 50, Token: v.Token})
+				answer, at := &flow.Segment{Key: k, Seq: 51, Ack: 800, Token: v.Token, Final: true}, inst.now.Add(60*time.Millisecond)
+				total++
+				if v.Server.Name == "i-0" {
+					if atFailing++; caller%10 < failed {
+						answer.Ack, at = 260, inst.now.Add(10*time.Millisecond)
+					}
+				}
+				answers[at] = append(answers[at], answer)
+			}
+			if inst.now.UnixNano()%int64(TickInterval) == 0 {
+				inst.confirmSources()
+				inst.handleEvent(Tick{})
+			}
+		}
+		return float64(atFailing) / float64(total)
+	}
+	fair, failing := play(4*time.Second, 0), play(10*time.Second, 6)
+	play(2*time.Second, 0)
+	recovered := play(4*time.Second, 0)
+	if fair < 0.08 || failing > 0.02 || recovered < 0.05 {
+		t.Errorf("fraction of the new flows: %.3f before, %.3f while it fails 6 of 10 requests, %.3f after its recovery", fair, failing, recovered)
+	}
+}
--- a/internal/serverload/serverload.go
+++ b/internal/serverload/serverload.go
@@ -23,6 +23,17 @@
 	minSamples = 8
 	// sampleDecay is the time constant with which an answer loses weight.
 	sampleDecay = time.Second
+	// refusedWeight is the weight of one response in the refused fraction of a server, and
+	// refusedDecay the time constant with which it falls without responses.
+	refusedWeight = 0.25
+	refusedDecay  = 2 * time.Second
+	// minRefused is the refused fraction below which a server counts as refusing nothing.
+	minRefused = 0.01
+	// minFailing is the refused fraction from which on a server may be failing: that of two
+	// refusals in a row, since a single one may be a lost packet. failingFactor is how much
+	// more than its service it has to refuse.
+	minFailing    = 0.3
+	failingFactor = 3
 	// forgetAfter is the time without answers after which the speed is 1 again.
 	forgetAfter = 4 * time.Second
 	// minSpeed and maxSpeed limit the speed, so that every server keeps receiving
@@ -49,6 +60,8 @@
 	// median is the weighted median of the samples in microseconds; 0 if it has to
 	// be computed.
 	median uint32
+	// refused is the moving average of the refused fraction as of the last response.
+	refused float32
 	// lastAnswer and lastRefusal are in Unix nanoseconds; 0 if there was none.
 	lastAnswer, lastRefusal int64
 }
@@ -69,11 +82,34 @@
 	s.samples[s.next] = sample{at: uint32(now.UnixMilli()), took: uint32(min(max(took.Microseconds(), 1), math.MaxUint32))}
 	s.next = (s.next + 1) % sampleCount
 	s.count = min(s.count+1, sampleCount)
+	if s.refused = float32(s.RefusedFraction(now) * (1 - refusedWeight)); s.refused < minRefused {
+		s.refused = 0
+	}
 	s.median, s.lastAnswer = 0, now.UnixNano()
 }
 
 // RecordRefusal records a response that refuses the request.
-func (s *Server) RecordRefusal(now time.Time) { s.lastRefusal = now.UnixNano() }
+func (s *Server) RecordRefusal(now time.Time) {
+	s.refused = float32(s.RefusedFraction(now)*(1-refusedWeight) + refusedWeight)
+	s.lastRefusal = now.UnixNano()
+}
+
+// RefusedFraction returns the fraction of the last few responses that were refusals. It
+// decays while there are no responses, so that a server that gets no flows is tried again.
+func (s *Server) RefusedFraction(now time.Time) float64 {
+	age := max(now.Sub(time.Unix(0, max(s.lastAnswer, s.lastRefusal))), 0)
+	return float64(s.refused) * math.Exp(-age.Seconds()/refusedDecay.Seconds())
+}
+
+// Refuses reports whether any of the last responses was a refusal.
+func (s *Server) Refuses() bool { return s.refused > 0 }
+
+// Failing reports whether the server refuses far more than the others of its service,
+// whose refused fraction is given: it fails requests fast, and would attract new flows by
+// being idle.
+func (s *Server) Failing(now time.Time, serviceRefused float64) bool {
+	return s.RefusedFraction(now) > max(minFailing, failingFactor*serviceRefused)
+}
 
 // RecordUnanswered records an opening or a request that the caller repeated without an
 // answer. It counts as a refusal of the server. A Service does not count it, because
