--- a/internal/gateway/load_play_test.go
+++ b/internal/gateway/load_play_test.go
@@ -102,13 +102,17 @@
 	callers   map[flow.Key]*playCaller
 	ports     int
 
-	loss, short           float64 // fractions of packets to servers and of responses
-	maxConnections        int     // of a server; 0 is unlimited
-	long                  float64 // fraction of the requests that are made on long flows
-	outcomes              []playOutcome
-	openings              []playOpening
-	resets, drops         int // of open flows by instances; of openings
-	retransmits, refusals int // refusals by servers
+	// loss is the fraction of the packets that are lost after an instance, short the
+	// fraction of the results that are as short as a refusal.
+	loss, short    float64
+	maxConnections int     // of a server; 0 is unlimited
+	long           float64 // fraction of the requests that are made on long flows
+	outcomes       []playOutcome
+	openings       []playOpening
+	// resets counts the open flows that instances reset, drops the packets that they drop,
+	// refusals the requests that servers refuse.
+	resets, drops         int
+	retransmits, refusals int
 	probes                map[reach.ProbeResult]int
 }
 
