gateway: nothing is refused while other data centres have room

Cause: admission refused openings as soon as the own servers refused more than a tenth, which kept the refused fraction so low that the spill controller gave its flows back, and what would have been refused filled one data centre at once.

Change: openings are refused only when the other data centres together refuse more than 0.06. What would be refused goes to a data centre with room at a limited rate, and stays otherwise.

--- a/internal/gateway/service_control.go
+++ b/internal/gateway/service_control.go
@@ -21,6 +21,12 @@
 	// none. While there is one, flows that the service's other data centres have no room
 	// for go there instead of being refused.
 	roomIn model.DataCentre
+	// overflow is the number of flows that may still go to roomIn instead of being refused,
+	// until the next update.
+	overflow float64
+	// roomElsewhere is set while the remote data centres together refuse few requests. New
+	// flows are then not refused: the spill controller moves what does not fit.
+	roomElsewhere bool
 	// unknown is a remote data centre of which too few answers are known.
 	unknown model.DataCentre
 	// trials counts the flows that were sent to data centres of which too few answers are
@@ -41,6 +47,12 @@
 	// fraction is known.
 	maxRefusedWithRoom = 0.03
 	minSamplesForRoom  = 5
+	// maxRefusedElsewhere is the refused fraction of all remote data centres up to which
+	// new flows are not refused.
+	maxRefusedElsewhere = 0.06
+	// overflowSamples is the number of flows that may go to the data centre with room in an
+	// update, per response of the last second. More would fill it before its refusals show.
+	overflowSamples = 0.1
 	// maxTrials is the number of flows that go to data centres with fewer answers in a
 	// trialInterval. Their answers show within that time whether there is room.
 	maxTrials     = 20
@@ -109,10 +121,15 @@
 	}
 	s.unknown = ""
 	refused, samples, least := 0.0, 0.0, maxRefusedWithRoom
+	remoteRefused, remoteSamples := 0.0, 0.0
 	for i := range s.dataCentres {
 		d := &s.dataCentres[i]
 		refused += d.Refused * d.Samples
 		samples += d.Samples
+		if !d.Local && d.Usable {
+			remoteRefused += d.Refused * d.Samples
+			remoteSamples += d.Samples
+		}
 		switch {
 		case d.Local || !d.Usable:
 		case d.Samples < minSamplesForRoom:
@@ -122,6 +139,8 @@
 		}
 	}
 	s.refused = refused / math.Max(samples, 1)
+	s.roomElsewhere = remoteSamples >= minSamplesForRoom && remoteRefused <= maxRefusedElsewhere*remoteSamples
+	s.overflow = max(1, samples*overflowSamples)
 	s.overload.Update(now, overload.Input{Refused: s.refused, Samples: samples, MedianAnswer: median})
 }
 
@@ -141,11 +160,14 @@
 	switch {
 	case decision == overload.Admitted:
 		return admission{dataCentre: spilled}, ReasonNone
-	case s.roomIn != "":
+	case s.roomIn != "" && s.overflow >= 1:
+		s.overflow--
 		return admission{s.roomIn, true}, ReasonNone
 	case s.unknown != "" && s.trials < maxTrials:
 		s.trials++
 		return admission{s.unknown, true}, ReasonNone
+	case s.roomElsewhere:
+		return admission{dataCentre: spilled}, ReasonNone
 	case decision == overload.TooSlow:
 		return admission{}, TooSlow
 	}
