spill: the overflow to a data centre with room in a type of its own

The decision stood in the gateway's core beside the controller that it belongs to. A service counts as saturated in the log from 20 responses on.

--- a/internal/gateway/service_control.go
+++ b/internal/gateway/service_control.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 
 	"cuminshift/internal/flow"
@@ -16,25 +15,10 @@
 // refuse requests: which data centre they go to and which of them are refused.
 type serviceControl struct {
 	spill    spill.Controller
+	overflow spill.Overflow
 	overload overload.Controller
-	// roomIn is a remote data centre whose servers refuse few requests; empty if there is
-	// none. While there is one, flows that the service's other data centres have no room
-	// for go there instead of being refused.
-	roomIn model.DataCentre
-	// overflow is the number of flows that may still go to roomIn instead of being refused,
-	// until the next update.
-	overflow float64
-	// roomElsewhere is set while the remote data centres together refuse few requests. New
-	// flows are then not refused: the spill controller moves what does not fit.
-	roomElsewhere bool
-	// unknown is a remote data centre of which too few answers are known.
-	unknown model.DataCentre
-	// trials counts the flows that were sent to data centres of which too few answers are
-	// known since the last update that was at least trialInterval after the one before.
-	trials     int
-	trialsFrom time.Time
-	// refused is the refused fraction over all data centres.
-	refused float64
+	// refused is the refused fraction over all data centres, of which samples are known.
+	refused, samples float64
 	// saturated, spilling and refusing are the states that were last reported.
 	saturated, spilling, refusing bool
 	// dataCentres is scratch space for the view of the data centres.
@@ -42,24 +26,13 @@
 }
 
 const (
-	// maxRefusedWithRoom is the refused fraction up to which a data centre counts as
-	// having room, and minSamplesForRoom the number of responses from which on the
-	// fraction is known.
-	maxRefusedWithRoom = 0.03
-	minSamplesForRoom  = 5
-	// maxRefusedElsewhere is the refused fraction of all remote data centres up to which
-	// new flows are not refused.
-	maxRefusedElsewhere = 0.06
-	// overflowSamples is the number of flows that may go to the data centre with room in an
-	// update, per response of the last second. More would fill it before its refusals show.
-	overflowSamples = 0.1
-	// maxTrials is the number of flows that go to data centres with fewer answers in a
-	// trialInterval. Their answers show within that time whether there is room.
-	maxTrials     = 20
-	trialInterval = 300 * time.Millisecond
 	// spillReportFraction is the spilled fraction from which on a spill is reported. The
 	// few flows that keep an instance informed about other data centres stay below it.
 	spillReportFraction = 0.1
+	// saturatedFraction is the refused fraction of saturatedSamples responses or more from
+	// which on a service is reported as saturated.
+	saturatedFraction = 0.05
+	saturatedSamples  = 20
 	// urgentWindow is the time for which an opening keeps less urgent ones from being the
 	// most urgent.
 	urgentWindow = 2 * time.Second
@@ -115,32 +88,14 @@
 
 func (s *serviceControl) update(now time.Time, median time.Duration) {
 	s.spill.Update(now, s.dataCentres)
-	s.roomIn = ""
-	if now.Sub(s.trialsFrom) >= trialInterval {
-		s.trials, s.trialsFrom = 0, now
-	}
-	s.unknown = ""
-	refused, samples, least := 0.0, 0.0, maxRefusedWithRoom
-	remoteRefused, remoteSamples := 0.0, 0.0
+	s.overflow.Update(now, s.dataCentres)
+	refused, samples := 0.0, 0.0
 	for i := range s.dataCentres {
 		d := &s.dataCentres[i]
 		refused += d.Refused * d.Samples
 		samples += d.Samples
-		if !d.Local && d.Usable {
-			remoteRefused += d.Refused * d.Samples
-			remoteSamples += d.Samples
-		}
-		switch {
-		case d.Local || !d.Usable:
-		case d.Samples < minSamplesForRoom:
-			s.unknown = d.Name
-		case d.Refused <= least:
-			s.roomIn, least = d.Name, d.Refused
-		}
 	}
-	s.refused = refused / math.Max(samples, 1)
-	s.roomElsewhere = remoteSamples >= minSamplesForRoom && remoteRefused <= maxRefusedElsewhere*remoteSamples
-	s.overflow = max(1, samples*overflowSamples)
+	s.refused, s.samples = refused/max(samples, 1), samples
 	s.overload.Update(now, overload.Input{Refused: s.refused, Samples: samples, MedianAnswer: median})
 }
 
@@ -157,16 +112,14 @@
 func (s *serviceControl) admit(now time.Time, o overload.Opening) (admission, Reason) {
 	spilled := s.spill.Pick(o.Point)
 	decision := s.overload.Admit(now, o)
-	switch {
-	case decision == overload.Admitted:
+	if decision == overload.Admitted {
 		return admission{dataCentre: spilled}, ReasonNone
-	case s.roomIn != "" && s.overflow >= 1:
-		s.overflow--
-		return admission{s.roomIn, true}, ReasonNone
-	case s.unknown != "" && s.trials < maxTrials:
-		s.trials++
-		return admission{s.unknown, true}, ReasonNone
-	case s.roomElsewhere:
+	}
+	if dc, ok := s.overflow.Take(); ok {
+		return admission{dc, true}, ReasonNone
+	}
+	switch {
+	case s.overflow.RoomElsewhere():
 		return admission{dataCentre: spilled}, ReasonNone
 	case decision == overload.TooSlow:
 		return admission{}, TooSlow
@@ -210,7 +163,7 @@
 // spills reports whether a considerable part of the new flows goes to other data centres:
 // the fraction that the spill controller moves, or what would otherwise be refused.
 func (s *serviceControl) spills() bool {
-	return s.spill.SpilledFraction() >= spillReportFraction || (s.overload.Refusing() && s.roomIn != "")
+	return s.spill.SpilledFraction() >= spillReportFraction || (s.overload.Refusing() && s.overflow.Room())
 }
 
 // reportServiceControl returns the log entries of states that have changed.
@@ -230,12 +183,8 @@
 			"servers refuse %.2f of the requests; %.2f of the new flows move to other data centres; admitted: %.2f of priority %d, more urgent ones entirely",
 			s.refused, s.spill.SpilledFraction(), fraction, priority)})
 	}
-	report(&s.saturated, s.refused > saturatedFraction, "service saturated", "service not saturated any more")
+	report(&s.saturated, s.refused > saturatedFraction && s.samples >= saturatedSamples, "service saturated", "service not saturated any more")
 	report(&s.spilling, s.spills(), "service spills to other data centres", "service spills no more")
-	report(&s.refusing, s.overload.Refusing() && s.roomIn == "", "service refuses new flows", "service refuses no more new flows")
+	report(&s.refusing, s.overload.Refusing() && !s.overflow.Room(), "service refuses new flows", "service refuses no more new flows")
 	return actions
 }
-
-// saturatedFraction is the refused fraction from which on a service is reported as
-// saturated.
-const saturatedFraction = 0.05
