--- a/internal/gateway/service_load.go
+++ b/internal/gateway/service_load.go
@@ -105,8 +105,8 @@
 }
 
 // recordResponse records a response of the flow's server, whose first acknowledgement
-// covers the given number of bytes, and reports whether it is a refusal. The response to a request that began at another
-// instance is not counted: its time is not known.
+// covers the given number of bytes, and reports whether it is a refusal. The response to a
+// request that began at another instance is not counted: its time is not known.
 func (c *Core) recordResponse(now time.Time, f *trackedFlow, bytes uint32, took time.Duration) (refusal bool) {
 	sizes := c.answerSizes[serviceAddressOf(f.key)]
 	if !f.requestSeen || sizes == nil || bytes < minResponseBytes {
