--- a/review/scenario2/callers.go
+++ b/review/scenario2/callers.go
@@ -93,6 +93,9 @@
 	ctx, cancel := context.WithTimeout(h.world.ctx, 3*time.Second)
 	defer cancel()
 	id := fmt.Sprintf("%s-%s-%d", kind, zones[h.zone], h.number.Add(1))
+	if kind != keepPrefix {
+		h.world.log("%s is sent on the flow of %s", id, f.Local())
+	}
 	answer, err := f.Request(ctx, id, workMS, size)
 	if err != nil {
 		h.failed.Add(1)
--- a/review/scenario2/main.go
+++ b/review/scenario2/main.go
@@ -8,7 +8,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 const (
@@ -49,6 +51,13 @@
 		return exitNotPlayed
 	}
 	defer w.stop()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		w.stop()
+		os.Exit(exitNotPlayed)
+	}()
 	w.note("case %s, disruption %t", name, trouble)
 	broken, err := scenario(w, trouble)
 	switch {
