--- a/review/scenario2/callers.go
+++ b/review/scenario2/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"sync"
@@ -14,6 +15,13 @@
 // keepPrefix begins the names of requests that only keep a flow in use.
 const keepPrefix = "keep"
 
+// reset is a reset of an open flow that a server had answered on before.
+type reset struct {
+	at, answeredAt time.Time
+	flow           netip.AddrPort
+	server         string
+}
+
 // host is a caller's host in a zone.
 type host struct {
 	world *world
@@ -24,6 +32,9 @@
 	// sentAt holds, for each flow that was opened, when its opening was first sent.
 	sentAt map[netip.AddrPort]time.Time
 
+	// resets holds the resets of open flows, guarded by mu.
+	resets []reset
+
 	answered, failed atomic.Int64
 	number           atomic.Int64
 }
@@ -63,11 +74,16 @@
 			time.Sleep(time.Second)
 			continue
 		}
+		var last client.Answer
+		var answeredAt time.Time
 		for h.world.ctx.Err() == nil {
-			if h.request(f, keepPrefix, 2, 2000) != nil {
+			answer, err := h.request(f, keepPrefix, 2, 2000)
+			if err != nil {
+				h.noteFailure(f, last.Server, answeredAt, err)
 				f.Drop()
 				break
 			}
+			last, answeredAt = answer, time.Now()
 			select {
 			case <-h.world.ctx.Done():
 			case <-time.After(interval):
@@ -82,14 +98,25 @@
 	if err != nil {
 		return
 	}
-	if h.request(f, "once", 5, 2000) != nil {
+	if _, err := h.request(f, "once", 5, 2000); err != nil {
 		f.Drop()
 		return
 	}
 	f.Close()
 }
 
-func (h *host) request(f *client.Flow, kind string, workMS, size int) error {
+// noteFailure records that a request on an open flow failed.
+func (h *host) noteFailure(f *client.Flow, server string, answeredAt time.Time, err error) {
+	if server == "" || !errors.Is(err, client.ErrReset) {
+		return
+	}
+	h.world.log("the flow of %s at %s is reset, last answer %.3f s ago", f.Local(), server, time.Since(answeredAt).Seconds())
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.resets = append(h.resets, reset{at: time.Now(), answeredAt: answeredAt, flow: f.Local(), server: server})
+}
+
+func (h *host) request(f *client.Flow, kind string, workMS, size int) (client.Answer, error) {
 	ctx, cancel := context.WithTimeout(h.world.ctx, 3*time.Second)
 	defer cancel()
 	id := fmt.Sprintf("%s-%s-%d", kind, zones[h.zone], h.number.Add(1))
@@ -99,13 +126,13 @@
 	answer, err := f.Request(ctx, id, workMS, size)
 	if err != nil {
 		h.failed.Add(1)
-		return err
+		return answer, err
 	}
 	h.answered.Add(1)
 	if kind != keepPrefix {
 		h.world.log("%s answered by %s", id, answer.Server)
 	}
-	return nil
+	return answer, nil
 }
 
 // rate runs once at a rate per second until the time ends.
--- a/review/scenario2/coldlimit.go
+++ b/review/scenario2/coldlimit.go
@@ -63,11 +63,15 @@
 // machines is the number of machines in small that are there from the start.
 const machines = 4
 
-// openLongFlows opens flows in all zones over a time and keeps them in use.
-func (w *world) openLongFlows(service netip.AddrPort, perZone []int, over, interval time.Duration) error {
+// openLongFlows opens flows from the nth host of each zone over a time and keeps them in
+// use.
+func (w *world) openLongFlows(n int, service netip.AddrPort, perZone []int, over, interval time.Duration) error {
 	var wg sync.WaitGroup
 	for z, count := range perZone {
-		h, err := w.addHost(z, 1)
+		if count == 0 {
+			continue
+		}
+		h, err := w.addHost(z, n)
 		if err != nil {
 			return err
 		}
@@ -88,7 +92,7 @@
 		if rate == 0 {
 			continue
 		}
-		h, err := w.addHost(z, 2)
+		h, err := w.addHost(z, 3)
 		if err != nil {
 			return err
 		}
@@ -118,7 +122,7 @@
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
-	if err := w.openLongFlows(service, []int{800, 700, 700}, 4*time.Second, 2500*time.Millisecond); err != nil {
+	if err := w.openLongFlows(1, service, []int{800, 700, 700}, 4*time.Second, 2500*time.Millisecond); err != nil {
 		return false, err
 	}
 	w.note("long flows are open")
@@ -172,7 +176,7 @@
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
-	if err := w.openLongFlows(service, []int{20, 20, 20}, time.Second, 300*time.Millisecond); err != nil {
+	if err := w.openLongFlows(1, service, []int{20, 20, 20}, time.Second, 300*time.Millisecond); err != nil {
 		return false, err
 	}
 	if err := w.openShortFlows(service, []int{20, 60, 20}, time.Now().Add(12*time.Second)); err != nil {
--- a/review/scenario2/drain.go
+++ b/review/scenario2/drain.go
@@ -111,7 +111,7 @@
 		if !ok || !sent.After(acked.Add(drainBound)) {
 			continue
 		}
-		if trouble && caller.Addr() == w.address(150+cut.zone, 2, packetPort).Addr() {
+		if trouble && caller.Addr() == w.address(150+cut.zone, 3, packetPort).Addr() {
 			continue
 		}
 		late++
--- a/review/scenario2/main.go
+++ b/review/scenario2/main.go
@@ -21,9 +21,10 @@
 
 // scenarios are the cases by name.
 var scenarios = map[string]func(*world, bool) (broken bool, err error){
-	"fleet-growth":    fleetGrowth,
-	"cold-restart":    coldRestart,
-	"forgotten-drain": forgottenDrain,
+	"replayed-restart": replayedRestart,
+	"fleet-growth":     fleetGrowth,
+	"cold-restart":     coldRestart,
+	"forgotten-drain":  forgottenDrain,
 }
 
 func main() {
--- a/review/scenario2/target.go
+++ b/review/scenario2/target.go
@@ -53,7 +53,8 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		said := fmt.Sprint(body.Spec["service"], body.Spec["state"], body.Spec["born"], t.cold())
+		warmupLeft := max(0, time.Until(t.coldUntil).Milliseconds())
+		said := fmt.Sprint(body.Spec["service"], body.Spec["state"], body.Spec["born"], warmupLeft)
 		if r.known[t.id] == said {
 			return
 		}
@@ -61,7 +62,7 @@
 			t.drainAcked = time.Now()
 			r.world.note("the store has accepted that %s drains", t.id)
 		}
-		body.Spec["warmup_left_ms"] = max(0, time.Until(t.coldUntil).Milliseconds())
+		body.Spec["warmup_left_ms"] = warmupLeft
 		r.world.store.Put("servers", t.id, body.Spec)
 	})
 }
@@ -82,6 +83,8 @@
 	running   *server.Server
 	coldUntil time.Time
 	entries   *http.Server
+	// bootedAt is when the server last started.
+	bootedAt time.Time
 	// drainAcked is when the store accepted that the server drains. It is guarded by the
 	// registrar's lock.
 	drainAcked time.Time
@@ -111,15 +114,14 @@
 
 // boot starts the server, again under the name that it had.
 func (t *target) boot(cold time.Duration) error {
-	t.coldUntil = time.Now().Add(cold)
+	t.bootedAt = time.Now()
+	t.coldUntil = t.bootedAt.Add(cold)
 	var err error
 	t.running, err = server.Start(t.cfg)
 	t.world.log("server %s of %s in %s starts, cold for %s", t.id, t.cfg.Service, t.cfg.Zone, cold)
 	return err
 }
 
-func (t *target) cold() bool { return time.Now().Before(t.coldUntil) }
-
 func (t *target) kill() {
 	if t.running != nil {
 		t.running.Kill()
