--- a/review/scenario2/main.go
+++ b/review/scenario2/main.go
@@ -21,10 +21,11 @@
 
 // scenarios are the cases by name.
 var scenarios = map[string]func(*world, bool) (broken bool, err error){
-	"replayed-restart": replayedRestart,
-	"fleet-growth":     fleetGrowth,
-	"cold-restart":     coldRestart,
-	"forgotten-drain":  forgottenDrain,
+	"replayed-restart":  replayedRestart,
+	"late-registration": lateRegistration,
+	"fleet-growth":      fleetGrowth,
+	"cold-restart":      coldRestart,
+	"forgotten-drain":   forgottenDrain,
 }
 
 func main() {
--- a/review/scenario2/target.go
+++ b/review/scenario2/target.go
@@ -49,6 +49,9 @@
 		}
 		r.mu.Lock()
 		defer r.mu.Unlock()
+		if time.Now().Before(t.readyAt) {
+			return
+		}
 		if r.down {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -83,6 +86,8 @@
 	running   *server.Server
 	coldUntil time.Time
 	entries   *http.Server
+	// readyAt is the time from which the server registers.
+	readyAt time.Time
 	// bootedAt is when the server last started.
 	bootedAt time.Time
 	// drainAcked is when the store accepted that the server drains. It is guarded by the
@@ -95,7 +100,12 @@
 
 // addTarget starts a server, cold for the given time.
 func (w *world) addTarget(zone, n int, service string, slots int, cold time.Duration) (*target, error) {
-	t := &target{world: w, id: fmt.Sprintf("i-%x", 0x5a000+zone*0x100+n), zone: zone, taken: map[netip.AddrPort]opening{}}
+	return w.addTargetNamed(fmt.Sprintf("i-%x", 0x5a000+zone*0x100+n), zone, n, service, slots, cold, 0)
+}
+
+// addTargetNamed starts a server that registers after a time, when it is ready.
+func (w *world) addTargetNamed(id string, zone, n int, service string, slots int, cold, readyAfter time.Duration) (*target, error) {
+	t := &target{world: w, id: id, zone: zone, taken: map[netip.AddrPort]opening{}, readyAt: time.Now().Add(readyAfter)}
 	entries := w.address(4+zone, n, storePort)
 	l, err := net.Listen("tcp4", entries.String())
 	if err != nil {
--- a/review/scenario2/world.go
+++ b/review/scenario2/world.go
@@ -285,6 +285,16 @@
 	return nil
 }
 
+// signal sends a signal to the process if it runs.
+func (in *instance) signal(s syscall.Signal) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.running {
+		// The process may have just ended.
+		_ = in.cmd.Process.Signal(s)
+	}
+}
+
 // end kills the process for good.
 func (in *instance) end() {
 	in.mu.Lock()
