--- a/review/scenario2/world.go
+++ b/review/scenario2/world.go
@@ -134,9 +134,9 @@
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
 }
 
-// serviceAddress returns the address of the route to a service.
+// serviceAddress returns the address of the route to a service. It stands in packets only.
 func serviceAddress(i int) netip.AddrPort {
-	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 0, byte(i + 1)}), 8443)
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 200, byte(i + 1)}), 8443)
 }
 
 // instanceSpec says where an instance runs.
